Build skeleton, design page, inner protocol and command framework

Cause: the project starts empty; every later change needs a build, a design contract and one executable file. Change: Maven build with formatter, linter and a single executable file; docs/design.md; wire.proto with generated lite classes; result, model, rules and event value types; the command framework. Conclusion: the base for all modules.

--- /dev/null
+++ b/src/main/java/org/yuccabank/command/Commands.java
@@ -0,0 +1,20 @@
+package org.yuccabank.command;
+
+import java.util.List;
+
+/** The commands of the executable, in the order in which the help lists them. */
+final class Commands {
+
+    private static final List<Command> ALL = List.of(new VersionCommand());
+
+    private Commands() {}
+
+    /**
+     * All commands.
+     *
+     * @return the commands
+     */
+    static List<Command> all() {
+        return ALL;
+    }
+}
--- /dev/null
+++ b/src/main/proto/generate.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Regenerates the committed classes of the inner protocol. Needs protoc 3.21 (Debian package protobuf-compiler).
+set -eu
+cd "$(dirname "$0")/../../.."
+rm -rf src/main/java/org/yuccabank/protocol/generated
+protoc --proto_path=src/main/proto --java_out=lite:src/main/java src/main/proto/wire.proto
