Add inner protocol transport with correlation and heartbeats

Cause: every role needs requests to other processes whose replies cannot reach another request, and that end as in doubt or surely not sent.

--- /dev/null
+++ b/src/main/java/org/yuccabank/protocol/PeerClient.java
@@ -0,0 +1,132 @@
+package org.yuccabank.protocol;
+
+import io.netty.channel.ChannelFuture;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Objects;
+import org.yuccabank.protocol.generated.Envelope;
+import reactor.core.publisher.Mono;
+
+/**
+ * Keeps one connection to an address and opens a new one when it was closed.
+ *
+ * <p>Invariant: at most one attempt to connect is in progress. A request is sent once on one
+ * connection and never again by this class. Safe for use by several threads.
+ */
+public final class PeerClient {
+
+    private final PeerTransport transport;
+    private final InetSocketAddress address;
+    private final PeerHandler handler;
+    private Mono<PeerConnection> current;
+    private volatile PeerConnection connection;
+    private volatile boolean stopped;
+
+    private PeerClient(PeerTransport transport, InetSocketAddress address, PeerHandler handler) {
+        this.transport = transport;
+        this.address = address;
+        this.handler = handler;
+    }
+
+    /**
+     * Creates a client; the first request connects.
+     *
+     * @param transport threads and framing of this process
+     * @param address address of the peer
+     * @param handler answers requests that the peer sends on this connection
+     * @return the client
+     */
+    public static PeerClient of(
+            PeerTransport transport, InetSocketAddress address, PeerHandler handler) {
+        Objects.requireNonNull(transport, "transport is null");
+        Objects.requireNonNull(address, "address is null");
+        Objects.requireNonNull(handler, "handler is null");
+        return new PeerClient(transport, address, handler);
+    }
+
+    /**
+     * Sends a request, connecting first if necessary.
+     *
+     * @param request the request
+     * @param timeout time to wait for the reply
+     * @return the reply, or an error with a {@link PeerException}
+     */
+    public Mono<Envelope> request(Envelope request, Duration timeout) {
+        return connected().flatMap(open -> open.request(request, timeout));
+    }
+
+    /**
+     * Sends a message without a reply; it is dropped if no connection is open.
+     *
+     * @param message the message
+     */
+    public void send(Envelope message) {
+        PeerConnection open = connection;
+        if (open != null && open.isOpen()) {
+            open.send(message);
+        } else {
+            connected().subscribe(fresh -> fresh.send(message), error -> {});
+        }
+    }
+
+    /**
+     * Address of the peer.
+     *
+     * @return the address
+     */
+    public InetSocketAddress address() {
+        return address;
+    }
+
+    /** Closes the connection; later requests fail as not sent. */
+    public void stop() {
+        stopped = true;
+        PeerConnection open = connection;
+        if (open != null) {
+            open.close();
+        }
+    }
+
+    private Mono<PeerConnection> connected() {
+        PeerConnection open = connection;
+        if (open != null && open.isOpen()) {
+            return Mono.just(open);
+        }
+        return connectOnce();
+    }
+
+    private synchronized Mono<PeerConnection> connectOnce() {
+        if (stopped) {
+            return Mono.error(PeerException.notSent("client is stopped"));
+        }
+        if (current == null) {
+            current = Mono.<PeerConnection>create(sink -> connect(sink)).cache();
+        }
+        return current;
+    }
+
+    private void connect(reactor.core.publisher.MonoSink<PeerConnection> sink) {
+        ChannelFuture future = transport.clientBootstrap(address, handler).connect();
+        future.addListener(
+                result -> {
+                    forgetAttempt();
+                    if (result.isSuccess()) {
+                        PeerConnection fresh =
+                                future.channel().pipeline().get(PeerConnection.class);
+                        connection = fresh;
+                        sink.success(fresh);
+                    } else {
+                        sink.error(
+                                PeerException.notSent(
+                                        "cannot connect to "
+                                                + address
+                                                + ": "
+                                                + result.cause().getMessage()));
+                    }
+                });
+    }
+
+    private synchronized void forgetAttempt() {
+        current = null;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/protocol/PeerTimings.java
@@ -0,0 +1,24 @@
+package org.yuccabank.protocol;
+
+import java.time.Duration;
+
+/**
+ * Times of a connection. Immutable.
+ *
+ * @param heartbeatInterval time between two heartbeats in each direction
+ * @param silenceLimit time without any frame after which a connection is closed
+ * @param connectTimeout time allowed to open a connection
+ */
+public record PeerTimings(
+        Duration heartbeatInterval, Duration silenceLimit, Duration connectTimeout) {
+
+    /**
+     * The usual times: a heartbeat every 500 ms, silent after 2 s, 1 s to connect.
+     *
+     * @return the times
+     */
+    public static PeerTimings standard() {
+        return new PeerTimings(
+                Duration.ofMillis(500), Duration.ofSeconds(2), Duration.ofSeconds(1));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/yuccabank/protocol/PeerClientTest.java
@@ -0,0 +1,111 @@
+package org.yuccabank.protocol;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.yuccabank.protocol.generated.Envelope;
+import org.yuccabank.protocol.generated.Hello;
+import org.yuccabank.protocol.generated.Invoke;
+import org.yuccabank.protocol.generated.InvokeResult;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/** Checks that replies reach their own requests. */
+public final class PeerClientTest {
+
+    private static final Duration TIMEOUT = Duration.ofSeconds(20);
+    private PeerTransport transport;
+
+    /** Starts the network threads. */
+    @BeforeMethod
+    public void start() {
+        Hello greeting = Hello.newBuilder().setProcessId("test").build();
+        transport =
+                PeerTransport.start(
+                        greeting, () -> 7, PeerTimings.standard(), PeerSecurity.off(), 1);
+    }
+
+    /** Stops the network threads. */
+    @AfterMethod
+    public void stop() {
+        transport.stop();
+    }
+
+    private static Envelope invoke(String identifier) {
+        return Envelope.newBuilder()
+                .setInvoke(Invoke.newBuilder().setRequestId(identifier))
+                .build();
+    }
+
+    /** Guards against a reply that reaches another request when replies are reordered. */
+    @Test
+    public void shouldMatchReorderedRepliesWithTheirRequests() {
+        PeerHandler reordering =
+                (from, request) -> {
+                    String identifier = request.getInvoke().getRequestId();
+                    long delay = (Integer.parseInt(identifier) * 7) % 50;
+                    InvokeResult result = InvokeResult.newBuilder().setReason(identifier).build();
+                    return Mono.just(Envelope.newBuilder().setInvokeResult(result).build())
+                            .delayElement(Duration.ofMillis(delay));
+                };
+        PeerServer server =
+                PeerServer.start(transport, new InetSocketAddress("127.0.0.1", 0), reordering);
+        PeerClient client = PeerClient.of(transport, server.address(), PeerHandler.none());
+        List<Boolean> matches =
+                Flux.range(0, 500)
+                        .flatMap(
+                                number ->
+                                        client.request(invoke("" + number), TIMEOUT)
+                                                .map(reply -> reply.getInvokeResult().getReason())
+                                                .map(("" + number)::equals),
+                                64)
+                        .collectList()
+                        .block(TIMEOUT);
+        assertEquals(matches.size(), 500);
+        assertFalse(matches.contains(false));
+    }
+
+    /** Guards against "not sent" for a request that the peer may have got. */
+    @Test
+    public void shouldBeInDoubtWhenConnectionEndsAfterSending() {
+        PeerHandler closing =
+                (from, request) -> {
+                    if (request.hasInvoke()) {
+                        from.close();
+                    }
+                    return Mono.never();
+                };
+        PeerServer server =
+                PeerServer.start(transport, new InetSocketAddress("127.0.0.1", 0), closing);
+        PeerClient client = PeerClient.of(transport, server.address(), PeerHandler.none());
+        PeerException error =
+                expectThrows(
+                        PeerException.class,
+                        () -> client.request(invoke("1"), TIMEOUT).block(TIMEOUT));
+        assertTrue(error.isInDoubt());
+    }
+
+    /** Guards against doubt about a request that was never sent. */
+    @Test
+    public void shouldReportNotSentWhenNothingListens() {
+        PeerServer server =
+                PeerServer.start(
+                        transport, new InetSocketAddress("127.0.0.1", 0), PeerHandler.none());
+        InetSocketAddress address = server.address();
+        server.stop();
+        PeerClient client = PeerClient.of(transport, address, PeerHandler.none());
+        PeerException error =
+                expectThrows(
+                        PeerException.class,
+                        () -> client.request(invoke("1"), TIMEOUT).block(TIMEOUT));
+        assertFalse(error.isInDoubt());
+    }
+}
