--- /dev/null
+++ b/src/main/java/org/yuccabank/policy/placement/Feasibility.java
@@ -0,0 +1,144 @@
+package org.yuccabank.policy.placement;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import org.yuccabank.model.Resources;
+import org.yuccabank.rules.Quota;
+import org.yuccabank.rules.RuleSet;
+
+/** Conditions that every placement must meet, whatever the policy. */
+public final class Feasibility {
+
+    /** A host that failed recent starts receives one task at a time. */
+    private static final int PROBE_STARTS = 1;
+
+    private Feasibility() {}
+
+    /**
+     * Tells whether a task may be placed on a host now.
+     *
+     * @param task the task
+     * @param host the host
+     * @param rules the rules in force
+     * @return true if the host accepts work, has room and no rule or exclusion forbids it
+     */
+    public static boolean allows(TaskRequest task, HostView host, RuleSet rules) {
+        return acceptsNow(task, host)
+                && host.hasRoomFor(task.reservation())
+                && isPermitted(task, host)
+                && mayShare(task, host, rules);
+    }
+
+    /**
+     * Tells whether a host accepts a task of this class in its present status, whatever its room.
+     *
+     * @param task the task
+     * @param host the host
+     * @return true if the status permits the task
+     */
+    public static boolean acceptsNow(TaskRequest task, HostView host) {
+        if (host.status() == HostStatus.PROBE) {
+            return !task.urgent() && host.unprovenStarts() < PROBE_STARTS;
+        }
+        return host.status().acceptsWork();
+    }
+
+    /**
+     * Tells whether the task's own constraints permit the host.
+     *
+     * @param task the task
+     * @param host the host
+     * @return true if data centre and exclusions permit it
+     */
+    public static boolean isPermitted(TaskRequest task, HostView host) {
+        Optional<String> dataCentre = task.dataCentre();
+        return (dataCentre.isEmpty() || dataCentre.get().equals(host.dataCentre()))
+                && (task.excludedHosts().isEmpty() || !task.excludedHosts().contains(host.host()));
+    }
+
+    /**
+     * Tells whether the rules permit the task beside the kinds on the host.
+     *
+     * @param task the task
+     * @param host the host
+     * @param rules the rules in force
+     * @return true if no present kind is separated from the task's kind
+     */
+    public static boolean mayShare(TaskRequest task, HostView host, RuleSet rules) {
+        if (rules.separations().isEmpty()) {
+            return true;
+        }
+        List<KindLoad> kinds = host.kinds();
+        for (int index = 0; index < kinds.size(); index++) {
+            if (!rules.mayShare(task.kind(), kinds.get(index).kind())) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /**
+     * Tells why a task can never run, for a refusal at submission.
+     *
+     * <p>A host counts with its whole capacity, whatever its present status, because a host may
+     * return. Kinds that are separated from the task's kind exclude a host only if the caller lists
+     * them as permanent, as service instances are.
+     *
+     * @param task the task
+     * @param cluster all hosts, each with only its permanent kinds
+     * @param rules the rules in force
+     * @return the reason, empty if the task can run at some time
+     */
+    public static Optional<String> whyNever(TaskRequest task, ClusterView cluster, RuleSet rules) {
+        Objects.requireNonNull(task, "task is null");
+        Optional<Quota> quota = rules.quota(task.account());
+        if (quota.isPresent() && !task.reservation().fitsWithin(quota.get().limit())) {
+            return Optional.of(
+                    "quota of account "
+                            + task.account()
+                            + " is "
+                            + describe(quota.get().limit())
+                            + ", the task needs "
+                            + describe(task.reservation()));
+        }
+        return whyNoHost(task, cluster, rules);
+    }
+
+    private static Optional<String> whyNoHost(
+            TaskRequest task, ClusterView cluster, RuleSet rules) {
+        boolean sizeFits = false;
+        boolean permitted = false;
+        Resources largest = Resources.none();
+        for (int index = 0; index < cluster.size(); index++) {
+            HostView host = cluster.host(index);
+            largest = largest.maximum(host.capacity());
+            boolean fits = task.reservation().fitsWithin(host.capacity());
+            sizeFits |= fits;
+            permitted |= fits && isPermitted(task, host);
+            if (fits && isPermitted(task, host) && mayShare(task, host, rules)) {
+                return Optional.empty();
+            }
+        }
+        if (!sizeFits) {
+            return Optional.of(
+                    "no host can hold "
+                            + describe(task.reservation())
+                            + "; the greatest capacities are "
+                            + describe(largest));
+        }
+        return Optional.of(
+                permitted
+                        ? "the rules separate kind " + task.kind() + " from a kind on every host"
+                        : "data centre and excluded hosts leave no host that is large enough");
+    }
+
+    private static String describe(Resources resources) {
+        return "cpu="
+                + resources.processorMillis() / 1000.0
+                + " memory="
+                + resources.memoryMebibytes()
+                + "MiB accelerators="
+                + resources.accelerators();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/policy/placement/PlacementDecision.java
@@ -0,0 +1,49 @@
+package org.yuccabank.policy.placement;
+
+import java.util.Objects;
+import org.yuccabank.model.HostId;
+import org.yuccabank.model.Resources;
+
+/** Outcome of a placement: a host, a reason to wait, or a reason why the task can never run. */
+public sealed interface PlacementDecision
+        permits PlacementDecision.Placed, PlacementDecision.Waiting, PlacementDecision.Impossible {
+
+    /**
+     * The task is to run on a host.
+     *
+     * @param host the host
+     * @param index position of the host in the cluster view
+     * @param reservation resources to hold for the lease
+     */
+    record Placed(HostId host, int index, Resources reservation) implements PlacementDecision {
+        /** Checks the parts. */
+        public Placed {
+            Objects.requireNonNull(host, "host is null");
+            Objects.requireNonNull(reservation, "reservation is null");
+        }
+    }
+
+    /**
+     * No host has room at present.
+     *
+     * @param reason what is missing, for operators
+     */
+    record Waiting(String reason) implements PlacementDecision {
+        /** Checks the reason. */
+        public Waiting {
+            Objects.requireNonNull(reason, "reason is null");
+        }
+    }
+
+    /**
+     * The task can never run on any host of the cluster, even if all of them were empty.
+     *
+     * @param reason why, for the owner of the job
+     */
+    record Impossible(String reason) implements PlacementDecision {
+        /** Checks the reason. */
+        public Impossible {
+            Objects.requireNonNull(reason, "reason is null");
+        }
+    }
+}
