--- /dev/null
+++ b/src/main/java/org/yuccabank/control/HostRegistry.java
@@ -0,0 +1,80 @@
+package org.yuccabank.control;
+
+import java.util.Collection;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.yuccabank.protocol.PeerConnection;
+import org.yuccabank.protocol.generated.AgentReport;
+
+/**
+ * The newest report of each host, known to the leader only and rebuilt after a change of leader.
+ * Confined to the thread of the replica.
+ */
+final class HostRegistry {
+
+    /** Time without a report after which a host gets no new work. */
+    static final long SUSPECT_MILLIS = 3_000;
+
+    private final Map<String, HostEntry> hosts = new LinkedHashMap<>();
+    private long revision = 1;
+
+    /**
+     * Takes up a report.
+     *
+     * @param report the report
+     * @param connection connection on which directives can be sent
+     * @param nowMillis present time
+     * @return the host, empty if a full report is needed first
+     */
+    Optional<HostEntry> update(AgentReport report, PeerConnection connection, long nowMillis) {
+        HostEntry entry = hosts.get(report.getHostId());
+        boolean known = entry != null && entry.incarnation() == report.getIncarnation();
+        if (entry != null && report.getIncarnation() < entry.incarnation()) {
+            return Optional.empty();
+        }
+        if (!known && !report.getFull()) {
+            return Optional.empty();
+        }
+        if (!known) {
+            entry = HostEntry.of(report.getHostId(), report.getIncarnation());
+            hosts.put(report.getHostId(), entry);
+        }
+        boolean wasSuspect = entry.isSuspect(nowMillis);
+        if (!entry.apply(report, connection, nowMillis)) {
+            return Optional.empty();
+        }
+        if (entry.takeRoutingChange() || wasSuspect) {
+            revision++;
+        }
+        return Optional.of(entry);
+    }
+
+    /** Counts a change that entries must see, such as a host that became suspect. */
+    void changeDirectory() {
+        revision++;
+    }
+
+    Optional<HostEntry> host(String hostId) {
+        return Optional.ofNullable(hosts.get(hostId));
+    }
+
+    Collection<HostEntry> hosts() {
+        return Collections.unmodifiableCollection(hosts.values());
+    }
+
+    /**
+     * Number that changes with everything that matters for routing.
+     *
+     * @return the revision
+     */
+    long revision() {
+        return revision;
+    }
+
+    void clear() {
+        hosts.clear();
+        revision++;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/state/Claims.java
@@ -0,0 +1,110 @@
+package org.yuccabank.state;
+
+import java.util.Optional;
+import org.yuccabank.protocol.generated.ClaimOutcome;
+import org.yuccabank.protocol.generated.ClaimRequest;
+import org.yuccabank.protocol.generated.CommandResult;
+import org.yuccabank.protocol.generated.CommandResult.Verdict;
+import org.yuccabank.protocol.generated.OutcomeKind;
+import org.yuccabank.state.generated.ClaimRecord;
+import org.yuccabank.state.generated.HostRecord;
+
+/**
+ * Claims of at-most-once requests.
+ *
+ * <p>Invariants: a key has at most one claim; a claim names one incarnation of one agent and one
+ * fencing token; a claim is given to another agent only after evidence that it did not run.
+ */
+final class Claims {
+
+    private Claims() {}
+
+    static boolean isOpen(ClaimRecord claim) {
+        return claim.getOutcome().getOutcome() == OutcomeKind.IN_PROGRESS;
+    }
+
+    static CommandResult claim(
+            SystemState state, ClaimRequest request, String account, long index, long nowMillis) {
+        Optional<ClaimRecord> existing = state.claim(account, request.getKey());
+        if (existing.isPresent()) {
+            Optional<CommandResult> refusal = refuse(existing.get(), request);
+            if (refusal.isPresent()) {
+                return refusal.get();
+            }
+        }
+        long newest = state.host(request.getHostId()).map(HostRecord::getIncarnation).orElse(0L);
+        if (request.getIncarnation() < newest) {
+            return Results.of(Verdict.REJECTED, "the agent was restarted");
+        }
+        ClaimOutcome open =
+                ClaimOutcome.newBuilder()
+                        .setKey(request.getKey())
+                        .setAccount(account)
+                        .setFencingToken(index)
+                        .setOutcome(OutcomeKind.IN_PROGRESS)
+                        .build();
+        state.putClaim(
+                ClaimRecord.newBuilder()
+                        .setAccount(account)
+                        .setKey(request.getKey())
+                        .setKind(request.getKind())
+                        .setFencingToken(index)
+                        .setHostId(request.getHostId())
+                        .setIncarnation(request.getIncarnation())
+                        .setRequestDigest(request.getRequestDigest())
+                        .setOutcome(open)
+                        .setClaimedAtMillis(nowMillis)
+                        .build());
+        return Results.accepted(index).toBuilder().setFencingToken(index).build();
+    }
+
+    private static Optional<CommandResult> refuse(ClaimRecord existing, ClaimRequest request) {
+        if (existing.getRequestDigest() != request.getRequestDigest()) {
+            return Optional.of(
+                    Results.of(Verdict.REJECTED, "the key was used for a different request"));
+        }
+        boolean provedNotRun = existing.getOutcome().getOutcome() == OutcomeKind.NOT_RUN;
+        if (provedNotRun && existing.getFencingToken() == request.getReplacesToken()) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                Results.of(Verdict.CONFLICT, "the key has a claim").toBuilder()
+                        .setFencingToken(existing.getFencingToken())
+                        .setIdentifier(existing.getHostId())
+                        .setClaimOutcome(existing.getOutcome())
+                        .build());
+    }
+
+    static CommandResult report(SystemState state, ClaimOutcome outcome, long index) {
+        Optional<ClaimRecord> found = state.claim(outcome.getAccount(), outcome.getKey());
+        if (found.isEmpty() || found.get().getFencingToken() != outcome.getFencingToken()) {
+            return Results.of(Verdict.NOT_FOUND, "no such claim");
+        }
+        ClaimRecord claim = found.get();
+        OutcomeKind known = claim.getOutcome().getOutcome();
+        // An unknown outcome may still become known by a late report of the agent that ran it.
+        if (known == OutcomeKind.IN_PROGRESS || known == OutcomeKind.UNKNOWN) {
+            state.putClaim(claim.toBuilder().setOutcome(outcome).build());
+        }
+        return Results.accepted(index);
+    }
+
+    static CommandResult endIncarnations(
+            SystemState state, String hostId, long incarnation, long index) {
+        HostRecord host =
+                state.host(hostId)
+                        .orElseGet(() -> HostRecord.newBuilder().setHostId(hostId).build());
+        if (incarnation <= host.getIncarnation()) {
+            return Results.accepted(index);
+        }
+        state.putHost(host.toBuilder().setIncarnation(incarnation).build());
+        for (ClaimRecord claim : state.openClaimsOfHost(hostId)) {
+            if (claim.getIncarnation() < incarnation) {
+                ClaimOutcome unknown =
+                        claim.getOutcome().toBuilder().setOutcome(OutcomeKind.UNKNOWN).build();
+                state.putClaim(claim.toBuilder().setOutcome(unknown).build());
+            }
+        }
+        return Results.accepted(index);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/state/JobCommands.java
@@ -0,0 +1,201 @@
+package org.yuccabank.state;
+
+import java.util.List;
+import java.util.Optional;
+import org.yuccabank.protocol.generated.CheckpointConfirmed;
+import org.yuccabank.protocol.generated.CommandResult;
+import org.yuccabank.protocol.generated.CommandResult.Verdict;
+import org.yuccabank.protocol.generated.LeaseGranted;
+import org.yuccabank.protocol.generated.SubmitJob;
+import org.yuccabank.protocol.generated.TaskEnded;
+import org.yuccabank.protocol.generated.TaskPhase;
+import org.yuccabank.state.generated.JobPhase;
+import org.yuccabank.state.generated.JobRecord;
+import org.yuccabank.state.generated.LeaseRecord;
+import org.yuccabank.state.generated.TaskRecord;
+import org.yuccabank.state.generated.TaskRecordPhase;
+
+/**
+ * Jobs, their tasks and the leases of the tasks.
+ *
+ * <p>Invariants: a lease is granted only to a task without one; the end of a task counts only under
+ * the fencing token of its present lease; the checkpoint generation of a task never decreases.
+ */
+final class JobCommands {
+
+    /** Greatest number of tasks in a job, so that one job cannot fill the state. */
+    static final int MAXIMUM_TASKS = 1_000;
+
+    /** A task that failed on this many different hosts is parked: the fault is likely its own. */
+    static final int FAILED_HOSTS_LIMIT = 3;
+
+    private JobCommands() {}
+
+    static CommandResult submit(
+            SystemState state, SubmitJob command, String account, long index, long nowMillis) {
+        int taskCount = Math.max(1, command.getTaskCount());
+        if (taskCount > MAXIMUM_TASKS) {
+            return Results.of(
+                    Verdict.REJECTED,
+                    "a job has at most " + MAXIMUM_TASKS + " tasks, not " + taskCount);
+        }
+        String jobId = "job-" + index;
+        state.putJob(
+                JobRecord.newBuilder()
+                        .setJobId(jobId)
+                        .setAccount(account)
+                        .setSpecification(command.toBuilder().setTaskCount(taskCount))
+                        .setSubmittedAtMillis(nowMillis)
+                        .setPhase(JobPhase.JOB_ACTIVE)
+                        .build());
+        for (int number = 0; number < taskCount; number++) {
+            state.putTask(
+                    TaskRecord.newBuilder()
+                            .setTaskId(jobId + "." + number)
+                            .setJobId(jobId)
+                            .setPhase(TaskRecordPhase.TASK_QUEUED)
+                            .setQueuedAtMillis(nowMillis)
+                            .build());
+        }
+        return Results.accepted(index).toBuilder().setIdentifier(jobId).build();
+    }
+
+    static CommandResult cancel(
+            SystemState state, String jobId, String account, boolean operator, Moment moment) {
+        Optional<JobRecord> found = state.job(jobId);
+        if (found.isEmpty() || (!operator && !found.get().getAccount().equals(account))) {
+            // A job of another account must look like one that does not exist.
+            return Results.of(Verdict.NOT_FOUND, "no job " + jobId);
+        }
+        JobRecord job = found.get();
+        if (job.getPhase() != JobPhase.JOB_ACTIVE) {
+            return Results.of(Verdict.CONFLICT, "the job has ended");
+        }
+        state.putJob(job.toBuilder().setCancelRequested(true).build());
+        for (TaskRecord task : state.tasksOfJob(jobId)) {
+            if (task.getPhase() == TaskRecordPhase.TASK_QUEUED) {
+                endTask(state, task, TaskRecordPhase.TASK_CANCELLED, moment);
+            }
+        }
+        return Results.accepted(moment.index());
+    }
+
+    static CommandResult grantLease(SystemState state, LeaseGranted grant, Moment moment) {
+        Optional<TaskRecord> found = state.task(grant.getTaskId());
+        if (found.isEmpty() || found.get().getPhase() != TaskRecordPhase.TASK_QUEUED) {
+            return Results.of(Verdict.CONFLICT, "the task does not wait for a lease");
+        }
+        TaskRecord task = found.get();
+        LeaseRecord lease =
+                LeaseRecord.newBuilder()
+                        .setHostId(grant.getHostId())
+                        .setFencingToken(moment.index())
+                        .setIncarnation(grant.getIncarnation())
+                        .setReservation(grant.getReservation())
+                        .setLeaseMillis(grant.getLeaseMillis())
+                        .setGrantedAtMillis(moment.nowMillis())
+                        .build();
+        state.putTask(
+                task.toBuilder()
+                        .setPhase(TaskRecordPhase.TASK_LEASED)
+                        .setLease(lease)
+                        .setStarts(task.getStarts() + 1)
+                        .build());
+        return Results.accepted(moment.index()).toBuilder()
+                .setFencingToken(moment.index())
+                .build();
+    }
+
+    static CommandResult confirmCheckpoint(
+            SystemState state, CheckpointConfirmed checkpoint, Moment moment) {
+        Optional<TaskRecord> found =
+                leased(state, checkpoint.getTaskId(), checkpoint.getFencingToken());
+        if (found.isEmpty()) {
+            return Results.of(Verdict.CONFLICT, "the lease has ended");
+        }
+        TaskRecord task = found.get();
+        if (checkpoint.getGeneration() > task.getCheckpointGeneration()) {
+            state.putTask(
+                    task.toBuilder()
+                            .setCheckpointGeneration(checkpoint.getGeneration())
+                            .setProgress(checkpoint.getProgress())
+                            .build());
+        }
+        return Results.accepted(moment.index());
+    }
+
+    static CommandResult end(SystemState state, TaskEnded ended, Moment moment) {
+        Optional<TaskRecord> found = leased(state, ended.getTaskId(), ended.getFencingToken());
+        if (found.isEmpty()) {
+            return Results.of(Verdict.CONFLICT, "the lease has ended");
+        }
+        TaskRecord task = found.get();
+        boolean cancelled = state.job(task.getJobId()).orElseThrow().getCancelRequested();
+        if (ended.getPhase() == TaskPhase.TASK_FINISHED) {
+            endTask(state, task.toBuilder().setProgress(1).build(), TaskRecordPhase.TASK_DONE, moment);
+        } else if (cancelled) {
+            endTask(state, task, TaskRecordPhase.TASK_CANCELLED, moment);
+        } else if (ended.getPhase() == TaskPhase.TASK_FAILED) {
+            fail(state, task, moment);
+        } else if (ended.getPhase() == TaskPhase.TASK_REFUSED) {
+            requeue(state, task, moment);
+        } else {
+            requeue(state, task.toBuilder().setEvictions(task.getEvictions() + 1).build(), moment);
+        }
+        return Results.accepted(moment.index());
+    }
+
+    private static void fail(SystemState state, TaskRecord task, Moment moment) {
+        String host = task.getLease().getHostId();
+        TaskRecord failed =
+                task.getFailedHostsList().contains(host)
+                        ? task
+                        : task.toBuilder().addFailedHosts(host).build();
+        if (failed.getFailedHostsCount() >= FAILED_HOSTS_LIMIT) {
+            endTask(state, failed, TaskRecordPhase.TASK_PARKED, moment);
+        } else {
+            requeue(state, failed, moment);
+        }
+    }
+
+    private static void requeue(SystemState state, TaskRecord task, Moment moment) {
+        state.putTask(
+                task.toBuilder()
+                        .setPhase(TaskRecordPhase.TASK_QUEUED)
+                        .clearLease()
+                        .setQueuedAtMillis(moment.nowMillis())
+                        .build());
+    }
+
+    private static void endTask(
+            SystemState state, TaskRecord task, TaskRecordPhase phase, Moment moment) {
+        state.putTask(task.toBuilder().setPhase(phase).clearLease().build());
+        JobRecord job = state.job(task.getJobId()).orElseThrow();
+        int finished = job.getFinishedTasks() + (phase == TaskRecordPhase.TASK_DONE ? 1 : 0);
+        JobRecord.Builder updated =
+                job.toBuilder().setFinishedTasks(finished).setEndedTasks(job.getEndedTasks() + 1);
+        if (updated.getEndedTasks() == job.getSpecification().getTaskCount()) {
+            updated.setPhase(endPhase(state.tasksOfJob(job.getJobId())))
+                    .setEndedAtMillis(moment.nowMillis());
+        }
+        if (phase == TaskRecordPhase.TASK_PARKED) {
+            updated.setReason("failed on hosts " + String.join(", ", task.getFailedHostsList()));
+        }
+        state.putJob(updated.build());
+    }
+
+    private static JobPhase endPhase(List<TaskRecord> tasks) {
+        if (tasks.stream().anyMatch(task -> task.getPhase() == TaskRecordPhase.TASK_PARKED)) {
+            return JobPhase.JOB_PARKED;
+        }
+        boolean cancelled =
+                tasks.stream().anyMatch(task -> task.getPhase() == TaskRecordPhase.TASK_CANCELLED);
+        return cancelled ? JobPhase.JOB_CANCELLED : JobPhase.JOB_FINISHED;
+    }
+
+    private static Optional<TaskRecord> leased(SystemState state, String taskId, long token) {
+        return state.task(taskId)
+                .filter(task -> task.getPhase() == TaskRecordPhase.TASK_LEASED)
+                .filter(task -> task.getLease().getFencingToken() == token);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/state/Moment.java
@@ -0,0 +1,9 @@
+package org.yuccabank.state;
+
+/**
+ * Position and time of a command. Immutable.
+ *
+ * @param index log index of the command
+ * @param nowMillis time at which the leader accepted it, in milliseconds since the epoch
+ */
+record Moment(long index, long nowMillis) {}
--- /dev/null
+++ b/src/main/java/org/yuccabank/state/ReplicatedState.java
@@ -0,0 +1,168 @@
+package org.yuccabank.state;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.Optional;
+import org.yuccabank.protocol.generated.CommandRequest;
+import org.yuccabank.protocol.generated.CommandResult;
+import org.yuccabank.protocol.generated.CommandResult.Verdict;
+import org.yuccabank.protocol.generated.StateCommand;
+import org.yuccabank.replication.StateMachine;
+import org.yuccabank.state.generated.AuditRecord;
+import org.yuccabank.state.generated.HostRecord;
+import org.yuccabank.state.generated.RememberedResult;
+import org.yuccabank.state.generated.StateSnapshot;
+
+/**
+ * The replicated state machine: rules, jobs, leases, claims and the audit trail.
+ *
+ * <p>Invariants: the same commands give the same state on every replica, as the time stands in the
+ * command; a command identifier is applied once, a resend gets the first result. Confined to the
+ * thread of the replica.
+ */
+public final class ReplicatedState implements StateMachine {
+
+    /** Commands between two removals of expired records. */
+    private static final int EXPIRY_INTERVAL = 1_000;
+
+    private SystemState state = new SystemState();
+
+    private ReplicatedState() {}
+
+    /**
+     * Creates an empty state.
+     *
+     * @return the state machine
+     */
+    public static ReplicatedState empty() {
+        return new ReplicatedState();
+    }
+
+    /**
+     * The records, for reading on the thread of the replica.
+     *
+     * @return the records
+     */
+    public SystemState records() {
+        return state;
+    }
+
+    @Override
+    public byte[] apply(long index, byte[] command) {
+        state.setAppliedIndex(index);
+        try {
+            StateCommand parsed = StateCommand.parseFrom(command);
+            Moment moment = new Moment(index, parsed.getAcceptedAtMillis());
+            if (index % EXPIRY_INTERVAL == 0) {
+                state.expire(moment.nowMillis());
+            }
+            return apply(parsed, moment).toByteArray();
+        } catch (InvalidProtocolBufferException exception) {
+            return Results.of(Verdict.REJECTED, "the command cannot be decoded").toByteArray();
+        }
+    }
+
+    private CommandResult apply(StateCommand command, Moment moment) {
+        return switch (command.getCommandCase()) {
+            case REQUEST -> applyOnce(command.getRequest(), moment);
+            case LEASE_GRANTED ->
+                    JobCommands.grantLease(state, command.getLeaseGranted(), moment);
+            case TASK_ENDED -> JobCommands.end(state, command.getTaskEnded(), moment);
+            case CHECKPOINT_CONFIRMED ->
+                    JobCommands.confirmCheckpoint(state, command.getCheckpointConfirmed(), moment);
+            case INCARNATION_SEEN ->
+                    Claims.endIncarnations(
+                            state,
+                            command.getIncarnationSeen().getHostId(),
+                            command.getIncarnationSeen().getIncarnation(),
+                            moment.index());
+            case COMMAND_NOT_SET -> Results.of(Verdict.REJECTED, "the command is empty");
+        };
+    }
+
+    private CommandResult applyOnce(CommandRequest request, Moment moment) {
+        String commandId = request.getCommandId();
+        Optional<CommandResult> remembered = state.rememberedResult(commandId);
+        if (!commandId.isEmpty() && remembered.isPresent()) {
+            return remembered.get();
+        }
+        CommandResult result = apply(request, moment);
+        if (!commandId.isEmpty()) {
+            state.remember(
+                    RememberedResult.newBuilder()
+                            .setCommandId(commandId)
+                            .setAtMillis(moment.nowMillis())
+                            .setResult(result)
+                            .build());
+        }
+        audit(request, result, moment);
+        return result;
+    }
+
+    private CommandResult apply(CommandRequest request, Moment moment) {
+        String account = request.getAccount();
+        long index = moment.index();
+        long nowMillis = moment.nowMillis();
+        return switch (request.getCommandCase()) {
+            case APPLY_RULES ->
+                    RulesCommands.apply(state, request.getApplyRules(), account, index, nowMillis);
+            case SUBMIT_JOB ->
+                    JobCommands.submit(state, request.getSubmitJob(), account, index, nowMillis);
+            case CANCEL_JOB ->
+                    JobCommands.cancel(
+                            state,
+                            request.getCancelJob().getJobId(),
+                            account,
+                            request.getOperator(),
+                            moment);
+            case CLAIM -> Claims.claim(state, request.getClaim(), account, index, nowMillis);
+            case REPORT_OUTCOME ->
+                    Claims.report(state, request.getReportOutcome().getOutcome(), index);
+            case DRAIN_HOST ->
+                    drain(
+                            request.getDrainHost().getHostId(),
+                            !request.getDrainHost().getUndo(),
+                            index);
+            case QUERY, COMMAND_NOT_SET ->
+                    Results.of(Verdict.REJECTED, "the command changes nothing");
+        };
+    }
+
+    private CommandResult drain(String hostId, boolean draining, long index) {
+        Optional<HostRecord> host = state.host(hostId);
+        if (host.isEmpty()) {
+            return Results.of(Verdict.NOT_FOUND, "no host " + hostId);
+        }
+        state.putHost(host.get().toBuilder().setDraining(draining).build());
+        return Results.accepted(index);
+    }
+
+    private void audit(CommandRequest request, CommandResult result, Moment moment) {
+        Optional<String> detail = AuditDetails.of(request, result);
+        if (detail.isEmpty()) {
+            return;
+        }
+        state.addAudit(
+                AuditRecord.newBuilder()
+                        .setIndex(moment.index())
+                        .setAtMillis(moment.nowMillis())
+                        .setAccount(request.getAccount())
+                        .setAction(AuditDetails.action(request))
+                        .setDetail(detail.get())
+                        .setVerdict(result.getVerdict().name())
+                        .build());
+    }
+
+    @Override
+    public byte[] snapshot() {
+        return state.toSnapshot().toByteArray();
+    }
+
+    @Override
+    public void restore(byte[] snapshot) {
+        try {
+            state = SystemState.fromSnapshot(StateSnapshot.parseFrom(snapshot));
+        } catch (InvalidProtocolBufferException exception) {
+            throw new IllegalArgumentException("the snapshot cannot be decoded", exception);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/state/RulesCommands.java
@@ -0,0 +1,54 @@
+package org.yuccabank.state;
+
+import org.yuccabank.protocol.generated.ApplyRules;
+import org.yuccabank.protocol.generated.CommandResult;
+import org.yuccabank.protocol.generated.CommandResult.Verdict;
+import org.yuccabank.protocol.generated.RulesVersion;
+import org.yuccabank.result.Result;
+import org.yuccabank.rules.ParsedRules;
+import org.yuccabank.rules.RulesParser;
+
+/**
+ * Applies new versions of the rules.
+ *
+ * <p>Invariant: a version is accepted only if it was based on the newest one, so that of two
+ * operators with equal version numbers exactly one succeeds and no version is lost.
+ */
+final class RulesCommands {
+
+    private RulesCommands() {}
+
+    static CommandResult apply(
+            SystemState state, ApplyRules command, String account, long index, long nowMillis) {
+        long current = state.newestRules().map(RulesVersion::getVersion).orElse(0L);
+        if (command.getExpectedVersion() != current) {
+            return conflict(state, command, current);
+        }
+        Result<ParsedRules> parsed = RulesParser.parse(command.getText(), "rules");
+        if (!parsed.isSuccess()) {
+            return Results.of(Verdict.REJECTED, parsed.findings().toString());
+        }
+        RulesVersion version =
+                RulesVersion.newBuilder()
+                        .setVersion(current + 1)
+                        .setText(command.getText())
+                        .setAuthor(command.getAuthor().isEmpty() ? account : command.getAuthor())
+                        .setAcceptedAtMillis(nowMillis)
+                        .build();
+        state.addRules(version, parsed.get());
+        return Results.accepted(index).toBuilder().setVersion(version.getVersion()).build();
+    }
+
+    private static CommandResult conflict(SystemState state, ApplyRules command, long current) {
+        String winner = state.newestRules().map(RulesVersion::getAuthor).orElse("nobody");
+        String message =
+                "expected version "
+                        + command.getExpectedVersion()
+                        + ", but version "
+                        + current
+                        + " by "
+                        + winner
+                        + " is in force";
+        return Results.of(Verdict.CONFLICT, message).toBuilder().setVersion(current).build();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/state/SystemState.java
@@ -0,0 +1,324 @@
+package org.yuccabank.state;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.yuccabank.protocol.generated.CommandResult;
+import org.yuccabank.protocol.generated.RulesVersion;
+import org.yuccabank.rules.ParsedRules;
+import org.yuccabank.rules.RulesParser;
+import org.yuccabank.state.generated.AuditRecord;
+import org.yuccabank.state.generated.ClaimRecord;
+import org.yuccabank.state.generated.HostRecord;
+import org.yuccabank.state.generated.JobRecord;
+import org.yuccabank.state.generated.RememberedResult;
+import org.yuccabank.state.generated.StateSnapshot;
+import org.yuccabank.state.generated.TaskRecord;
+import org.yuccabank.state.generated.TaskRecordPhase;
+
+/**
+ * The records of the replicated state.
+ *
+ * <p>Invariants: a task has at most one lease; the versions of the rules increase by one; indexes
+ * agree with the records. Confined to the thread of the replica.
+ */
+public final class SystemState {
+
+    /** Commands older than this are forgotten; a resend after it is a new command. */
+    public static final long RESULT_RETENTION_MILLIS = 24L * 60 * 60 * 1000;
+
+    /** Claims with a known outcome older than this are forgotten. */
+    public static final long CLAIM_RETENTION_MILLIS = 7 * 24L * 60 * 60 * 1000;
+
+    /** Ended jobs older than this are forgotten. */
+    public static final long JOB_RETENTION_MILLIS = 3 * 24L * 60 * 60 * 1000;
+
+    /** The newest records of the audit trail that are kept: about 5 days at 10,000 changes a day. */
+    public static final int AUDIT_LIMIT = 50_000;
+
+    /** The newest versions of the rules that are kept: 4 days at 2,500 changes a day. */
+    public static final int RULES_LIMIT = 10_000;
+
+    private final List<RulesVersion> rules = new ArrayList<>();
+    private final Map<String, JobRecord> jobs = new LinkedHashMap<>();
+    private final Map<String, TaskRecord> tasks = new LinkedHashMap<>();
+    private final Map<String, List<String>> tasksOfJob = new HashMap<>();
+    private final Set<String> queuedTasks = new LinkedHashSet<>();
+    private final Set<String> leasedTasks = new LinkedHashSet<>();
+    private final Map<String, ClaimRecord> claims = new LinkedHashMap<>();
+    private final Map<String, Set<String>> openClaimsOfHost = new HashMap<>();
+    private final Deque<AuditRecord> audit = new ArrayDeque<>();
+    private final Map<String, RememberedResult> results = new LinkedHashMap<>();
+    private final Map<String, HostRecord> hosts = new LinkedHashMap<>();
+    private Optional<ParsedRules> parsedRules = Optional.empty();
+    private long appliedIndex;
+
+    /**
+     * The newest rules.
+     *
+     * @return the version in force, empty before the first one
+     */
+    public Optional<RulesVersion> newestRules() {
+        return rules.isEmpty() ? Optional.empty() : Optional.of(rules.get(rules.size() - 1));
+    }
+
+    /**
+     * All kept versions of the rules.
+     *
+     * @return the versions, oldest first
+     */
+    public List<RulesVersion> rulesHistory() {
+        return Collections.unmodifiableList(rules);
+    }
+
+    /**
+     * The newest rules, parsed.
+     *
+     * @return the rules, empty before the first version
+     */
+    public Optional<ParsedRules> parsedRules() {
+        return parsedRules;
+    }
+
+    void addRules(RulesVersion version, ParsedRules parsed) {
+        rules.add(version);
+        parsedRules = Optional.of(parsed);
+        if (rules.size() > RULES_LIMIT) {
+            rules.remove(0);
+        }
+    }
+
+    /**
+     * A job.
+     *
+     * @param jobId identifier of the job
+     * @return the job, empty if unknown
+     */
+    public Optional<JobRecord> job(String jobId) {
+        return Optional.ofNullable(jobs.get(jobId));
+    }
+
+    /**
+     * All jobs.
+     *
+     * @return the jobs, oldest first
+     */
+    public Collection<JobRecord> jobs() {
+        return Collections.unmodifiableCollection(jobs.values());
+    }
+
+    void putJob(JobRecord job) {
+        jobs.put(job.getJobId(), job);
+    }
+
+    /**
+     * A task.
+     *
+     * @param taskId identifier of the task
+     * @return the task, empty if unknown
+     */
+    public Optional<TaskRecord> task(String taskId) {
+        return Optional.ofNullable(tasks.get(taskId));
+    }
+
+    /**
+     * Tasks of a job.
+     *
+     * @param jobId identifier of the job
+     * @return its tasks
+     */
+    public List<TaskRecord> tasksOfJob(String jobId) {
+        return tasksOfJob.getOrDefault(jobId, List.of()).stream().map(tasks::get).toList();
+    }
+
+    /**
+     * Identifiers of the tasks that wait for a lease.
+     *
+     * @return the identifiers, in the order in which the tasks were queued
+     */
+    public Set<String> queuedTasks() {
+        return Collections.unmodifiableSet(queuedTasks);
+    }
+
+    /**
+     * Identifiers of the tasks that hold a lease.
+     *
+     * @return the identifiers
+     */
+    public Set<String> leasedTasks() {
+        return Collections.unmodifiableSet(leasedTasks);
+    }
+
+    void putTask(TaskRecord task) {
+        String identifier = task.getTaskId();
+        if (tasks.put(identifier, task) == null) {
+            tasksOfJob.computeIfAbsent(task.getJobId(), key -> new ArrayList<>()).add(identifier);
+        }
+        updateMembership(queuedTasks, identifier, task.getPhase() == TaskRecordPhase.TASK_QUEUED);
+        updateMembership(leasedTasks, identifier, task.getPhase() == TaskRecordPhase.TASK_LEASED);
+    }
+
+    private static void updateMembership(Set<String> set, String identifier, boolean member) {
+        if (member) {
+            set.add(identifier);
+        } else {
+            set.remove(identifier);
+        }
+    }
+
+    private void removeJob(String jobId) {
+        jobs.remove(jobId);
+        tasksOfJob.getOrDefault(jobId, List.of()).forEach(tasks::remove);
+        tasksOfJob.remove(jobId);
+    }
+
+    /**
+     * A claim of an at-most-once request.
+     *
+     * @param account account of the caller
+     * @param key idempotency key
+     * @return the claim, empty if there is none
+     */
+    public Optional<ClaimRecord> claim(String account, String key) {
+        return Optional.ofNullable(claims.get(claimKey(account, key)));
+    }
+
+    void putClaim(ClaimRecord claim) {
+        String key = claimKey(claim.getAccount(), claim.getKey());
+        ClaimRecord previous = claims.put(key, claim);
+        if (previous != null) {
+            openClaimsOfHost.getOrDefault(previous.getHostId(), new LinkedHashSet<>()).remove(key);
+        }
+        if (Claims.isOpen(claim)) {
+            openClaimsOfHost
+                    .computeIfAbsent(claim.getHostId(), host -> new LinkedHashSet<>())
+                    .add(key);
+        }
+    }
+
+    List<ClaimRecord> openClaimsOfHost(String hostId) {
+        return openClaimsOfHost.getOrDefault(hostId, Set.of()).stream().map(claims::get).toList();
+    }
+
+    /**
+     * Number of claims that are kept.
+     *
+     * @return the count
+     */
+    public int claimCount() {
+        return claims.size();
+    }
+
+    private static String claimKey(String account, String key) {
+        return account.length() + ":" + account + key;
+    }
+
+    /**
+     * The audit trail.
+     *
+     * @return the kept records, oldest first
+     */
+    public Collection<AuditRecord> audit() {
+        return Collections.unmodifiableCollection(audit);
+    }
+
+    void addAudit(AuditRecord entry) {
+        audit.addLast(entry);
+        if (audit.size() > AUDIT_LIMIT) {
+            audit.removeFirst();
+        }
+    }
+
+    Optional<CommandResult> rememberedResult(String commandId) {
+        return Optional.ofNullable(results.get(commandId)).map(RememberedResult::getResult);
+    }
+
+    void remember(RememberedResult result) {
+        results.put(result.getCommandId(), result);
+    }
+
+    /**
+     * A host that is or was known.
+     *
+     * @param hostId identifier of the host
+     * @return its record, empty if it was never seen
+     */
+    public Optional<HostRecord> host(String hostId) {
+        return Optional.ofNullable(hosts.get(hostId));
+    }
+
+    void putHost(HostRecord host) {
+        hosts.put(host.getHostId(), host);
+    }
+
+    /**
+     * Index of the newest command that was applied.
+     *
+     * @return the index, 0 before the first
+     */
+    public long appliedIndex() {
+        return appliedIndex;
+    }
+
+    void setAppliedIndex(long index) {
+        appliedIndex = index;
+    }
+
+    /** Removes records whose retention has ended; the oldest stand first in each map. */
+    void expire(long nowMillis) {
+        results.values()
+                .removeIf(result -> result.getAtMillis() + RESULT_RETENTION_MILLIS < nowMillis);
+        claims.values()
+                .removeIf(
+                        claim ->
+                                !Claims.isOpen(claim)
+                                        && claim.getClaimedAtMillis() + CLAIM_RETENTION_MILLIS
+                                                < nowMillis);
+        jobs.values().stream()
+                .filter(job -> job.getEndedAtMillis() > 0)
+                .filter(job -> job.getEndedAtMillis() + JOB_RETENTION_MILLIS < nowMillis)
+                .map(JobRecord::getJobId)
+                .toList()
+                .forEach(this::removeJob);
+    }
+
+    StateSnapshot toSnapshot() {
+        return StateSnapshot.newBuilder()
+                .setAppliedIndex(appliedIndex)
+                .addAllRules(rules)
+                .addAllJobs(jobs.values())
+                .addAllTasks(tasks.values())
+                .addAllClaims(claims.values())
+                .addAllAudit(audit)
+                .addAllResults(results.values())
+                .addAllHosts(hosts.values())
+                .build();
+    }
+
+    static SystemState fromSnapshot(StateSnapshot snapshot) {
+        SystemState state = new SystemState();
+        state.appliedIndex = snapshot.getAppliedIndex();
+        state.rules.addAll(snapshot.getRulesList());
+        state.parsedRules =
+                state.newestRules()
+                        .flatMap(
+                                version ->
+                                        RulesParser.parse(version.getText(), "rules").toOptional());
+        snapshot.getJobsList().forEach(state::putJob);
+        snapshot.getTasksList().forEach(state::putTask);
+        snapshot.getClaimsList().forEach(state::putClaim);
+        state.audit.addAll(snapshot.getAuditList());
+        snapshot.getResultsList().forEach(state::remember);
+        snapshot.getHostsList().forEach(state::putHost);
+        return state;
+    }
+}
