--- /dev/null
+++ b/src/main/java/org/yuccabank/policy/routing/DeadlineAdmission.java
@@ -0,0 +1,101 @@
+package org.yuccabank.policy.routing;
+
+import java.util.Objects;
+import java.util.function.ToIntFunction;
+import org.yuccabank.model.AccountId;
+
+/**
+ * Admits a request only if it can be answered before its deadline, and lets requests wait only as
+ * long as their priority and their account's share allow.
+ *
+ * <p>The time that is left after network delay and a high quantile of the service time may be spent
+ * waiting for a slot. Lower priorities may use less of it, and accounts that already have their
+ * fair share in progress the least, so under overload queues stay short and the highest priority
+ * and the smaller accounts are served first. Nothing is refused while a slot is expected to be
+ * free, except what would be late anyway. Mutable; confined to one thread.
+ */
+public final class DeadlineAdmission implements AdmissionController {
+
+    /** Service time that is set aside, so that less than 1 % of admitted requests is late. */
+    private static final double SERVICE_PERCENTILE = 99.5;
+
+    /** Part of the possible wait that the lowest priority may use. */
+    private static final double LOWEST_PRIORITY_PART = 0.5;
+
+    /** Part of the possible wait that accounts over their share may use. */
+    private static final double OVER_SHARE_PART = 0.3;
+
+    private static final long LEAST_RETRY_AFTER_MILLIS = 50;
+
+    private final AccountShares shares;
+    private final ServiceTimes serviceTimes = new ServiceTimes(SERVICE_PERCENTILE);
+
+    private DeadlineAdmission(ToIntFunction<AccountId> weights) {
+        this.shares = new AccountShares(weights);
+    }
+
+    /**
+     * Creates a controller.
+     *
+     * @param weights weight of each account's fair share, at least 1
+     * @return the controller
+     */
+    public static DeadlineAdmission of(ToIntFunction<AccountId> weights) {
+        return new DeadlineAdmission(Objects.requireNonNull(weights, "weights is null"));
+    }
+
+    @Override
+    public Admission decide(AdmissionRequest request, long nowMillis) {
+        Route route = request.route();
+        long leftMicros = leftMicros(request.deadline(), nowMillis);
+        if (route.totalMicros() > leftMicros) {
+            return refused(Admission.Reason.DEADLINE, route);
+        }
+        if (route.waitMicros() == 0) {
+            return Admission.admitted();
+        }
+        long service = Math.max(serviceTimes.quantileMicros(), route.serviceMicros());
+        long possibleWait = leftMicros - route.networkMicros() - service;
+        if (route.waitMicros() > possibleWait) {
+            return refused(Admission.Reason.DEADLINE, route);
+        }
+        if (route.waitMicros() > possibleWait * priorityPart(request.priority())) {
+            return refused(Admission.Reason.PRIORITY, route);
+        }
+        boolean overShare = shares.isOverShare(request.account());
+        if (overShare && route.waitMicros() > possibleWait * OVER_SHARE_PART) {
+            return refused(Admission.Reason.FAIR_SHARE, route);
+        }
+        return Admission.admitted();
+    }
+
+    @Override
+    public void started(AccountId account, long nowMillis) {
+        shares.started(account);
+    }
+
+    @Override
+    public void finished(AccountId account, Response response, long nowMillis) {
+        shares.finished(account);
+        if (response.kind() == Response.Kind.RAN) {
+            serviceTimes.add(response.serviceMicros(), nowMillis);
+        }
+    }
+
+    private static long leftMicros(Deadline deadline, long nowMillis) {
+        long millis = deadline.millisLeft(nowMillis);
+        return millis > Long.MAX_VALUE / 1000 ? Long.MAX_VALUE : millis * 1000;
+    }
+
+    private static double priorityPart(int priority) {
+        double rank =
+                (double) (priority - AdmissionRequest.LOWEST_PRIORITY)
+                        / (AdmissionRequest.HIGHEST_PRIORITY - AdmissionRequest.LOWEST_PRIORITY);
+        return LOWEST_PRIORITY_PART + (1 - LOWEST_PRIORITY_PART) * rank;
+    }
+
+    private static Admission refused(Admission.Reason reason, Route route) {
+        long drainMillis = route.waitMicros() / 1000;
+        return Admission.refused(reason, Math.max(LEAST_RETRY_AFTER_MILLIS, drainMillis));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/policy/routing/ServiceTimes.java
@@ -0,0 +1,66 @@
+package org.yuccabank.policy.routing;
+
+import org.HdrHistogram.Histogram;
+
+/**
+ * Quantiles of the service times of recent answers. Two histograms take turns, so a quantile covers
+ * between one and two periods. Mutable; not thread-safe.
+ */
+final class ServiceTimes {
+
+    private static final long PERIOD_MILLIS = 10_000;
+
+    /** Quantiles are computed anew after this many answers, because that costs a pass. */
+    private static final int REFRESH_ANSWERS = 64;
+
+    private static final long LONGEST_MICROS = 3_600_000_000L;
+
+    private static final int SIGNIFICANT_DIGITS = 2;
+
+    private final double percentile;
+    private Histogram current = newHistogram();
+    private Histogram previous = newHistogram();
+    private long periodEndMillis = Long.MIN_VALUE;
+    private int answersSinceRefresh;
+    private long quantileMicros;
+
+    ServiceTimes(double percentile) {
+        this.percentile = percentile;
+    }
+
+    private static Histogram newHistogram() {
+        return new Histogram(LONGEST_MICROS, SIGNIFICANT_DIGITS);
+    }
+
+    void add(long micros, long nowMillis) {
+        if (nowMillis >= periodEndMillis) {
+            rotate(nowMillis);
+        }
+        current.recordValue(Math.min(Math.max(0, micros), LONGEST_MICROS));
+        answersSinceRefresh++;
+        if (answersSinceRefresh >= REFRESH_ANSWERS || quantileMicros == 0) {
+            refresh();
+        }
+    }
+
+    private void rotate(long nowMillis) {
+        Histogram oldest = previous;
+        previous = current;
+        current = oldest;
+        current.reset();
+        periodEndMillis = nowMillis + PERIOD_MILLIS;
+    }
+
+    private void refresh() {
+        answersSinceRefresh = 0;
+        quantileMicros =
+                Math.max(
+                        current.getValueAtPercentile(percentile),
+                        previous.getValueAtPercentile(percentile));
+    }
+
+    /** The quantile, 0 before the first answer. */
+    long quantileMicros() {
+        return quantileMicros;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/policy/routing/TargetSet.java
@@ -0,0 +1,71 @@
+package org.yuccabank.policy.routing;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.yuccabank.model.TargetId;
+
+/** A set of targets that gives random members in constant time. Mutable; not thread-safe. */
+final class TargetSet {
+
+    private static final int DRAWS = 3;
+
+    private final List<TargetView> members = new ArrayList<>();
+    private final Map<TargetId, Integer> positions = new HashMap<>();
+
+    void add(TargetView view) {
+        if (positions.putIfAbsent(view.target(), members.size()) == null) {
+            members.add(view);
+        }
+    }
+
+    void remove(TargetView view) {
+        Integer position = positions.remove(view.target());
+        if (position == null) {
+            return;
+        }
+        TargetView last = members.remove(members.size() - 1);
+        if (last != view) {
+            members.set(position, last);
+            positions.put(last.target(), position);
+        }
+    }
+
+    int size() {
+        return members.size();
+    }
+
+    boolean isEmpty() {
+        return members.isEmpty();
+    }
+
+    List<TargetView> members() {
+        return members;
+    }
+
+    /** A random member that was not tried, or null if a few draws find none. */
+    TargetView draw(Set<TargetId> tried, RandomGenerator random) {
+        for (int draw = 0; draw < DRAWS && !members.isEmpty(); draw++) {
+            TargetView view = members.get(random.nextInt(members.size()));
+            if (!tried.contains(view.target())) {
+                return view;
+            }
+        }
+        return null;
+    }
+
+    /** The first member after a random position that was not tried, or null. */
+    TargetView firstUntried(Set<TargetId> tried, RandomGenerator random) {
+        int start = members.isEmpty() ? 0 : random.nextInt(members.size());
+        for (int step = 0; step < members.size(); step++) {
+            TargetView view = members.get((start + step) % members.size());
+            if (!tried.contains(view.target())) {
+                return view;
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/policy/routing/TargetView.java
@@ -0,0 +1,143 @@
+package org.yuccabank.policy.routing;
+
+import org.yuccabank.model.TargetId;
+
+/**
+ * What one entry knows of one target: its own requests in progress there, and the load and service
+ * time of the latest answers, which fade towards the averages of all targets. Mutable; not
+ * thread-safe.
+ */
+final class TargetView {
+
+    /** Age at which a reported load says no more than the average of all targets. */
+    private static final double LOAD_MEMORY_MILLIS = 200;
+
+    /** Age at which a measured service time says no more than the average of all targets. */
+    private static final double SERVICE_MEMORY_MILLIS = 5000;
+
+    /** Weight of one service time; lower ones follow a slowdown too slowly. */
+    private static final double SERVICE_WEIGHT = 1.0 / 16;
+
+    /** A target is silent when nothing was heard for this multiple of the expected time. */
+    private static final double SILENCE_FACTOR = 4;
+
+    /** Silence shorter than this is normal whatever the service time, in microseconds. */
+    private static final double LEAST_SILENCE_MICROS = 50_000;
+
+    private Candidate candidate;
+    private int inFlight;
+    private double othersLoad;
+    private double serviceMicros;
+    private long heardMillis;
+    private long awaitedSinceMillis;
+    private int failuresInRow;
+    private int exclusions;
+    private long excludedUntilMillis;
+
+    TargetView(Candidate candidate, long nowMillis) {
+        this.candidate = candidate;
+        this.heardMillis = nowMillis - (long) SERVICE_MEMORY_MILLIS;
+    }
+
+    TargetId target() {
+        return candidate.target();
+    }
+
+    Candidate candidate() {
+        return candidate;
+    }
+
+    void update(Candidate newCandidate) {
+        candidate = newCandidate;
+    }
+
+    void dispatched(long nowMillis) {
+        if (inFlight == 0) {
+            awaitedSinceMillis = nowMillis;
+        }
+        inFlight++;
+    }
+
+    /** Ends one attempt; returns the load that others cause if the answer tells. */
+    void completed(Response response, FleetAverages fleet, boolean ageing, long nowMillis) {
+        inFlight = Math.max(0, inFlight - 1);
+        if (!response.carriesLoad()) {
+            return;
+        }
+        othersLoad = Math.max(0, response.occupancy() - inFlight);
+        if (response.kind() == Response.Kind.RAN) {
+            learnService(response.serviceMicros(), fleet, ageing, nowMillis);
+            fleet.add(response.serviceMicros(), othersLoad);
+        }
+        heardMillis = nowMillis;
+        awaitedSinceMillis = nowMillis;
+    }
+
+    private void learnService(long sample, FleetAverages fleet, boolean ageing, long nowMillis) {
+        double base = serviceMicros(fleet, ageing, nowMillis);
+        serviceMicros = base == 0 ? sample : base + SERVICE_WEIGHT * (sample - base);
+    }
+
+    /** Expected requests at the target, running or waiting. */
+    double load(FleetAverages fleet, boolean ageing, long nowMillis) {
+        if (!ageing) {
+            return inFlight + othersLoad;
+        }
+        double fresh = freshness(LOAD_MEMORY_MILLIS, nowMillis);
+        return inFlight + fresh * othersLoad + (1 - fresh) * fleet.othersLoad();
+    }
+
+    double serviceMicros(FleetAverages fleet, boolean ageing, long nowMillis) {
+        if (serviceMicros == 0) {
+            return fleet.serviceMicros();
+        }
+        if (!ageing) {
+            return serviceMicros;
+        }
+        double fresh = freshness(SERVICE_MEMORY_MILLIS, nowMillis);
+        return fresh * serviceMicros + (1 - fresh) * fleet.serviceMicros();
+    }
+
+    private double freshness(double memoryMillis, long nowMillis) {
+        return Math.max(0, 1 - (nowMillis - heardMillis) / memoryMillis);
+    }
+
+    /** Time for which answers are overdue, 0 while the target is not silent. */
+    double overdueMicros(double expectedMicros, long nowMillis) {
+        if (inFlight == 0) {
+            return 0;
+        }
+        double quiet = (nowMillis - awaitedSinceMillis) * 1000.0;
+        double normal = Math.max(LEAST_SILENCE_MICROS, SILENCE_FACTOR * expectedMicros);
+        return quiet > normal ? quiet : 0;
+    }
+
+    int inFlight() {
+        return inFlight;
+    }
+
+    int failuresInRow() {
+        return failuresInRow;
+    }
+
+    void failed() {
+        failuresInRow++;
+    }
+
+    void succeeded() {
+        failuresInRow = 0;
+        exclusions = 0;
+    }
+
+    /** Excludes the target, twice as long each time until it answers again. */
+    void exclude(long firstMillis, long longestMillis, long nowMillis) {
+        long length = Math.min(longestMillis, firstMillis << Math.min(exclusions, 10));
+        exclusions++;
+        failuresInRow = 0;
+        excludedUntilMillis = nowMillis + length;
+    }
+
+    long excludedUntilMillis() {
+        return excludedUntilMillis;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/policy/routing/TwoChoicesRouter.java
@@ -0,0 +1,278 @@
+package org.yuccabank.policy.routing;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+import org.yuccabank.model.TargetId;
+
+/**
+ * Compares a few random targets by the time in which each is expected to answer. The expectation
+ * follows from this entry's own requests in progress, the load that the target reported with its
+ * latest answer, its measured service time and the network delay, so a near target wins until its
+ * queue costs more than the way to a far one.
+ *
+ * <p>Targets that fail several times in a row are excluded for a while; never more than {@link
+ * #EXCLUDED_SHARE_PERCENT} of all targets at a time, and an excluded or suspect target still serves
+ * when there is no other. A leaving target is never chosen.
+ *
+ * <p>The cost of a choice does not depend on the number of targets. Mutable; confined to one
+ * thread.
+ */
+public final class TwoChoicesRouter implements Router {
+
+    /** Greatest share of the targets that is excluded at a time. */
+    public static final int EXCLUDED_SHARE_PERCENT = 34;
+
+    /** Failures in a row after which a target is excluded. */
+    private static final int FAILURES_TO_EXCLUDE = 3;
+
+    private static final long FIRST_EXCLUSION_MILLIS = 1000;
+
+    private static final long LONGEST_EXCLUSION_MILLIS = 30_000;
+
+    /** More targets are compared when the best one would answer too late. */
+    private static final int EXTRA_CHOICES = 4;
+
+    /** Cost of a full target in units of its service time, to spread load while slots are free. */
+    private static final double SPREAD_COST = 0.05;
+
+    /** Added to the expected time of a target whose connections are all used. */
+    private static final double FULL_COST_MICROS = 1e9;
+
+    private final RouterOptions options;
+    private final Map<TargetId, TargetView> views = new HashMap<>();
+    private final TreeMap<Long, TargetSet> readyByDelay = new TreeMap<>();
+    private final TargetSet ready = new TargetSet();
+    private final TargetSet suspect = new TargetSet();
+    private final Deque<TargetView> excluded = new ArrayDeque<>();
+    private final FleetAverages fleet = new FleetAverages();
+
+    private TwoChoicesRouter(RouterOptions options) {
+        this.options = options;
+    }
+
+    /**
+     * Creates a router without targets.
+     *
+     * @param options which mechanisms to use
+     * @return the router
+     */
+    public static TwoChoicesRouter of(RouterOptions options) {
+        return new TwoChoicesRouter(Objects.requireNonNull(options, "options is null"));
+    }
+
+    @Override
+    public void update(Candidate candidate, long nowMillis) {
+        Objects.requireNonNull(candidate, "candidate is null");
+        TargetView view = views.get(candidate.target());
+        if (view == null) {
+            view = new TargetView(candidate, nowMillis);
+            views.put(candidate.target(), view);
+        } else if (view.candidate().equals(candidate)) {
+            return;
+        }
+        withdraw(view);
+        boolean stillExcluded = excluded.contains(view);
+        view.update(candidate);
+        if (!stillExcluded || candidate.state() != Candidate.State.READY) {
+            excluded.remove(view);
+            enlist(view);
+        }
+    }
+
+    @Override
+    public void remove(TargetId target) {
+        TargetView view = views.remove(target);
+        if (view != null) {
+            withdraw(view);
+            excluded.remove(view);
+        }
+    }
+
+    @Override
+    public Optional<Route> choose(RouteRequest request, long nowMillis, RandomGenerator random) {
+        readmit(nowMillis);
+        TargetView best = best(request, nowMillis, random);
+        if (best == null) {
+            best = lastResort(request, random);
+        }
+        return best == null ? Optional.empty() : Optional.of(route(best, nowMillis));
+    }
+
+    @Override
+    public void dispatched(TargetId target, long nowMillis) {
+        TargetView view = views.get(target);
+        if (view != null) {
+            view.dispatched(nowMillis);
+        }
+    }
+
+    @Override
+    public void completed(TargetId target, Response response, long nowMillis) {
+        TargetView view = views.get(target);
+        if (view == null) {
+            return;
+        }
+        view.completed(response, fleet, options.ageing(), nowMillis);
+        switch (response.kind()) {
+            case RAN -> view.succeeded();
+            case FAILED, UNREACHABLE, NO_RESPONSE -> failed(view, nowMillis);
+            case REFUSED, ABANDONED -> {
+                // Neither says that the target works nor that it does not.
+            }
+            default -> throw new IllegalStateException("unknown kind " + response.kind());
+        }
+    }
+
+    private TargetView best(RouteRequest request, long nowMillis, RandomGenerator random) {
+        TargetView best = null;
+        if (options.nearFirst() && !readyByDelay.isEmpty()) {
+            TargetSet near = readyByDelay.firstEntry().getValue();
+            best = compare(best, near, options.choices(), request, nowMillis, random);
+        }
+        best = compare(best, ready, options.choices(), request, nowMillis, random);
+        if (best != null && isTooLate(best, request, nowMillis)) {
+            best = compare(best, ready, EXTRA_CHOICES, request, nowMillis, random);
+        }
+        return best;
+    }
+
+    private TargetView compare(
+            TargetView first,
+            TargetSet set,
+            int draws,
+            RouteRequest request,
+            long nowMillis,
+            RandomGenerator random) {
+        TargetView best = first;
+        double bestCost = best == null ? Double.MAX_VALUE : cost(best, nowMillis);
+        for (int draw = 0; draw < draws; draw++) {
+            TargetView view = set.draw(request.tried(), random);
+            double cost = view == null ? Double.MAX_VALUE : cost(view, nowMillis);
+            if (cost < bestCost) {
+                best = view;
+                bestCost = cost;
+            }
+        }
+        return best;
+    }
+
+    private TargetView lastResort(RouteRequest request, RandomGenerator random) {
+        TargetView untried = ready.firstUntried(request.tried(), random);
+        if (untried != null) {
+            return untried;
+        }
+        for (TargetView view : excluded) {
+            if (!request.tried().contains(view.target())) {
+                return view;
+            }
+        }
+        return suspect.firstUntried(request.tried(), random);
+    }
+
+    private boolean isTooLate(TargetView view, RouteRequest request, long nowMillis) {
+        return expectedMicros(view, nowMillis) > request.deadline().millisLeft(nowMillis) * 1000.0;
+    }
+
+    private double cost(TargetView view, long nowMillis) {
+        double load = view.load(fleet, options.ageing(), nowMillis);
+        double service = view.serviceMicros(fleet, options.ageing(), nowMillis);
+        Candidate candidate = view.candidate();
+        double spread = SPREAD_COST * service * load / candidate.slots();
+        double full = load >= candidate.connections() ? FULL_COST_MICROS : 0;
+        return expectedMicros(view, nowMillis) + spread + full;
+    }
+
+    private double expectedMicros(TargetView view, long nowMillis) {
+        double service = view.serviceMicros(fleet, options.ageing(), nowMillis);
+        double expected = waitMicros(view, nowMillis) + service + networkMicros(view);
+        return options.outlierHandling()
+                ? expected + view.overdueMicros(expected, nowMillis)
+                : expected;
+    }
+
+    private double waitMicros(TargetView view, long nowMillis) {
+        int slots = view.candidate().slots();
+        double excess = view.load(fleet, options.ageing(), nowMillis) + 1 - slots;
+        return Math.max(0, excess) * view.serviceMicros(fleet, options.ageing(), nowMillis) / slots;
+    }
+
+    private static long networkMicros(TargetView view) {
+        return 2 * view.candidate().oneWayMicros();
+    }
+
+    private Route route(TargetView view, long nowMillis) {
+        long service = (long) view.serviceMicros(fleet, options.ageing(), nowMillis);
+        long wait = (long) expectedMicros(view, nowMillis) - service - networkMicros(view);
+        return new Route(view.target(), Math.max(0, wait), service, networkMicros(view));
+    }
+
+    private void failed(TargetView view, long nowMillis) {
+        view.failed();
+        boolean isReady = view.candidate().state() == Candidate.State.READY;
+        if (options.outlierHandling()
+                && isReady
+                && view.failuresInRow() >= FAILURES_TO_EXCLUDE
+                && !excluded.contains(view)
+                && mayExcludeOneMore()) {
+            withdraw(view);
+            view.exclude(FIRST_EXCLUSION_MILLIS, LONGEST_EXCLUSION_MILLIS, nowMillis);
+            excluded.add(view);
+        }
+    }
+
+    private boolean mayExcludeOneMore() {
+        int all = ready.size() + excluded.size();
+        return (excluded.size() + 1) * 100 <= all * EXCLUDED_SHARE_PERCENT;
+    }
+
+    /** Lets excluded targets serve again; they are few and each is visited once per exclusion. */
+    private void readmit(long nowMillis) {
+        if (excluded.isEmpty()) {
+            return;
+        }
+        Iterator<TargetView> iterator = excluded.iterator();
+        while (iterator.hasNext()) {
+            TargetView view = iterator.next();
+            if (view.excludedUntilMillis() <= nowMillis) {
+                iterator.remove();
+                enlist(view);
+            }
+        }
+    }
+
+    private void enlist(TargetView view) {
+        switch (view.candidate().state()) {
+            case READY -> {
+                ready.add(view);
+                readyByDelay
+                        .computeIfAbsent(view.candidate().oneWayMicros(), key -> new TargetSet())
+                        .add(view);
+            }
+            case SUSPECT -> suspect.add(view);
+            case LEAVING -> {
+                // A leaving target is in no set, so it cannot be chosen.
+            }
+            default -> throw new IllegalStateException("unknown state " + view.candidate().state());
+        }
+    }
+
+    private void withdraw(TargetView view) {
+        ready.remove(view);
+        suspect.remove(view);
+        long delay = view.candidate().oneWayMicros();
+        TargetSet group = readyByDelay.get(delay);
+        if (group != null) {
+            group.remove(view);
+            if (group.isEmpty()) {
+                readyByDelay.remove(delay);
+            }
+        }
+    }
+}
