--- /dev/null
+++ b/src/main/java/org/yuccabank/replication/ReplicaStatus.java
@@ -0,0 +1,28 @@
+package org.yuccabank.replication;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * State of a replica at one moment. Immutable.
+ *
+ * @param replicaId identifier of this replica
+ * @param role present role
+ * @param term present term
+ * @param leader the leader, as far as this replica knows
+ * @param commitIndex last committed log position known here
+ * @param appliedIndex last log position applied here
+ * @param lastIndex last log position stored here
+ * @param members the members under the newest configuration stored here
+ * @param stopReason why the replica stopped by itself, empty while it runs
+ */
+public record ReplicaStatus(
+        String replicaId,
+        ReplicaRole role,
+        long term,
+        Optional<ReplicaMember> leader,
+        long commitIndex,
+        long appliedIndex,
+        long lastIndex,
+        List<ReplicaMember> members,
+        Optional<String> stopReason) {}
