--- /dev/null
+++ b/src/main/java/org/yuccabank/control/ClusterState.java
@@ -0,0 +1,194 @@
+package org.yuccabank.control;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.yuccabank.model.HostId;
+import org.yuccabank.model.Resources;
+import org.yuccabank.model.WorkKind;
+import org.yuccabank.policy.placement.ClusterView;
+import org.yuccabank.policy.placement.HostStatus;
+import org.yuccabank.policy.placement.HostView;
+import org.yuccabank.policy.placement.KindLoad;
+import org.yuccabank.protocol.generated.TargetState;
+import org.yuccabank.state.SystemState;
+import org.yuccabank.state.generated.HostRecord;
+import org.yuccabank.state.generated.LeaseRecord;
+import org.yuccabank.state.generated.TaskRecord;
+
+/**
+ * The hosts as placement sees them: capacity from reports, reservations from leases and from grants
+ * that are not committed yet. Confined to the thread of the replica.
+ *
+ * <p>Invariant: every lease that may still run counts, also when its host does not report it.
+ */
+final class ClusterState {
+
+    private final HostRegistry registry;
+    private final Map<String, PendingGrant> pendingGrants = new LinkedHashMap<>();
+
+    private ClusterState(HostRegistry registry) {
+        this.registry = registry;
+    }
+
+    /**
+     * A lease that was proposed and is not committed yet.
+     *
+     * @param hostId host of the lease
+     * @param kind kind of the task
+     * @param reservation what the task holds
+     */
+    record PendingGrant(String hostId, WorkKind kind, Resources reservation) {}
+
+    static ClusterState of(HostRegistry registry) {
+        return new ClusterState(registry);
+    }
+
+    void addPending(String taskId, PendingGrant grant) {
+        pendingGrants.put(taskId, grant);
+    }
+
+    void removePending(String taskId) {
+        pendingGrants.remove(taskId);
+    }
+
+    boolean isPending(String taskId) {
+        return pendingGrants.containsKey(taskId);
+    }
+
+    /**
+     * The hosts at one moment. The list can be changed host by host while tasks are placed.
+     *
+     * @param state the replicated records
+     * @param nowMillis present time
+     * @return the views in the order of the registry
+     */
+    List<HostView> views(SystemState state, long nowMillis) {
+        Map<String, List<PendingGrant>> pending = new HashMap<>();
+        for (PendingGrant grant : pendingGrants.values()) {
+            pending.computeIfAbsent(grant.hostId(), host -> new ArrayList<>()).add(grant);
+        }
+        List<HostView> views = new ArrayList<>();
+        for (HostEntry host : registry.hosts()) {
+            List<PendingGrant> grants = pending.getOrDefault(host.hostId(), List.of());
+            views.add(view(host, state, grants, nowMillis));
+        }
+        return views;
+    }
+
+    /**
+     * One host at one moment.
+     *
+     * @param hostId a host of the registry
+     * @param state the replicated records
+     * @param nowMillis present time
+     * @return its view
+     */
+    HostView view(String hostId, SystemState state, long nowMillis) {
+        HostEntry host = registry.host(hostId).orElseThrow();
+        List<PendingGrant> pending =
+                pendingGrants.values().stream()
+                        .filter(grant -> grant.hostId().equals(hostId))
+                        .toList();
+        return view(host, state, pending, nowMillis);
+    }
+
+    /**
+     * Views that hold only what stays on a host for good, to tell whether a task can ever run.
+     *
+     * @param nowMillis present time
+     * @return the views with the service instances and without tasks
+     */
+    List<HostView> emptyViews(long nowMillis) {
+        List<HostView> views = new ArrayList<>();
+        for (HostEntry host : registry.hosts()) {
+            Map<WorkKind, KindLoad> kinds = new LinkedHashMap<>();
+            addTargets(host, kinds);
+            Resources available = host.capacity().minus(host.serviceReservation());
+            views.add(
+                    new HostView(
+                            HostId.of(host.hostId()),
+                            host.dataCentre(),
+                            host.rack(),
+                            HostStatus.READY,
+                            available,
+                            Resources.none(),
+                            List.copyOf(kinds.values()),
+                            0,
+                            nowMillis,
+                            0));
+        }
+        return views;
+    }
+
+    private static HostView view(
+            HostEntry host, SystemState state, List<PendingGrant> pending, long nowMillis) {
+        Resources reserved = host.serviceReservation();
+        Map<WorkKind, KindLoad> kinds = new LinkedHashMap<>();
+        addTargets(host, kinds);
+        int unproven = pending.size();
+        for (TaskRecord task : state.leasedTasksOfHost(host.hostId())) {
+            LeaseRecord lease = task.getLease();
+            Resources reservation = HostEntry.resources(lease.getReservation());
+            reserved = reserved.plus(reservation);
+            unproven += host.task(task.getTaskId()).isPresent() ? 0 : 1;
+            state.job(task.getJobId())
+                    .map(job -> WorkKind.of(job.getSpecification().getKind()))
+                    .ifPresent(kind -> addLoad(kinds, kind, reservation));
+        }
+        for (PendingGrant grant : pending) {
+            reserved = reserved.plus(grant.reservation());
+            addLoad(kinds, grant.kind(), grant.reservation());
+        }
+        return new HostView(
+                HostId.of(host.hostId()),
+                host.dataCentre(),
+                host.rack(),
+                status(host, state, nowMillis),
+                host.capacity(),
+                reserved,
+                List.copyOf(kinds.values()),
+                slotUtilisation(host),
+                host.lastReportMillis(),
+                unproven);
+    }
+
+    private static void addTargets(HostEntry host, Map<WorkKind, KindLoad> kinds) {
+        for (TargetState target : host.targets()) {
+            for (String name : target.getKindsList()) {
+                WorkKind kind = WorkKind.of(name);
+                kinds.put(kind, new KindLoad(kind, true, 1, 0));
+            }
+        }
+    }
+
+    private static void addLoad(
+            Map<WorkKind, KindLoad> kinds, WorkKind kind, Resources reservation) {
+        KindLoad added = new KindLoad(kind, false, 1, reservation.processorMillis());
+        kinds.merge(
+                kind,
+                added,
+                (one, other) ->
+                        new KindLoad(
+                                kind,
+                                one.urgent(),
+                                one.tasks() + other.tasks(),
+                                one.processorMillis() + other.processorMillis()));
+    }
+
+    private static HostStatus status(HostEntry host, SystemState state, long nowMillis) {
+        boolean drainOrdered = state.host(host.hostId()).map(HostRecord::getDraining).orElse(false);
+        if (host.draining() || drainOrdered) {
+            return HostStatus.DRAINING;
+        }
+        return host.isSuspect(nowMillis) ? HostStatus.SUSPECT : HostStatus.READY;
+    }
+
+    private static double slotUtilisation(HostEntry host) {
+        int slots = host.targets().stream().mapToInt(TargetState::getSlots).sum();
+        int used = host.targets().stream().mapToInt(TargetState::getSlotsUsed).sum();
+        return slots == 0 ? 0 : (double) used / slots;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/control/ControlHandler.java
@@ -0,0 +1,137 @@
+package org.yuccabank.control;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+import org.yuccabank.protocol.PeerConnection;
+import org.yuccabank.protocol.PeerHandler;
+import org.yuccabank.protocol.generated.CommandResult;
+import org.yuccabank.protocol.generated.CommandResult.Verdict;
+import org.yuccabank.protocol.generated.Envelope;
+import org.yuccabank.protocol.generated.ProtocolError;
+import org.yuccabank.replication.ReadOutcome;
+import org.yuccabank.replication.ReplicaMember;
+import org.yuccabank.replication.ReplicaService;
+import reactor.core.publisher.Mono;
+
+/**
+ * Answers messages of other processes.
+ *
+ * <p>Invariant: reports, directories and queries are answered only after leadership was confirmed,
+ * so that an isolated former leader renews no lease and gives no stale answer. Thread-safe.
+ */
+final class ControlHandler implements PeerHandler {
+
+    private final ReplicaService replica;
+    private final LeaderLogic leader;
+
+    private ControlHandler(ReplicaService replica, LeaderLogic leader) {
+        this.replica = replica;
+        this.leader = leader;
+    }
+
+    static ControlHandler of(ReplicaService replica, LeaderLogic leader) {
+        return new ControlHandler(replica, leader);
+    }
+
+    @Override
+    public Mono<Envelope> handle(PeerConnection from, Envelope request) {
+        return switch (request.getBodyCase()) {
+            case REPLICA_MESSAGE -> {
+                replica.receive(request.getReplicaMessage());
+                yield Mono.empty();
+            }
+            case AGENT_REPORT -> whenLeader(() -> report(from, request));
+            case DIRECTORY_REQUEST -> whenLeader(() -> directory(request));
+            case COMMAND_REQUEST -> command(request);
+            default -> Mono.just(error("unexpected", "unexpected " + request.getBodyCase()));
+        };
+    }
+
+    private Envelope report(PeerConnection from, Envelope request) {
+        return Envelope.newBuilder()
+                .setAgentDirectives(
+                        leader.report(request.getAgentReport(), from, System.currentTimeMillis()))
+                .build();
+    }
+
+    private Envelope directory(Envelope request) {
+        return Envelope.newBuilder()
+                .setDirectory(
+                        leader.directory(request.getDirectoryRequest(), System.currentTimeMillis()))
+                .build();
+    }
+
+    private Mono<Envelope> command(Envelope request) {
+        if (request.getCommandRequest().hasQuery()) {
+            return whenLeader(
+                    () ->
+                            result(
+                                    leader.query(
+                                            request.getCommandRequest(), System.currentTimeMillis())));
+        }
+        if (!replica.isLeader()) {
+            return Mono.just(notLeaderResult());
+        }
+        CompletionStage<Envelope> reply =
+                replica.call(
+                                () ->
+                                        leader.command(
+                                                request.getCommandRequest(), System.currentTimeMillis()))
+                        .thenCompose(stage -> stage)
+                        .thenApply(ControlHandler::result);
+        return Mono.fromCompletionStage(reply);
+    }
+
+    /** The stage completes on the thread of the replica, so the supplier may read the state. */
+    private Mono<Envelope> whenLeader(Supplier<Envelope> supplier) {
+        if (!replica.isLeader()) {
+            return Mono.just(notLeader());
+        }
+        CompletableFuture<Envelope> reply = new CompletableFuture<>();
+        replica.readConfirmed()
+                .whenComplete(
+                        (outcome, error) -> {
+                            try {
+                                boolean confirmed = outcome instanceof ReadOutcome.Confirmed;
+                                reply.complete(confirmed ? supplier.get() : notLeader());
+                            } catch (RuntimeException exception) {
+                                reply.completeExceptionally(exception);
+                            }
+                        });
+        return Mono.fromFuture(reply);
+    }
+
+    private String leaderAddress() {
+        return replica.status().leader().map(ReplicaMember::address).orElse("");
+    }
+
+    private Envelope notLeader() {
+        return Envelope.newBuilder()
+                .setProtocolError(
+                        ProtocolError.newBuilder()
+                                .setCode("not-leader")
+                                .setMessage("this replica is not the leader")
+                                .setLeaderAddress(leaderAddress()))
+                .build();
+    }
+
+    private Envelope notLeaderResult() {
+        return result(
+                CommandResult.newBuilder()
+                        .setVerdict(Verdict.NOT_LEADER)
+                        .setMessage("this replica is not the leader")
+                        .setLeaderAddress(leaderAddress())
+                        .build());
+    }
+
+    private static Envelope result(CommandResult result) {
+        return Envelope.newBuilder().setCommandResult(result).build();
+    }
+
+    private static Envelope error(String code, String message) {
+        return Envelope.newBuilder()
+                .setProtocolError(ProtocolError.newBuilder().setCode(code).setMessage(message))
+                .build();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/control/ControlService.java
@@ -0,0 +1,237 @@
+package org.yuccabank.control;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.yuccabank.event.Event;
+import org.yuccabank.event.EventLog;
+import org.yuccabank.http.AdministrationServer;
+import org.yuccabank.policy.placement.PlacementPolicy;
+import org.yuccabank.protocol.PeerClient;
+import org.yuccabank.protocol.PeerHandler;
+import org.yuccabank.protocol.PeerSecurity;
+import org.yuccabank.protocol.PeerServer;
+import org.yuccabank.protocol.PeerTimings;
+import org.yuccabank.protocol.PeerTransport;
+import org.yuccabank.protocol.generated.Envelope;
+import org.yuccabank.protocol.generated.Hello;
+import org.yuccabank.protocol.generated.ReplicaMessage;
+import org.yuccabank.protocol.generated.Role;
+import org.yuccabank.protocol.generated.RulesVersion;
+import org.yuccabank.replication.ReplicaService;
+import org.yuccabank.replication.ReplicaSettings;
+import org.yuccabank.replication.ReplicaStatus;
+import org.yuccabank.result.Result;
+import org.yuccabank.state.ReplicatedState;
+
+/**
+ * The control role: one replica of the state and, while it leads, the scheduler.
+ *
+ * <p>Invariant: everything that reads the state or decides runs on the thread of the replica. The
+ * public methods may be called by any thread.
+ */
+public final class ControlService {
+
+    private static final int NETWORK_THREADS = 2;
+    private static final long ROUND_MILLIS = 50;
+    private static final long TRANSFER_LIMIT_MILLIS = 2_000;
+
+    private final ControlConfiguration configuration;
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final ReplicatedState state = ReplicatedState.empty();
+    private final Map<String, PeerClient> replicas = new ConcurrentHashMap<>();
+    private final PeerTransport transport;
+    private final ReplicaService replica;
+    private final LeaderLogic leader;
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+    private volatile long configurationVersion;
+    private PeerServer server;
+    private AdministrationServer administration;
+
+    private ControlService(
+            ControlConfiguration configuration, PlacementPolicy placement, PeerSecurity security) {
+        this.configuration = configuration;
+        Hello greeting =
+                Hello.newBuilder()
+                        .setProcessId(configuration.processId())
+                        .setRole(Role.CONTROL)
+                        .setDataCentre(configuration.dataCentre())
+                        .setIncarnation(System.currentTimeMillis())
+                        .build();
+        transport =
+                PeerTransport.start(
+                        greeting,
+                        () -> configurationVersion,
+                        PeerTimings.standard(),
+                        security,
+                        NETWORK_THREADS);
+        ReplicaSettings settings =
+                new ReplicaSettings(
+                        configuration.group(),
+                        configuration.replicaId(),
+                        configuration.dataDirectory(),
+                        configuration.members(),
+                        configuration.timing(),
+                        ReplicaSettings.DEFAULT_SNAPSHOT_ENTRIES);
+        replica = ReplicaService.of(settings, state, this::sendToReplica);
+        leader =
+                LeaderLogic.of(
+                        configuration,
+                        replica,
+                        state,
+                        placement,
+                        RandomGenerator.of("L64X128MixRandom"));
+    }
+
+    /**
+     * Creates a control process that is not started.
+     *
+     * @param configuration its configuration
+     * @param placement policy that places tasks
+     * @param security TLS of connections
+     * @return the service
+     */
+    public static ControlService of(
+            ControlConfiguration configuration, PlacementPolicy placement, PeerSecurity security) {
+        Objects.requireNonNull(configuration, "configuration is null");
+        Objects.requireNonNull(placement, "placement is null");
+        return new ControlService(configuration, placement, security);
+    }
+
+    /**
+     * Reads the durable state and starts to serve.
+     *
+     * @return this service, or what is wrong with the durable state
+     */
+    public Result<ControlService> start() {
+        Result<ReplicaStatus> started = replica.start();
+        if (!started.isSuccess()) {
+            transport.stop();
+            timer.shutdownNow();
+            return Result.failure(started.findings());
+        }
+        registerMetrics();
+        PeerHandler handler = ControlHandler.of(replica, leader);
+        server = PeerServer.start(transport, configuration.protocolAddress(), handler);
+        administration =
+                AdministrationServer.start(
+                        configuration.administrationAddress(),
+                        metrics,
+                        () -> replica.status().stopReason().isEmpty());
+        timer.scheduleWithFixedDelay(
+                this::runRound, ROUND_MILLIS, ROUND_MILLIS, TimeUnit.MILLISECONDS);
+        EventLog.information(
+                Event.ROLE_STARTED,
+                "role",
+                "control",
+                "process",
+                configuration.processId(),
+                "address",
+                server.address(),
+                "administration",
+                administration.address());
+        return Result.success(this);
+    }
+
+    private void registerMetrics() {
+        Gauge<Long> commit = () -> replica.status().commitIndex();
+        Gauge<Long> term = () -> replica.status().term();
+        Gauge<Integer> leads = () -> replica.isLeader() ? 1 : 0;
+        Gauge<Integer> connections = transport::connectionCount;
+        metrics.register("replica_commit_index", commit);
+        metrics.register("replica_term", term);
+        metrics.register("replica_is_leader", leads);
+        metrics.register("connections", connections);
+        leader.registerMetrics(metrics);
+    }
+
+    private void runRound() {
+        CompletionStage<Void> round = replica.call(this::runRoundOnReplica);
+        round.exceptionally(
+                error -> {
+                    EventLog.error(Event.INTERNAL_ERROR, error);
+                    return null;
+                });
+    }
+
+    private Void runRoundOnReplica() {
+        configurationVersion =
+                state.records().newestRules().map(RulesVersion::getVersion).orElse(0L);
+        leader.runRound(System.currentTimeMillis());
+        return null;
+    }
+
+    private void sendToReplica(String address, ReplicaMessage message) {
+        if (address.isEmpty()) {
+            return;
+        }
+        replicas.computeIfAbsent(address, this::connect)
+                .send(Envelope.newBuilder().setReplicaMessage(message).build());
+    }
+
+    private PeerClient connect(String address) {
+        return PeerClient.of(transport, Addresses.parse(address), PeerHandler.none());
+    }
+
+    /**
+     * Address on which other processes reach this one.
+     *
+     * @return the address with the port in use
+     */
+    public InetSocketAddress protocolAddress() {
+        return server.address();
+    }
+
+    /**
+     * Address of metrics and health.
+     *
+     * @return the address with the port in use
+     */
+    public InetSocketAddress administrationAddress() {
+        return administration.address();
+    }
+
+    /**
+     * Tells whether this replica leads.
+     *
+     * @return true if it leads as far as it knows
+     */
+    public boolean isLeader() {
+        return replica.isLeader();
+    }
+
+    /** Hands leadership over, finishes what is in progress and stops. */
+    public void stop() {
+        EventLog.information(Event.ROLE_DRAINING, "role", "control");
+        if (replica.isLeader()) {
+            handOver();
+        }
+        timer.shutdownNow();
+        server.stop();
+        replica.stop();
+        administration.stop();
+        transport.stop();
+        EventLog.information(Event.ROLE_STOPPED, "role", "control");
+    }
+
+    private void handOver() {
+        try {
+            replica.transferLeadership()
+                    .toCompletableFuture()
+                    .get(TRANSFER_LIMIT_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        } catch (java.util.concurrent.ExecutionException
+                | java.util.concurrent.TimeoutException exception) {
+            EventLog.warning(Event.LEADER_STEPPED_DOWN, "handover", "failed");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/control/LeaderLogic.java
@@ -0,0 +1,168 @@
+package org.yuccabank.control;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.random.RandomGenerator;
+import org.yuccabank.event.Event;
+import org.yuccabank.event.EventLog;
+import org.yuccabank.policy.placement.PlacementPolicy;
+import org.yuccabank.protocol.PeerConnection;
+import org.yuccabank.protocol.generated.AgentDirectives;
+import org.yuccabank.protocol.generated.AgentReport;
+import org.yuccabank.protocol.generated.CommandRequest;
+import org.yuccabank.protocol.generated.CommandResult;
+import org.yuccabank.protocol.generated.CommandResult.Verdict;
+import org.yuccabank.protocol.generated.Directory;
+import org.yuccabank.protocol.generated.DirectoryRequest;
+import org.yuccabank.protocol.generated.Envelope;
+import org.yuccabank.protocol.generated.StateCommand;
+import org.yuccabank.protocol.generated.SubmitJob;
+import org.yuccabank.replication.ReplicaService;
+import org.yuccabank.rules.ParsedRules;
+import org.yuccabank.rules.RuleSet;
+import org.yuccabank.state.ReplicatedState;
+import org.yuccabank.state.SystemState;
+import org.yuccabank.state.generated.JobRecord;
+import org.yuccabank.state.generated.TaskRecord;
+
+/**
+ * What only the leader does: takes reports, answers queries, accepts commands and runs the
+ * scheduler. Confined to the thread of the replica.
+ */
+final class LeaderLogic {
+
+    private final ReplicaService replica;
+    private final ReplicatedState state;
+    private final Proposer proposer;
+    private final HostRegistry registry = new HostRegistry();
+    private final EntryRegistry entries = new EntryRegistry();
+    private final LeaseTable leases;
+    private final Scheduler scheduler;
+    private final ReportHandler reports;
+    private final QueryAnswers queries;
+
+    private LeaderLogic(
+            ControlConfiguration configuration,
+            ReplicaService replica,
+            ReplicatedState state,
+            PlacementPolicy placement,
+            RandomGenerator random) {
+        this.replica = replica;
+        this.state = state;
+        proposer = Proposer.of(replica, System::currentTimeMillis);
+        leases = LeaseTable.of(configuration.clockDriftShare());
+        long leaseMillis = configuration.leaseMillis();
+        scheduler =
+                new Scheduler(replica, proposer, registry, leases, placement, random, leaseMillis);
+        scheduler.onLeaseCommitted(this::pushStart);
+        reports = new ReportHandler(registry, leases, scheduler, proposer, leaseMillis);
+        queries = QueryAnswers.of(registry, entries);
+        replica.addLeaderListener(this::leadershipChanged);
+    }
+
+    static LeaderLogic of(
+            ControlConfiguration configuration,
+            ReplicaService replica,
+            ReplicatedState state,
+            PlacementPolicy placement,
+            RandomGenerator random) {
+        return new LeaderLogic(configuration, replica, state, placement, random);
+    }
+
+    private void leadershipChanged(boolean leads, long term) {
+        registry.clear();
+        entries.clear();
+        reports.clear();
+        leases.startLeadership(System.currentTimeMillis());
+        EventLog.information(
+                leads ? Event.LEADER_ELECTED : Event.LEADER_STEPPED_DOWN, "term", term);
+    }
+
+    void registerMetrics(MetricRegistry metrics) {
+        Gauge<Integer> queued = () -> state.records().queuedTasks().size();
+        Gauge<Integer> leased = () -> state.records().leasedTasks().size();
+        metrics.register("tasks_queued", queued);
+        metrics.register("tasks_leased", leased);
+    }
+
+    void runRound(long nowMillis) {
+        if (replica.isLeader()) {
+            scheduler.runRound(state.records(), nowMillis);
+        }
+    }
+
+    AgentDirectives report(AgentReport report, PeerConnection connection, long nowMillis) {
+        return reports.handle(report, connection, state.records(), nowMillis);
+    }
+
+    Directory directory(DirectoryRequest request, long nowMillis) {
+        entries.update(request, nowMillis);
+        return DirectoryBuilder.build(request, registry, state.records(), nowMillis);
+    }
+
+    CommandResult query(CommandRequest request, long nowMillis) {
+        return queries.answer(request, state.records(), replica.status(), nowMillis);
+    }
+
+    /**
+     * Accepts a command: refuses at once what can never succeed and proposes the rest.
+     *
+     * @param request the command
+     * @param nowMillis present time
+     * @return completes with the result
+     */
+    CompletionStage<CommandResult> command(CommandRequest request, long nowMillis) {
+        Optional<CommandResult> refusal = refuse(request, nowMillis);
+        if (refusal.isPresent()) {
+            return CompletableFuture.completedFuture(refusal.get());
+        }
+        return proposer.propose(StateCommand.newBuilder().setRequest(request));
+    }
+
+    private Optional<CommandResult> refuse(CommandRequest request, long nowMillis) {
+        boolean forOperators = request.hasApplyRules() || request.hasDrainHost();
+        if (forOperators && !request.getOperator()) {
+            return Optional.of(result(Verdict.FORBIDDEN, "only operators may do this"));
+        }
+        if (!request.hasSubmitJob()) {
+            return Optional.empty();
+        }
+        SubmitJob job = request.getSubmitJob();
+        if (job.getKind().isEmpty()) {
+            return Optional.of(result(Verdict.REJECTED, "the job has no kind"));
+        }
+        RuleSet rules =
+                state.records().parsedRules().map(ParsedRules::ruleSet).orElse(RuleSet.empty());
+        return scheduler
+                .whyNever(job, request.getAccount(), rules, nowMillis)
+                .map(reason -> result(Verdict.REJECTED, "the job can never run: " + reason));
+    }
+
+    private static CommandResult result(Verdict verdict, String message) {
+        return CommandResult.newBuilder().setVerdict(verdict).setMessage(message).build();
+    }
+
+    /** Tells the agent at once; if the message is lost, the answer to its next report repeats it. */
+    private void pushStart(String taskId) {
+        SystemState records = state.records();
+        Optional<TaskRecord> task = records.task(taskId).filter(TaskRecord::hasLease);
+        if (task.isEmpty()) {
+            return;
+        }
+        leases.renew(task.get().getLease().getFencingToken(), System.currentTimeMillis());
+        JobRecord job = records.job(task.get().getJobId()).orElseThrow();
+        AgentDirectives directives =
+                AgentDirectives.newBuilder()
+                        .addDirectives(reports.start(task.get(), job, records))
+                        .build();
+        registry.host(task.get().getLease().getHostId())
+                .flatMap(HostEntry::connection)
+                .ifPresent(
+                        connection ->
+                                connection.send(
+                                        Envelope.newBuilder().setAgentDirectives(directives).build()));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/control/ReportHandler.java
@@ -0,0 +1,243 @@
+package org.yuccabank.control;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.yuccabank.event.Event;
+import org.yuccabank.event.EventLog;
+import org.yuccabank.protocol.PeerConnection;
+import org.yuccabank.protocol.generated.AgentDirectives;
+import org.yuccabank.protocol.generated.AgentReport;
+import org.yuccabank.protocol.generated.CheckpointConfirmed;
+import org.yuccabank.protocol.generated.ClaimOutcome;
+import org.yuccabank.protocol.generated.CommandRequest;
+import org.yuccabank.protocol.generated.IncarnationSeen;
+import org.yuccabank.protocol.generated.OutcomeKind;
+import org.yuccabank.protocol.generated.ReportOutcome;
+import org.yuccabank.protocol.generated.StateCommand;
+import org.yuccabank.protocol.generated.TaskDirective;
+import org.yuccabank.protocol.generated.TaskEnded;
+import org.yuccabank.protocol.generated.TaskState;
+import org.yuccabank.state.SystemState;
+import org.yuccabank.state.generated.ClaimRecord;
+import org.yuccabank.state.generated.HostRecord;
+import org.yuccabank.state.generated.JobRecord;
+import org.yuccabank.state.generated.TaskRecord;
+
+/**
+ * Takes up the reports of agents and computes what each agent has to do. Confined to the thread of
+ * the replica.
+ *
+ * <p>Invariant: directives follow from the difference between the committed leases and what the
+ * agent reports, so that a lost directive is given again with the next report.
+ */
+final class ReportHandler {
+
+    private final HostRegistry registry;
+    private final LeaseTable leases;
+    private final Scheduler scheduler;
+    private final Proposer proposer;
+    private final long leaseMillis;
+    private final Set<String> proposedClaimOutcomes = new HashSet<>();
+
+    ReportHandler(
+            HostRegistry registry,
+            LeaseTable leases,
+            Scheduler scheduler,
+            Proposer proposer,
+            long leaseMillis) {
+        this.registry = registry;
+        this.leases = leases;
+        this.scheduler = scheduler;
+        this.proposer = proposer;
+        this.leaseMillis = leaseMillis;
+    }
+
+    /**
+     * Handles one report.
+     *
+     * @param report the report
+     * @param connection connection on which it came
+     * @param state the replicated records
+     * @param nowMillis present time
+     * @return the answer to the agent
+     */
+    AgentDirectives handle(
+            AgentReport report, PeerConnection connection, SystemState state, long nowMillis) {
+        noticeIncarnation(report, state);
+        Optional<HostEntry> host = registry.update(report, connection, nowMillis);
+        AgentDirectives.Builder answer =
+                AgentDirectives.newBuilder()
+                        .setLeaseMillis(leaseMillis)
+                        .setDrain(isDraining(state, report.getHostId()));
+        report.getTasksList().forEach(task -> takeUp(task, state));
+        acknowledgeClaims(report, state, answer);
+        addRules(report, state, answer);
+        if (host.isEmpty()) {
+            return answer.setFullReportWanted(true).build();
+        }
+        answer.setAcknowledgedSequence(report.getSequence());
+        addDirectives(host.get(), state, nowMillis, answer);
+        return answer.build();
+    }
+
+    private void noticeIncarnation(AgentReport report, SystemState state) {
+        long known =
+                state.host(report.getHostId()).map(HostRecord::getIncarnation).orElse(0L);
+        if (report.getIncarnation() > known) {
+            IncarnationSeen seen =
+                    IncarnationSeen.newBuilder()
+                            .setHostId(report.getHostId())
+                            .setIncarnation(report.getIncarnation())
+                            .build();
+            EventLog.information(
+                    Event.HOST_JOINED,
+                    "host",
+                    report.getHostId(),
+                    "incarnation",
+                    report.getIncarnation());
+            proposer.propose(StateCommand.newBuilder().setIncarnationSeen(seen));
+        }
+    }
+
+    private static boolean isDraining(SystemState state, String hostId) {
+        return state.host(hostId).map(HostRecord::getDraining).orElse(false);
+    }
+
+    private void takeUp(TaskState task, SystemState state) {
+        Optional<TaskRecord> record =
+                state.task(task.getTaskId())
+                        .filter(TaskRecord::hasLease)
+                        .filter(known -> known.getLease().getFencingToken() == task.getFencingToken());
+        if (record.isEmpty()) {
+            return;
+        }
+        if (task.getConfirmedCheckpoint() > record.get().getCheckpointGeneration()) {
+            CheckpointConfirmed confirmed =
+                    CheckpointConfirmed.newBuilder()
+                            .setTaskId(task.getTaskId())
+                            .setFencingToken(task.getFencingToken())
+                            .setGeneration(task.getConfirmedCheckpoint())
+                            .setProgress(task.getProgress())
+                            .build();
+            proposer.propose(StateCommand.newBuilder().setCheckpointConfirmed(confirmed));
+        }
+        switch (task.getPhase()) {
+            case TASK_STOPPED, TASK_FINISHED, TASK_FAILED, TASK_REFUSED ->
+                    scheduler.endLease(
+                            TaskEnded.newBuilder()
+                                    .setTaskId(task.getTaskId())
+                                    .setFencingToken(task.getFencingToken())
+                                    .setPhase(task.getPhase())
+                                    .setDetail(task.getDetail())
+                                    .build());
+            default -> {
+                // A task that starts or runs changes nothing in the log.
+            }
+        }
+    }
+
+    private void acknowledgeClaims(
+            AgentReport report, SystemState state, AgentDirectives.Builder answer) {
+        for (ClaimOutcome outcome : report.getClaimOutcomesList()) {
+            Optional<ClaimRecord> claim = state.claim(outcome.getAccount(), outcome.getKey());
+            boolean recorded =
+                    claim.isEmpty()
+                            || claim.get().getFencingToken() != outcome.getFencingToken()
+                            || isFinal(claim.get().getOutcome().getOutcome());
+            if (recorded) {
+                answer.addAcknowledgedClaims(outcome.getKey());
+                proposedClaimOutcomes.remove(claimId(outcome));
+            } else if (proposedClaimOutcomes.add(claimId(outcome))) {
+                CommandRequest request =
+                        CommandRequest.newBuilder()
+                                .setAccount(outcome.getAccount())
+                                .setReportOutcome(ReportOutcome.newBuilder().setOutcome(outcome))
+                                .build();
+                proposer.propose(StateCommand.newBuilder().setRequest(request));
+            }
+        }
+    }
+
+    private static String claimId(ClaimOutcome outcome) {
+        return outcome.getFencingToken() + " " + outcome.getKey();
+    }
+
+    private static boolean isFinal(OutcomeKind outcome) {
+        return outcome == OutcomeKind.RAN || outcome == OutcomeKind.NOT_RUN;
+    }
+
+    private static void addRules(
+            AgentReport report, SystemState state, AgentDirectives.Builder answer) {
+        state.newestRules()
+                .filter(rules -> rules.getVersion() > report.getConfigurationVersion())
+                .ifPresent(answer::setRules);
+    }
+
+    private void addDirectives(
+            HostEntry host, SystemState state, long nowMillis, AgentDirectives.Builder answer) {
+        Set<String> leased = new HashSet<>();
+        for (TaskRecord task : state.leasedTasksOfHost(host.hostId())) {
+            long token = task.getLease().getFencingToken();
+            leased.add(task.getTaskId());
+            leases.renew(token, nowMillis);
+            answer.addRenewedTokens(token);
+            directive(host, task, state).ifPresent(answer::addDirectives);
+        }
+        for (TaskState running : host.tasks()) {
+            if (!leased.contains(running.getTaskId())) {
+                answer.addDirectives(
+                        TaskDirective.newBuilder()
+                                .setAction(TaskDirective.Action.STOP)
+                                .setTaskId(running.getTaskId())
+                                .setFencingToken(running.getFencingToken()));
+            }
+        }
+    }
+
+    private Optional<TaskDirective> directive(
+            HostEntry host, TaskRecord task, SystemState state) {
+        JobRecord job = state.job(task.getJobId()).orElseThrow();
+        boolean stop = job.getCancelRequested() || isDraining(state, host.hostId());
+        if (stop) {
+            return Optional.of(
+                    TaskDirective.newBuilder()
+                            .setAction(TaskDirective.Action.STOP)
+                            .setTaskId(task.getTaskId())
+                            .setFencingToken(task.getLease().getFencingToken())
+                            .build());
+        }
+        boolean reported =
+                host.task(task.getTaskId())
+                        .filter(known -> known.getFencingToken() == task.getLease().getFencingToken())
+                        .isPresent();
+        return reported ? Optional.empty() : Optional.of(start(task, job, state));
+    }
+
+    /**
+     * The directive that starts a task under its lease.
+     *
+     * @param task a task with a lease
+     * @param job its job
+     * @param state the replicated records
+     * @return the directive
+     */
+    TaskDirective start(TaskRecord task, JobRecord job, SystemState state) {
+        return TaskDirective.newBuilder()
+                .setAction(TaskDirective.Action.START)
+                .setTaskId(task.getTaskId())
+                .setKind(job.getSpecification().getKind())
+                .setAccount(job.getAccount())
+                .setFencingToken(task.getLease().getFencingToken())
+                .setLeaseMillis(leaseMillis)
+                .setReservation(task.getLease().getReservation())
+                .setCheckpointGeneration(task.getCheckpointGeneration())
+                .setRunTimeMillis(job.getSpecification().getDeclaredRunMillis())
+                .setCheckpointIntervalMillis(CheckpointIntervals.millis(state, job))
+                .build();
+    }
+
+    void clear() {
+        proposedClaimOutcomes.clear();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/control/Scheduler.java
@@ -0,0 +1,284 @@
+package org.yuccabank.control;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+import org.yuccabank.event.Event;
+import org.yuccabank.event.EventLog;
+import org.yuccabank.model.AccountId;
+import org.yuccabank.model.HostId;
+import org.yuccabank.model.JobId;
+import org.yuccabank.model.Resources;
+import org.yuccabank.model.TaskId;
+import org.yuccabank.model.WorkKind;
+import org.yuccabank.policy.placement.ClusterView;
+import org.yuccabank.policy.placement.Feasibility;
+import org.yuccabank.policy.placement.HostView;
+import org.yuccabank.policy.placement.PlacementDecision;
+import org.yuccabank.policy.placement.PlacementPolicy;
+import org.yuccabank.policy.placement.TaskRequest;
+import org.yuccabank.protocol.generated.CommandResult;
+import org.yuccabank.protocol.generated.CommandResult.Verdict;
+import org.yuccabank.protocol.generated.LeaseGranted;
+import org.yuccabank.protocol.generated.StateCommand;
+import org.yuccabank.protocol.generated.SubmitJob;
+import org.yuccabank.protocol.generated.TaskEnded;
+import org.yuccabank.protocol.generated.TaskPhase;
+import org.yuccabank.replication.ReplicaService;
+import org.yuccabank.rules.ParsedRules;
+import org.yuccabank.rules.Quota;
+import org.yuccabank.rules.RuleSet;
+import org.yuccabank.state.SystemState;
+import org.yuccabank.state.generated.JobRecord;
+import org.yuccabank.state.generated.LeaseRecord;
+import org.yuccabank.state.generated.TaskRecord;
+
+/**
+ * Places queued tasks and ends leases that were not renewed. Runs on the leader, confined to the
+ * thread of the replica.
+ *
+ * <p>Invariants: a task with a proposed grant is not placed again before the outcome is known; a
+ * lease ends only by a confirmed termination or after its duration with the margin for clocks.
+ */
+final class Scheduler {
+
+    /** Bounds the time that one round holds the thread of the replica. */
+    private static final int MAXIMUM_GRANTS_PER_ROUND = 100;
+
+    private final ReplicaService replica;
+    private final Proposer proposer;
+    private final HostRegistry registry;
+    private final ClusterState cluster;
+    private final LeaseTable leases;
+    private final PlacementPolicy placement;
+    private final RandomGenerator random;
+    private final long leaseMillis;
+    private final Set<Long> endingTokens = new HashSet<>();
+    private final Set<String> suspects = new HashSet<>();
+    private Consumer<String> leaseCommitted = taskId -> {};
+
+    Scheduler(
+            ReplicaService replica,
+            Proposer proposer,
+            HostRegistry registry,
+            LeaseTable leases,
+            PlacementPolicy placement,
+            RandomGenerator random,
+            long leaseMillis) {
+        this.replica = replica;
+        this.proposer = proposer;
+        this.registry = registry;
+        this.cluster = ClusterState.of(registry);
+        this.leases = leases;
+        this.placement = placement;
+        this.random = random;
+        this.leaseMillis = leaseMillis;
+    }
+
+    /**
+     * Does one round.
+     *
+     * @param state the replicated records
+     * @param nowMillis present time
+     */
+    void runRound(SystemState state, long nowMillis) {
+        noticeSuspects(nowMillis);
+        endExpiredLeases(state, nowMillis);
+        placeQueuedTasks(state, nowMillis);
+    }
+
+    private void noticeSuspects(long nowMillis) {
+        for (HostEntry host : registry.hosts()) {
+            boolean suspect = host.isSuspect(nowMillis);
+            boolean changed =
+                    suspect ? suspects.add(host.hostId()) : suspects.remove(host.hostId());
+            if (changed) {
+                registry.changeDirectory();
+            }
+            if (changed && suspect) {
+                EventLog.warning(
+                        Event.HOST_SUSPECT,
+                        "host",
+                        host.hostId(),
+                        "silentMs",
+                        nowMillis - host.lastReportMillis());
+            }
+        }
+    }
+
+    private void endExpiredLeases(SystemState state, long nowMillis) {
+        for (String taskId : state.leasedTasks()) {
+            LeaseRecord lease = state.task(taskId).orElseThrow().getLease();
+            long token = lease.getFencingToken();
+            if (leases.isExpired(token, lease.getLeaseMillis(), nowMillis)) {
+                EventLog.warning(
+                        Event.LEASE_EXPIRED, "task", taskId, "host", lease.getHostId(), "token", token);
+                endLease(
+                        TaskEnded.newBuilder()
+                                .setTaskId(taskId)
+                                .setFencingToken(token)
+                                .setPhase(TaskPhase.TASK_STOPPED)
+                                .setLeaseExpired(true)
+                                .build());
+            }
+        }
+    }
+
+    /**
+     * Records that a task ended under its lease; proposals for the same lease are not repeated
+     * while one is in progress.
+     *
+     * @param ended what the agent or the lease table says
+     */
+    void endLease(TaskEnded ended) {
+        long token = ended.getFencingToken();
+        if (!endingTokens.add(token)) {
+            return;
+        }
+        proposer.propose(StateCommand.newBuilder().setTaskEnded(ended))
+                .whenComplete(
+                        (result, error) ->
+                                replica.call(
+                                        () -> {
+                                            endingTokens.remove(token);
+                                            leases.forget(token);
+                                            return null;
+                                        }));
+    }
+
+    private void placeQueuedTasks(SystemState state, long nowMillis) {
+        if (state.queuedTasks().isEmpty()) {
+            return;
+        }
+        List<HostView> views = cluster.views(state, nowMillis);
+        ClusterView view = ClusterView.of(views);
+        RuleSet rules = state.parsedRules().map(ParsedRules::ruleSet).orElse(RuleSet.empty());
+        Map<String, Resources> held = heldByAccount(state);
+        int grants = 0;
+        for (String taskId : List.copyOf(state.queuedTasks())) {
+            if (cluster.isPending(taskId)) {
+                continue;
+            }
+            TaskRecord task = state.task(taskId).orElseThrow();
+            JobRecord job = state.job(task.getJobId()).orElseThrow();
+            TaskRequest request = request(task, job, rules);
+            Resources after =
+                    held.getOrDefault(job.getAccount(), Resources.none())
+                            .plus(request.reservation());
+            if (!withinQuota(rules, job.getAccount(), after)) {
+                continue;
+            }
+            PlacementDecision decision = placement.place(request, view, rules, nowMillis, random);
+            if (decision instanceof PlacementDecision.Placed placed) {
+                held.put(job.getAccount(), after);
+                grant(task, request, placed);
+                views.set(placed.index(), cluster.view(placed.host().value(), state, nowMillis));
+                if (++grants >= MAXIMUM_GRANTS_PER_ROUND) {
+                    return;
+                }
+            }
+        }
+    }
+
+    private static boolean withinQuota(RuleSet rules, String account, Resources held) {
+        Optional<Quota> quota = rules.quota(AccountId.of(account));
+        return quota.isEmpty() || held.fitsWithin(quota.get().limit());
+    }
+
+    private Map<String, Resources> heldByAccount(SystemState state) {
+        Map<String, Resources> held = new HashMap<>();
+        for (String taskId : state.leasedTasks()) {
+            TaskRecord task = state.task(taskId).orElseThrow();
+            String account = state.job(task.getJobId()).orElseThrow().getAccount();
+            Resources reservation = HostEntry.resources(task.getLease().getReservation());
+            held.merge(account, reservation, Resources::plus);
+        }
+        return held;
+    }
+
+    private void grant(
+            TaskRecord task, TaskRequest request, PlacementDecision.Placed placed) {
+        HostEntry host = registry.host(placed.host().value()).orElseThrow();
+        String taskId = task.getTaskId();
+        cluster.addPending(
+                taskId,
+                new ClusterState.PendingGrant(
+                        host.hostId(), request.kind(), placed.reservation()));
+        LeaseGranted grant =
+                LeaseGranted.newBuilder()
+                        .setTaskId(taskId)
+                        .setHostId(host.hostId())
+                        .setIncarnation(host.incarnation())
+                        .setReservation(HostEntry.vector(placed.reservation()))
+                        .setLeaseMillis(leaseMillis)
+                        .setCheckpointGeneration(task.getCheckpointGeneration())
+                        .build();
+        proposer.propose(StateCommand.newBuilder().setLeaseGranted(grant))
+                .whenComplete((result, error) -> replica.call(() -> granted(taskId, result)));
+    }
+
+    private Void granted(String taskId, CommandResult result) {
+        cluster.removePending(taskId);
+        if (result == null || result.getVerdict() != Verdict.ACCEPTED) {
+            return null;
+        }
+        leaseCommitted.accept(taskId);
+        return null;
+    }
+
+    /**
+     * Sets what happens once a lease is committed.
+     *
+     * @param listener gets the task, on the thread of the replica
+     */
+    void onLeaseCommitted(Consumer<String> listener) {
+        leaseCommitted = listener;
+    }
+
+    /**
+     * Tells why a job can never run.
+     *
+     * @param job what was submitted
+     * @param account account of the job
+     * @param rules the rules in force
+     * @param nowMillis present time
+     * @return the reason, empty if it can run or if no host is known yet
+     */
+    Optional<String> whyNever(SubmitJob job, String account, RuleSet rules, long nowMillis) {
+        List<HostView> hosts = cluster.emptyViews(nowMillis);
+        if (hosts.isEmpty()) {
+            return Optional.empty();
+        }
+        TaskRequest request =
+                new TaskRequest(
+                        TaskId.of("submitted"),
+                        JobId.of("submitted"),
+                        AccountId.of(account),
+                        WorkKind.of(job.getKind()),
+                        false,
+                        HostEntry.resources(job.getDeclared()),
+                        Optional.empty(),
+                        Set.of());
+        return Feasibility.whyNever(request, ClusterView.of(hosts), rules);
+    }
+
+    private static TaskRequest request(TaskRecord task, JobRecord job, RuleSet rules) {
+        SubmitJob specification = job.getSpecification();
+        return new TaskRequest(
+                TaskId.of(task.getTaskId()),
+                JobId.of(job.getJobId()),
+                AccountId.of(job.getAccount()),
+                WorkKind.of(specification.getKind()),
+                false,
+                HostEntry.resources(specification.getDeclared()),
+                Optional.empty(),
+                task.getFailedHostsList().stream().map(HostId::of).collect(Collectors.toSet()));
+    }
+}
--- a/src/main/java/org/yuccabank/state/SystemState.java
+++ b/src/main/java/org/yuccabank/state/SystemState.java
@@ -54,6 +54,7 @@
     private final Map<String, List<String>> tasksOfJob = new HashMap<>();
     private final Set<String> queuedTasks = new LinkedHashSet<>();
     private final Set<String> leasedTasks = new LinkedHashSet<>();
+    private final Map<String, Set<String>> leasedTasksOfHost = new HashMap<>();
     private final Map<String, ClaimRecord> claims = new LinkedHashMap<>();
     private final Map<String, Set<String>> openClaimsOfHost = new HashMap<>();
     private final Deque<AuditRecord> audit = new ArrayDeque<>();
@@ -158,10 +159,28 @@
         return Collections.unmodifiableSet(leasedTasks);
     }
 
+    /**
+     * Tasks that hold a lease on a host.
+     *
+     * @param hostId identifier of the host
+     * @return the tasks
+     */
+    public List<TaskRecord> leasedTasksOfHost(String hostId) {
+        return leasedTasksOfHost.getOrDefault(hostId, Set.of()).stream().map(tasks::get).toList();
+    }
+
     void putTask(TaskRecord task) {
         String identifier = task.getTaskId();
-        if (tasks.put(identifier, task) == null) {
+        TaskRecord previous = tasks.put(identifier, task);
+        if (previous == null) {
             tasksOfJob.computeIfAbsent(task.getJobId(), key -> new ArrayList<>()).add(identifier);
+        } else if (previous.hasLease()) {
+            leasedTasksOfHost.get(previous.getLease().getHostId()).remove(identifier);
+        }
+        if (task.hasLease()) {
+            leasedTasksOfHost
+                    .computeIfAbsent(task.getLease().getHostId(), host -> new LinkedHashSet<>())
+                    .add(identifier);
         }
         updateMembership(queuedTasks, identifier, task.getPhase() == TaskRecordPhase.TASK_QUEUED);
         updateMembership(leasedTasks, identifier, task.getPhase() == TaskRecordPhase.TASK_LEASED);
