--- /dev/null
+++ b/src/main/java/org/yuccabank/command/CommandJson.java
@@ -0,0 +1,53 @@
+package org.yuccabank.command;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.yuccabank.result.Finding;
+import org.yuccabank.result.Findings;
+import org.yuccabank.rules.Rule;
+
+/** Writes the results of commands as JSON. Thread-safe. */
+final class CommandJson {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private CommandJson() {}
+
+    static ObjectNode object() {
+        return MAPPER.createObjectNode();
+    }
+
+    static ArrayNode array() {
+        return MAPPER.createArrayNode();
+    }
+
+    static ArrayNode findings(Findings findings) {
+        ArrayNode array = array();
+        for (Finding finding : findings.all()) {
+            array.addObject()
+                    .put("file", finding.place().source())
+                    .put("line", finding.place().line())
+                    .put("column", finding.place().column())
+                    .put("message", finding.message());
+        }
+        return array;
+    }
+
+    static ObjectNode rule(Rule rule) {
+        ObjectNode node = object();
+        node.put("line", rule.line()).put("rule", rule.text()).put("askedBy", rule.askedBy());
+        rule.reason().ifPresent(reason -> node.put("reason", reason));
+        return node;
+    }
+
+    /** One line of JSON. */
+    static String line(ObjectNode node) {
+        try {
+            return MAPPER.writeValueAsString(node);
+        } catch (JsonProcessingException exception) {
+            throw new IllegalStateException("a tree of JSON nodes cannot be written", exception);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/result/FindingCollector.java
@@ -0,0 +1,86 @@
+package org.yuccabank.result;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * Collects the findings of one input up to a bound, so that a hostile input cannot use unbounded
+ * memory. Not safe for use by several threads.
+ */
+public final class FindingCollector {
+
+    /** Findings kept for one input; further ones are only counted. */
+    public static final int GREATEST_COUNT = 1000;
+
+    private static final Comparator<Finding> BY_PLACE =
+            Comparator.<Finding>comparingInt(finding -> finding.place().line())
+                    .thenComparingInt(finding -> finding.place().column());
+
+    private final String source;
+    private final List<Finding> findings = new ArrayList<>();
+    private long omitted;
+
+    private FindingCollector(String source) {
+        this.source = source;
+    }
+
+    /**
+     * Creates an empty collector.
+     *
+     * @param source name of the input
+     * @return the collector
+     */
+    public static FindingCollector of(String source) {
+        return new FindingCollector(Objects.requireNonNull(source, "source is null"));
+    }
+
+    /**
+     * Adds a finding.
+     *
+     * @param line line number from 1
+     * @param column column number from 1
+     * @param message what is wrong and what would be right
+     */
+    public void add(int line, int column, String message) {
+        add(new Finding(new Place(source, line, column), message));
+    }
+
+    /**
+     * Adds a finding.
+     *
+     * @param finding the finding
+     */
+    public void add(Finding finding) {
+        if (findings.size() < GREATEST_COUNT) {
+            findings.add(Objects.requireNonNull(finding, "finding is null"));
+        } else {
+            omitted++;
+        }
+    }
+
+    /**
+     * Tells whether nothing was found.
+     *
+     * @return true if there are no findings
+     */
+    public boolean isEmpty() {
+        return findings.isEmpty();
+    }
+
+    /**
+     * The findings in the order of their places, and a last one that counts those left out.
+     *
+     * @return the findings
+     */
+    public Findings toFindings() {
+        List<Finding> sorted = new ArrayList<>(findings);
+        sorted.sort(BY_PLACE);
+        if (omitted > 0) {
+            String message = omitted + " more findings are not shown; correct these first";
+            sorted.add(new Finding(new Place(source, 1, 1), message));
+        }
+        return new Findings(sorted);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/result/TextFile.java
@@ -0,0 +1,77 @@
+package org.yuccabank.result;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.CodingErrorAction;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.Objects;
+
+/** Reads text files of bounded length. Thread-safe, as it has no state. */
+public final class TextFile {
+
+    private TextFile() {}
+
+    /**
+     * Reads a file in UTF-8.
+     *
+     * @param path the file
+     * @param greatestLength greatest length in bytes
+     * @return its text, or why it could not be read
+     */
+    public static Result<String> read(Path path, int greatestLength) {
+        Objects.requireNonNull(path, "path is null");
+        Place start = new Place(path.toString(), 1, 1);
+        try (InputStream input = Files.newInputStream(path)) {
+            byte[] content = input.readNBytes(greatestLength + 1);
+            if (content.length > greatestLength) {
+                String message = "the file is too long; at most " + greatestLength + " bytes fit";
+                return Result.failure(start, message);
+            }
+            return decode(content, path.toString());
+        } catch (NoSuchFileException exception) {
+            return Result.failure(start, "the file does not exist");
+        } catch (IOException exception) {
+            return Result.failure(start, "the file cannot be read: " + exception.getMessage());
+        }
+    }
+
+    /**
+     * Decodes UTF-8 strictly.
+     *
+     * @param content the bytes
+     * @param source name of their source
+     * @return the text, or the line of the first invalid byte
+     */
+    public static Result<String> decode(byte[] content, String source) {
+        Objects.requireNonNull(content, "content is null");
+        ByteBuffer buffer = ByteBuffer.wrap(content);
+        try {
+            String text =
+                    StandardCharsets.UTF_8
+                            .newDecoder()
+                            .onMalformedInput(CodingErrorAction.REPORT)
+                            .onUnmappableCharacter(CodingErrorAction.REPORT)
+                            .decode(buffer)
+                            .toString();
+            return Result.success(text);
+        } catch (CharacterCodingException exception) {
+            return Result.failure(place(content, buffer.position(), source), "not valid UTF-8");
+        }
+    }
+
+    private static Place place(byte[] content, int position, String source) {
+        int line = 1;
+        int column = 1;
+        for (int index = 0; index < Math.min(position, content.length); index++) {
+            boolean newline = content[index] == '\n';
+            line += newline ? 1 : 0;
+            column = newline ? 1 : column + 1;
+        }
+        return new Place(source, line, column);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/rules/ParsedRules.java
@@ -0,0 +1,57 @@
+package org.yuccabank.rules;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import org.yuccabank.model.AccountId;
+import org.yuccabank.model.WorkKind;
+import org.yuccabank.rules.RuleSet.BatchClass;
+import org.yuccabank.rules.RuleSet.KindPair;
+import org.yuccabank.rules.RuleSet.UrgentClass;
+
+/**
+ * A valid rules file. Immutable.
+ *
+ * @param ruleSet what the rules say together
+ * @param rules each rule with its line and who asked for it, in the order of the file
+ */
+public record ParsedRules(RuleSet ruleSet, List<Rule> rules) {
+
+    /** Copies the list. */
+    public ParsedRules {
+        Objects.requireNonNull(ruleSet, "ruleSet is null");
+        rules = List.copyOf(rules);
+    }
+
+    /**
+     * Combines rules that do not contradict each other.
+     *
+     * @param rules the rules of one file
+     * @return the rules with what they say together
+     */
+    static ParsedRules of(List<Rule> rules) {
+        Set<KindPair> separations = new HashSet<>();
+        Map<AccountId, Quota> quotas = new HashMap<>();
+        Set<WorkKind> atMostOnce = new HashSet<>();
+        Map<WorkKind, UrgentClass> urgent = new HashMap<>();
+        Map<WorkKind, BatchClass> batch = new HashMap<>();
+        for (Rule rule : rules) {
+            Statement statement = rule.statement();
+            if (statement instanceof Statement.Separate separate) {
+                separations.add(separate.pair());
+            } else if (statement instanceof Statement.AccountQuota quota) {
+                quotas.put(quota.account(), quota.quota());
+            } else if (statement instanceof Statement.AtMostOnce once) {
+                atMostOnce.add(once.kind());
+            } else if (statement instanceof Statement.Urgent kind) {
+                urgent.put(kind.kind(), kind.limits());
+            } else if (statement instanceof Statement.Batch kind) {
+                batch.put(kind.kind(), kind.settings());
+            }
+        }
+        return new ParsedRules(new RuleSet(separations, quotas, atMostOnce, urgent, batch), rules);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/rules/Quantity.java
@@ -0,0 +1,134 @@
+package org.yuccabank.rules;
+
+import java.math.BigDecimal;
+import java.math.RoundingMode;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.yuccabank.result.NearestName;
+import org.yuccabank.result.Place;
+import org.yuccabank.result.Result;
+
+/**
+ * One quantity of the rules file, with its units and range. Immutable.
+ *
+ * @param factors units and the factor of each to the smallest unit
+ * @param divisor smallest units in one unit as it is kept; the quotient is rounded down
+ * @param expected what a correct value looks like
+ * @param minimum least amount, in the unit in which it is kept
+ * @param maximum greatest amount
+ */
+record Quantity(
+        Map<String, BigDecimal> factors,
+        BigDecimal divisor,
+        String expected,
+        long minimum,
+        long maximum) {
+
+    /** Processors in cores, kept in thousandths of a core. */
+    static final Quantity PROCESSORS =
+            of(Map.of("", "1000"), "a number of cores such as 24 or 0.5", 1, 1_000_000_000L);
+
+    /** Memory, kept in MiB. */
+    static final Quantity MEMORY =
+            new Quantity(
+                    factors(memoryUnits()),
+                    BigDecimal.valueOf(1L << 20),
+                    "at least 1MiB, as a number with a unit such as 96GB or 512MiB",
+                    1,
+                    1L << 40);
+
+    /** Accelerators. */
+    static final Quantity ACCELERATORS =
+            of(Map.of("", "1"), "a whole number such as 2", 0, 100_000);
+
+    /** Weight of a fair share. */
+    static final Quantity WEIGHT = of(Map.of("", "1"), "a whole number from 1 to 1000", 1, 1000);
+
+    /** Priority of an urgent kind. */
+    static final Quantity PRIORITY = of(Map.of("", "1"), "a whole number from 1 to 9", 1, 9);
+
+    /** Deadline of an urgent kind, kept in ms. */
+    static final Quantity DEADLINE =
+            of(timeUnits(), "a time from 1ms to 1h such as 300ms", 1, 3_600_000);
+
+    /** Checkpoint interval, kept in ms. */
+    static final Quantity CHECKPOINT =
+            of(timeUnits(), "a time from 1s to 24h such as 60s", 1000, 86_400_000);
+
+    private static final Pattern NUMBER_AND_UNIT =
+            Pattern.compile("([0-9]{1,12}(?:\\.[0-9]{1,3})?)([A-Za-z]*)");
+
+    private static Quantity of(
+            Map<String, String> units, String expected, long minimum, long maximum) {
+        return new Quantity(factors(units), BigDecimal.ONE, expected, minimum, maximum);
+    }
+
+    private static Map<String, BigDecimal> factors(Map<String, String> units) {
+        Map<String, BigDecimal> factors = new LinkedHashMap<>();
+        units.forEach((unit, factor) -> factors.put(unit, new BigDecimal(factor)));
+        return Collections.unmodifiableMap(factors);
+    }
+
+    private static Map<String, String> timeUnits() {
+        Map<String, String> units = new LinkedHashMap<>();
+        units.put("ms", "1");
+        units.put("s", "1000");
+        units.put("min", "60000");
+        units.put("h", "3600000");
+        return units;
+    }
+
+    /** Bytes in each unit: decimal for MB, GB and TB, binary for MiB, GiB and TiB. */
+    private static Map<String, String> memoryUnits() {
+        Map<String, String> units = new LinkedHashMap<>();
+        units.put("MB", "1000000");
+        units.put("GB", "1000000000");
+        units.put("TB", "1000000000000");
+        units.put("MiB", "1048576");
+        units.put("GiB", "1073741824");
+        units.put("TiB", "1099511627776");
+        return units;
+    }
+
+    /**
+     * Reads a quantity.
+     *
+     * @param text the number with its unit
+     * @param place where it stands
+     * @return the amount in the unit in which it is kept
+     */
+    Result<Long> parse(String text, Place place) {
+        Matcher matcher = NUMBER_AND_UNIT.matcher(text);
+        if (!matcher.matches()) {
+            return Result.failure(place, "'" + text + "' is not a number; expected " + expected);
+        }
+        BigDecimal factor = factors.get(matcher.group(2));
+        if (factor == null) {
+            return Result.failure(place, unitFault(text, matcher.group(2)));
+        }
+        BigDecimal smallest = new BigDecimal(matcher.group(1)).multiply(factor);
+        boolean rounded = divisor.compareTo(BigDecimal.ONE) != 0;
+        BigDecimal exact = rounded ? smallest.divide(divisor, 0, RoundingMode.DOWN) : smallest;
+        if (exact.stripTrailingZeros().scale() > 0) {
+            return Result.failure(place, "'" + text + "' is too fine; expected " + expected);
+        }
+        if (exact.compareTo(BigDecimal.valueOf(minimum)) < 0
+                || exact.compareTo(BigDecimal.valueOf(maximum)) > 0) {
+            return Result.failure(place, "'" + text + "' is out of range; expected " + expected);
+        }
+        return Result.success(exact.longValueExact());
+    }
+
+    private String unitFault(String text, String unit) {
+        if (unit.isEmpty()) {
+            return "'" + text + "' has no unit; expected " + expected;
+        }
+        String units = String.join(", ", factors.keySet());
+        String allowed = factors.containsKey("") ? "no unit is allowed" : "units are " + units;
+        String hint = NearestName.hint(unit, factors.keySet());
+        return "'" + text + "' has the unknown unit '" + unit + "'; " + allowed + hint;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/rules/RulesChecker.java
@@ -0,0 +1,66 @@
+package org.yuccabank.rules;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.yuccabank.model.WorkKind;
+import org.yuccabank.result.FindingCollector;
+
+/** Finds rules of one file that repeat or contradict each other. Thread-safe, without state. */
+final class RulesChecker {
+
+    private RulesChecker() {}
+
+    /**
+     * Checks the rules of a file against each other.
+     *
+     * @param rules the rules, each valid by itself
+     * @param findings receives the faults
+     */
+    static void check(List<Rule> rules, FindingCollector findings) {
+        Map<String, Rule> bySubject = new HashMap<>();
+        for (Rule rule : rules) {
+            Rule earlier = bySubject.putIfAbsent(rule.statement().subject(), rule);
+            if (earlier != null) {
+                findings.add(rule.line(), 1, conflict(earlier, rule));
+            }
+        }
+        for (Rule rule : rules) {
+            if (rule.statement() instanceof Statement.AtMostOnce once) {
+                checkClass(rule, once.kind(), bySubject, findings);
+            }
+        }
+    }
+
+    private static String conflict(Rule earlier, Rule later) {
+        String subject = later.statement().subject();
+        if (earlier.statement().equals(later.statement())) {
+            return "repeats line " + earlier.line() + "; remove one of them";
+        }
+        String relation =
+                earlier.statement().getClass() == later.statement().getClass()
+                        ? "gives a second value for '" + subject + "' of line "
+                        : "contradicts line ";
+        String asked = " ('" + earlier.text() + "', asked by " + earlier.askedBy() + ")";
+        return relation + earlier.line() + asked + "; remove one of them";
+    }
+
+    private static void checkClass(
+            Rule rule, WorkKind kind, Map<String, Rule> bySubject, FindingCollector findings) {
+        Rule classRule = bySubject.get("class " + kind);
+        if (classRule == null) {
+            String message =
+                    "the kind '" + kind + "' has no class; add 'urgent " + kind + " deadline=TIME'";
+            findings.add(rule.line(), 1, message);
+        } else if (classRule.statement() instanceof Statement.Batch) {
+            String message =
+                    "contradicts line "
+                            + classRule.line()
+                            + ": a batch task starts again after its"
+                            + " host is lost; make '"
+                            + kind
+                            + "' urgent or remove this rule";
+            findings.add(rule.line(), 1, message);
+        }
+    }
+}
