--- a/src/main/java/org/yuccabank/control/ClusterState.java
+++ b/src/main/java/org/yuccabank/control/ClusterState.java
@@ -8,7 +8,6 @@
 import org.yuccabank.model.HostId;
 import org.yuccabank.model.Resources;
 import org.yuccabank.model.WorkKind;
-import org.yuccabank.policy.placement.ClusterView;
 import org.yuccabank.policy.placement.HostStatus;
 import org.yuccabank.policy.placement.HostView;
 import org.yuccabank.policy.placement.KindLoad;
--- a/src/main/java/org/yuccabank/control/ControlHandler.java
+++ b/src/main/java/org/yuccabank/control/ControlHandler.java
@@ -68,7 +68,8 @@
                     () ->
                             result(
                                     leader.query(
-                                            request.getCommandRequest(), System.currentTimeMillis())));
+                                            request.getCommandRequest(),
+                                            System.currentTimeMillis())));
         }
         if (!replica.isLeader()) {
             return Mono.just(notLeaderResult());
@@ -77,7 +78,8 @@
                 replica.call(
                                 () ->
                                         leader.command(
-                                                request.getCommandRequest(), System.currentTimeMillis()))
+                                                request.getCommandRequest(),
+                                                System.currentTimeMillis()))
                         .thenCompose(stage -> stage)
                         .thenApply(ControlHandler::result);
         return Mono.fromCompletionStage(reply);
--- a/src/main/java/org/yuccabank/control/DirectoryBuilder.java
+++ b/src/main/java/org/yuccabank/control/DirectoryBuilder.java
@@ -48,8 +48,7 @@
                         .setIncarnation(host.incarnation())
                         .setSuspect(host.isSuspect(nowMillis));
         for (TargetState target : host.targets()) {
-            entry.addTargets(
-                    draining ? target.toBuilder().setLeaving(true).build() : target);
+            entry.addTargets(draining ? target.toBuilder().setLeaving(true).build() : target);
         }
         return entry.build();
     }
--- a/src/main/java/org/yuccabank/control/LeaderLogic.java
+++ b/src/main/java/org/yuccabank/control/LeaderLogic.java
@@ -145,7 +145,9 @@
         return CommandResult.newBuilder().setVerdict(verdict).setMessage(message).build();
     }
 
-    /** Tells the agent at once; if the message is lost, the answer to its next report repeats it. */
+    /**
+     * Tells the agent at once; if the message is lost, the answer to its next report repeats it.
+     */
     private void pushStart(String taskId) {
         SystemState records = state.records();
         Optional<TaskRecord> task = records.task(taskId).filter(TaskRecord::hasLease);
@@ -163,6 +165,8 @@
                 .ifPresent(
                         connection ->
                                 connection.send(
-                                        Envelope.newBuilder().setAgentDirectives(directives).build()));
+                                        Envelope.newBuilder()
+                                                .setAgentDirectives(directives)
+                                                .build()));
     }
 }
--- a/src/main/java/org/yuccabank/control/LeaseTable.java
+++ b/src/main/java/org/yuccabank/control/LeaseTable.java
@@ -11,7 +11,9 @@
  */
 final class LeaseTable {
 
-    /** Added to each lease for the time between the renewal and the end of the task at the worker. */
+    /**
+     * Added to each lease for the time between the renewal and the end of the task at the worker.
+     */
     static final long MARGIN_MILLIS = 1_000;
 
     private final double clockDriftShare;
--- a/src/main/java/org/yuccabank/control/QueryAnswers.java
+++ b/src/main/java/org/yuccabank/control/QueryAnswers.java
@@ -287,7 +287,9 @@
                                         .put("account", entry.getAccount())
                                         .put("action", entry.getAction())
                                         .put("detail", entry.getDetail())
-                                        .put("verdict", entry.getVerdict().toLowerCase(Locale.ROOT)));
+                                        .put(
+                                                "verdict",
+                                                entry.getVerdict().toLowerCase(Locale.ROOT)));
         return node;
     }
 
--- a/src/main/java/org/yuccabank/control/ReportHandler.java
+++ b/src/main/java/org/yuccabank/control/ReportHandler.java
@@ -82,8 +82,7 @@
     }
 
     private void noticeIncarnation(AgentReport report, SystemState state) {
-        long known =
-                state.host(report.getHostId()).map(HostRecord::getIncarnation).orElse(0L);
+        long known = state.host(report.getHostId()).map(HostRecord::getIncarnation).orElse(0L);
         if (report.getIncarnation() > known) {
             IncarnationSeen seen =
                     IncarnationSeen.newBuilder()
@@ -108,7 +107,10 @@
         Optional<TaskRecord> record =
                 state.task(task.getTaskId())
                         .filter(TaskRecord::hasLease)
-                        .filter(known -> known.getLease().getFencingToken() == task.getFencingToken());
+                        .filter(
+                                known ->
+                                        known.getLease().getFencingToken()
+                                                == task.getFencingToken());
         if (record.isEmpty()) {
             return;
         }
@@ -195,8 +197,7 @@
         }
     }
 
-    private Optional<TaskDirective> directive(
-            HostEntry host, TaskRecord task, SystemState state) {
+    private Optional<TaskDirective> directive(HostEntry host, TaskRecord task, SystemState state) {
         JobRecord job = state.job(task.getJobId()).orElseThrow();
         boolean stop = job.getCancelRequested() || isDraining(state, host.hostId());
         if (stop) {
@@ -209,7 +210,10 @@
         }
         boolean reported =
                 host.task(task.getTaskId())
-                        .filter(known -> known.getFencingToken() == task.getLease().getFencingToken())
+                        .filter(
+                                known ->
+                                        known.getFencingToken()
+                                                == task.getLease().getFencingToken())
                         .isPresent();
         return reported ? Optional.empty() : Optional.of(start(task, job, state));
     }
--- a/src/main/java/org/yuccabank/control/Scheduler.java
+++ b/src/main/java/org/yuccabank/control/Scheduler.java
@@ -1,6 +1,5 @@
 package org.yuccabank.control;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -119,7 +118,13 @@
             long token = lease.getFencingToken();
             if (leases.isExpired(token, lease.getLeaseMillis(), nowMillis)) {
                 EventLog.warning(
-                        Event.LEASE_EXPIRED, "task", taskId, "host", lease.getHostId(), "token", token);
+                        Event.LEASE_EXPIRED,
+                        "task",
+                        taskId,
+                        "host",
+                        lease.getHostId(),
+                        "token",
+                        token);
                 endLease(
                         TaskEnded.newBuilder()
                                 .setTaskId(taskId)
@@ -203,14 +208,12 @@
         return held;
     }
 
-    private void grant(
-            TaskRecord task, TaskRequest request, PlacementDecision.Placed placed) {
+    private void grant(TaskRecord task, TaskRequest request, PlacementDecision.Placed placed) {
         HostEntry host = registry.host(placed.host().value()).orElseThrow();
         String taskId = task.getTaskId();
         cluster.addPending(
                 taskId,
-                new ClusterState.PendingGrant(
-                        host.hostId(), request.kind(), placed.reservation()));
+                new ClusterState.PendingGrant(host.hostId(), request.kind(), placed.reservation()));
         LeaseGranted grant =
                 LeaseGranted.newBuilder()
                         .setTaskId(taskId)
--- a/src/main/java/org/yuccabank/http/AdministrationServer.java
+++ b/src/main/java/org/yuccabank/http/AdministrationServer.java
@@ -51,16 +51,25 @@
                                                         "/metrics",
                                                         (request, response) ->
                                                                 response.header(
-                                                                                HttpHeaderNames.CONTENT_TYPE,
+                                                                                HttpHeaderNames
+                                                                                        .CONTENT_TYPE,
                                                                                 "text/plain; charset=utf-8")
-                                                                        .sendString(Mono.just(text(metrics))))
+                                                                        .sendString(
+                                                                                Mono.just(
+                                                                                        text(
+                                                                                                metrics))))
                                                 .get(
                                                         "/health",
                                                         (request, response) ->
-                                                                response.status(healthy.getAsBoolean() ? 200 : UNAVAILABLE)
+                                                                response.status(
+                                                                                healthy
+                                                                                                .getAsBoolean()
+                                                                                        ? 200
+                                                                                        : UNAVAILABLE)
                                                                         .sendString(
                                                                                 Mono.just(
-                                                                                        healthy.getAsBoolean()
+                                                                                        healthy
+                                                                                                        .getAsBoolean()
                                                                                                 ? "healthy\n"
                                                                                                 : "not admitting work\n"))))
                         .bindNow();
--- a/src/main/java/org/yuccabank/state/AuditDetails.java
+++ b/src/main/java/org/yuccabank/state/AuditDetails.java
@@ -24,7 +24,8 @@
                                     + ", now version "
                                     + result.getVersion());
             case SUBMIT_JOB ->
-                    Optional.of(result.getIdentifier() + " kind " + request.getSubmitJob().getKind());
+                    Optional.of(
+                            result.getIdentifier() + " kind " + request.getSubmitJob().getKind());
             case CANCEL_JOB -> Optional.of(request.getCancelJob().getJobId());
             case DRAIN_HOST ->
                     Optional.of(
--- a/src/main/java/org/yuccabank/state/JobCommands.java
+++ b/src/main/java/org/yuccabank/state/JobCommands.java
@@ -101,9 +101,7 @@
                         .setLease(lease)
                         .setStarts(task.getStarts() + 1)
                         .build());
-        return Results.accepted(moment.index()).toBuilder()
-                .setFencingToken(moment.index())
-                .build();
+        return Results.accepted(moment.index()).toBuilder().setFencingToken(moment.index()).build();
     }
 
     static CommandResult confirmCheckpoint(
@@ -132,7 +130,11 @@
         TaskRecord task = found.get();
         boolean cancelled = state.job(task.getJobId()).orElseThrow().getCancelRequested();
         if (ended.getPhase() == TaskPhase.TASK_FINISHED) {
-            endTask(state, task.toBuilder().setProgress(1).build(), TaskRecordPhase.TASK_DONE, moment);
+            endTask(
+                    state,
+                    task.toBuilder().setProgress(1).build(),
+                    TaskRecordPhase.TASK_DONE,
+                    moment);
         } else if (cancelled) {
             endTask(state, task, TaskRecordPhase.TASK_CANCELLED, moment);
         } else if (ended.getPhase() == TaskPhase.TASK_FAILED) {
--- a/src/main/java/org/yuccabank/state/ReplicatedState.java
+++ b/src/main/java/org/yuccabank/state/ReplicatedState.java
@@ -64,8 +64,7 @@
     private CommandResult apply(StateCommand command, Moment moment) {
         return switch (command.getCommandCase()) {
             case REQUEST -> applyOnce(command.getRequest(), moment);
-            case LEASE_GRANTED ->
-                    JobCommands.grantLease(state, command.getLeaseGranted(), moment);
+            case LEASE_GRANTED -> JobCommands.grantLease(state, command.getLeaseGranted(), moment);
             case TASK_ENDED -> JobCommands.end(state, command.getTaskEnded(), moment);
             case CHECKPOINT_CONFIRMED ->
                     JobCommands.confirmCheckpoint(state, command.getCheckpointConfirmed(), moment);
--- a/src/main/java/org/yuccabank/state/SystemState.java
+++ b/src/main/java/org/yuccabank/state/SystemState.java
@@ -42,7 +42,9 @@
     /** Ended jobs older than this are forgotten. */
     public static final long JOB_RETENTION_MILLIS = 3 * 24L * 60 * 60 * 1000;
 
-    /** The newest records of the audit trail that are kept: about 5 days at 10,000 changes a day. */
+    /**
+     * The newest records of the audit trail that are kept: about 5 days at 10,000 changes a day.
+     */
     public static final int AUDIT_LIMIT = 50_000;
 
     /** The newest versions of the rules that are kept: 4 days at 2,500 changes a day. */
