--- /dev/null
+++ b/src/main/java/org/yuccabank/entry/ControlContact.java
@@ -0,0 +1,114 @@
+package org.yuccabank.entry;
+
+import java.time.Duration;
+import org.yuccabank.protocol.LeaderClient;
+import org.yuccabank.protocol.generated.CommandRequest;
+import org.yuccabank.protocol.generated.CommandResult;
+import org.yuccabank.protocol.generated.CommandResult.Verdict;
+import org.yuccabank.protocol.generated.DirectoryRequest;
+import org.yuccabank.protocol.generated.Envelope;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+
+/**
+ * Contact of this entry with control: polls the directory and sends commands. Confined to the
+ * decision thread, except for {@link #command}.
+ */
+final class ControlContact {
+
+    private static final Duration POLL_TIMEOUT = Duration.ofMillis(1_000);
+    private static final Duration COMMAND_TIMEOUT = Duration.ofSeconds(5);
+
+    private final EntryConfiguration configuration;
+    private final LeaderClient leader;
+    private final EntryDirectory directory;
+    private final Scheduler decisions;
+    private boolean polling;
+    private boolean contacted;
+    private long lastContactMillis;
+
+    ControlContact(
+            EntryConfiguration configuration,
+            LeaderClient leader,
+            EntryDirectory directory,
+            Scheduler decisions) {
+        this.configuration = configuration;
+        this.leader = leader;
+        this.directory = directory;
+        this.decisions = decisions;
+    }
+
+    /**
+     * Asks for the directory unless a request is in progress.
+     *
+     * @param nowMillis present time
+     */
+    void poll(long nowMillis) {
+        if (polling) {
+            return;
+        }
+        polling = true;
+        DirectoryRequest request =
+                DirectoryRequest.newBuilder()
+                        .setProcessId(configuration.processId())
+                        .setDataCentre(configuration.dataCentre())
+                        .setKnownRevision(directory.revision())
+                        .setKnownConfiguration(directory.configurationVersion())
+                        .build();
+        leader.request(Envelope.newBuilder().setDirectoryRequest(request).build(), POLL_TIMEOUT)
+                .publishOn(decisions)
+                .doFinally(signal -> decisions.schedule(() -> polling = false))
+                .subscribe(answer -> takeUp(answer, nowMillis), error -> {});
+    }
+
+    /** The contact counts from the time of the question, as the answer may have been delayed. */
+    private void takeUp(Envelope answer, long askedMillis) {
+        if (answer.hasDirectory()) {
+            directory.update(answer.getDirectory(), askedMillis);
+            contacted = true;
+            lastContactMillis = askedMillis;
+        }
+    }
+
+    /**
+     * Tells whether the newest rules are known here for sure.
+     *
+     * @param nowMillis present time
+     * @return true within the configuration lease
+     */
+    boolean isCurrent(long nowMillis) {
+        return contacted
+                && nowMillis - lastContactMillis <= configuration.configurationLeaseMillis();
+    }
+
+    /**
+     * Tells whether this entry ever confirmed the newest rules since its start.
+     *
+     * @return false until control answered once
+     */
+    boolean hasContacted() {
+        return contacted;
+    }
+
+    /**
+     * Sends a command or query to the leader.
+     *
+     * @param request the command
+     * @return its result; an error with a {@link org.yuccabank.protocol.PeerException}
+     */
+    Mono<CommandResult> command(CommandRequest request) {
+        return leader.request(
+                        Envelope.newBuilder().setCommandRequest(request).build(), COMMAND_TIMEOUT)
+                .map(ControlContact::result);
+    }
+
+    private static CommandResult result(Envelope answer) {
+        if (answer.hasCommandResult()) {
+            return answer.getCommandResult();
+        }
+        return CommandResult.newBuilder()
+                .setVerdict(Verdict.UNAVAILABLE)
+                .setMessage(answer.getProtocolError().getMessage())
+                .build();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/entry/EntryDirectory.java
@@ -0,0 +1,199 @@
+package org.yuccabank.entry;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.yuccabank.event.Event;
+import org.yuccabank.event.EventLog;
+import org.yuccabank.model.TargetId;
+import org.yuccabank.policy.routing.Candidate;
+import org.yuccabank.policy.routing.Router;
+import org.yuccabank.protocol.PeerClient;
+import org.yuccabank.protocol.PeerHandler;
+import org.yuccabank.protocol.PeerTransport;
+import org.yuccabank.protocol.generated.Directory;
+import org.yuccabank.protocol.generated.DirectoryEntry;
+import org.yuccabank.protocol.generated.RulesVersion;
+import org.yuccabank.protocol.generated.TargetState;
+import org.yuccabank.result.Result;
+import org.yuccabank.rules.ParsedRules;
+import org.yuccabank.rules.RuleSet;
+import org.yuccabank.rules.RulesParser;
+
+/**
+ * Hosts, targets and rules as this entry knows them.
+ *
+ * <p>Invariant: the version of the rules never decreases. Confined to the decision thread, except
+ * for {@link #configurationVersion}.
+ */
+final class EntryDirectory {
+
+    /** One-way delay assumed within a data centre, in microseconds. */
+    private static final long NEAR_MICROS = 100;
+
+    /** One-way delay assumed between data centres, in microseconds. */
+    private static final long FAR_MICROS = 1_500;
+
+    private final PeerTransport transport;
+    private final String dataCentre;
+    private final Supplier<Router> routers;
+    private final Map<String, Router> routerOfService = new HashMap<>();
+    private final Map<String, Set<TargetId>> targetsOfService = new HashMap<>();
+    private final Map<TargetId, Location> locations = new HashMap<>();
+    private final Map<String, PeerClient> agents = new HashMap<>();
+    private RuleSet rules = RuleSet.empty();
+    private long revision;
+    private volatile long configurationVersion;
+
+    EntryDirectory(PeerTransport transport, String dataCentre, Supplier<Router> routers) {
+        this.transport = transport;
+        this.dataCentre = dataCentre;
+        this.routers = routers;
+    }
+
+    /**
+     * Where a target is.
+     *
+     * @param hostId its host
+     * @param incarnation incarnation of the agent that announced it
+     * @param agent connection to that agent
+     */
+    record Location(String hostId, long incarnation, PeerClient agent) {}
+
+    long configurationVersion() {
+        return configurationVersion;
+    }
+
+    long revision() {
+        return revision;
+    }
+
+    RuleSet rules() {
+        return rules;
+    }
+
+    Optional<Router> router(String service) {
+        return Optional.ofNullable(routerOfService.get(service));
+    }
+
+    Optional<Location> location(TargetId target) {
+        return Optional.ofNullable(locations.get(target));
+    }
+
+    /**
+     * Connection to the agent of a host.
+     *
+     * @param hostId the host
+     * @return the connection, empty if the host is unknown
+     */
+    Optional<PeerClient> agentOf(String hostId) {
+        return Optional.ofNullable(agents.get(hostId));
+    }
+
+    /**
+     * Takes up what control sent.
+     *
+     * @param directory the answer of control
+     * @param nowMillis present time
+     */
+    void update(Directory directory, long nowMillis) {
+        if (directory.hasRules()) {
+            updateRules(directory.getRules());
+        }
+        if (directory.getUnchanged()) {
+            return;
+        }
+        revision = directory.getRevision();
+        Map<String, Set<TargetId>> present = new HashMap<>();
+        for (DirectoryEntry host : directory.getHostsList()) {
+            PeerClient agent = agent(host);
+            for (TargetState target : host.getTargetsList()) {
+                TargetId identifier = TargetId.of(target.getTargetId());
+                locations.put(
+                        identifier, new Location(host.getHostId(), host.getIncarnation(), agent));
+                present.computeIfAbsent(target.getService(), service -> new HashSet<>())
+                        .add(identifier);
+                routerOfService
+                        .computeIfAbsent(target.getService(), service -> routers.get())
+                        .update(candidate(host, target), nowMillis);
+            }
+        }
+        removeAbsent(present);
+    }
+
+    /**
+     * Takes up rules that control or an agent sent.
+     *
+     * @param version the version
+     */
+    void updateRules(RulesVersion version) {
+        if (version.getVersion() <= configurationVersion) {
+            return;
+        }
+        Result<ParsedRules> parsed = RulesParser.parse(version.getText(), "rules");
+        if (!parsed.isSuccess()) {
+            EventLog.warning(
+                    Event.CONFIGURATION_REFUSED,
+                    "version",
+                    version.getVersion(),
+                    "findings",
+                    parsed.findings());
+            return;
+        }
+        rules = parsed.get().ruleSet();
+        configurationVersion = version.getVersion();
+        EventLog.information(Event.CONFIGURATION_APPLIED, "version", version.getVersion());
+    }
+
+    private PeerClient agent(DirectoryEntry host) {
+        PeerClient known = agents.get(host.getHostId());
+        InetSocketAddress address = Addresses.parse(host.getAgentAddress());
+        if (known != null && known.address().equals(address)) {
+            return known;
+        }
+        if (known != null) {
+            known.stop();
+        }
+        PeerClient created = PeerClient.of(transport, address, PeerHandler.none());
+        agents.put(host.getHostId(), created);
+        return created;
+    }
+
+    private Candidate candidate(DirectoryEntry host, TargetState target) {
+        Candidate.State state =
+                target.getLeaving()
+                        ? Candidate.State.LEAVING
+                        : host.getSuspect() ? Candidate.State.SUSPECT : Candidate.State.READY;
+        long delay = host.getDataCentre().equals(dataCentre) ? NEAR_MICROS : FAR_MICROS;
+        int slots = Math.max(1, target.getSlots());
+        return new Candidate(
+                TargetId.of(target.getTargetId()),
+                delay,
+                slots,
+                Math.max(slots, target.getConnections()),
+                state);
+    }
+
+    private void removeAbsent(Map<String, Set<TargetId>> present) {
+        targetsOfService.forEach(
+                (service, targets) -> {
+                    Set<TargetId> kept = present.getOrDefault(service, Set.of());
+                    for (TargetId target : targets) {
+                        if (!kept.contains(target)) {
+                            routerOfService.get(service).remove(target);
+                            locations.remove(target);
+                        }
+                    }
+                });
+        targetsOfService.clear();
+        targetsOfService.putAll(present);
+    }
+
+    void stop() {
+        agents.values().forEach(PeerClient::stop);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/entry/UrgentDispatcher.java
@@ -0,0 +1,173 @@
+package org.yuccabank.entry;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import org.yuccabank.model.TargetId;
+import org.yuccabank.policy.routing.Admission;
+import org.yuccabank.policy.routing.AdmissionController;
+import org.yuccabank.policy.routing.AdmissionRequest;
+import org.yuccabank.policy.routing.Response;
+import org.yuccabank.policy.routing.RetryBudget;
+import org.yuccabank.policy.routing.Route;
+import org.yuccabank.policy.routing.RouteRequest;
+import org.yuccabank.policy.routing.Router;
+import org.yuccabank.protocol.generated.Invoke;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+
+/**
+ * Serves idempotent requests: chooses targets, sends, and tries again within the retry budget.
+ * Confined to the decision thread.
+ */
+final class UrgentDispatcher {
+
+    private static final int MAXIMUM_ATTEMPTS = 3;
+    private static final long RETRY_AFTER_MILLIS = 1_000;
+
+    private final EntryDirectory directory;
+    private final AdmissionController admission;
+    private final RetryBudget retryBudget;
+    private final Scheduler decisions;
+    private final LongSupplier clock;
+    private final RandomGenerator random;
+
+    UrgentDispatcher(
+            EntryDirectory directory,
+            AdmissionController admission,
+            RetryBudget retryBudget,
+            Scheduler decisions,
+            LongSupplier clock,
+            RandomGenerator random) {
+        this.directory = directory;
+        this.admission = admission;
+        this.retryBudget = retryBudget;
+        this.decisions = decisions;
+        this.clock = clock;
+        this.random = random;
+    }
+
+    /**
+     * Serves a request.
+     *
+     * @param request the request
+     * @return what became of it; never an error
+     */
+    Mono<ServiceReply> serve(ServiceRequest request) {
+        long nowMillis = clock.getAsLong();
+        Optional<Router> router = directory.router(request.service());
+        if (router.isEmpty()) {
+            return notRun("no target announced service " + request.service(), RETRY_AFTER_MILLIS);
+        }
+        Optional<Route> route =
+                router.get().choose(RouteRequest.of(request.deadline()), nowMillis, random);
+        if (route.isEmpty()) {
+            return notRun("no target takes requests at present", RETRY_AFTER_MILLIS);
+        }
+        Admission decision = admission.decide(admissionRequest(request, route.get()), nowMillis);
+        if (decision instanceof Admission.Refused refused) {
+            return notRun("refused: " + refused.reason(), refused.retryAfterMillis());
+        }
+        admission.started(request.account(), nowMillis);
+        retryBudget.requestStarted(nowMillis);
+        return attempt(request, router.get(), route.get(), new HashSet<>(), false);
+    }
+
+    private static AdmissionRequest admissionRequest(ServiceRequest request, Route route) {
+        return new AdmissionRequest(
+                request.account(), request.priority(), request.deadline(), route);
+    }
+
+    private static Mono<ServiceReply> notRun(String reason, long retryAfterMillis) {
+        return Mono.just(new ServiceReply.NotRun(reason, retryAfterMillis));
+    }
+
+    private Mono<ServiceReply> attempt(
+            ServiceRequest request,
+            Router router,
+            Route route,
+            Set<TargetId> tried,
+            boolean earlierMayHaveRun) {
+        TargetId target = route.target();
+        EntryDirectory.Location location = directory.location(target).orElseThrow();
+        tried.add(target);
+        router.dispatched(target, clock.getAsLong());
+        return AgentCalls.invoke(location, invoke(request))
+                .publishOn(decisions)
+                .flatMap(
+                        attempt ->
+                                finish(request, router, target, attempt, tried, earlierMayHaveRun));
+    }
+
+    private Invoke invoke(ServiceRequest request) {
+        return Invoke.newBuilder()
+                .setRequestId(request.requestId())
+                .setAccount(request.account().value())
+                .setService(request.service())
+                .setKind(request.kind().value())
+                .setDeadlineMillis(request.deadline().millisLeft(clock.getAsLong()))
+                .setPriority(request.priority())
+                .setContentType(request.contentType())
+                .setBody(request.body())
+                .build();
+    }
+
+    private Mono<ServiceReply> finish(
+            ServiceRequest request,
+            Router router,
+            TargetId target,
+            AgentCalls.Attempt attempt,
+            Set<TargetId> tried,
+            boolean earlierMayHaveRun) {
+        long nowMillis = clock.getAsLong();
+        router.completed(target, attempt.response(), nowMillis);
+        if (attempt.result().hasRules()) {
+            directory.updateRules(attempt.result().getRules());
+        }
+        if (attempt.ran()) {
+            admission.finished(request.account(), attempt.response(), nowMillis);
+            return Mono.just(ran(attempt, target));
+        }
+        boolean mayHaveRun = earlierMayHaveRun || !attempt.response().isEvidenceOfNotRun();
+        Optional<Route> next = nextRoute(request, router, tried, nowMillis);
+        if (next.isPresent()) {
+            return attempt(request, router, next.get(), tried, mayHaveRun);
+        }
+        admission.finished(request.account(), attempt.response(), nowMillis);
+        return mayHaveRun
+                ? Mono.just(new ServiceReply.Unknown(attempt.error()))
+                : notRun(attempt.error(), RETRY_AFTER_MILLIS);
+    }
+
+    private Optional<Route> nextRoute(
+            ServiceRequest request, Router router, Set<TargetId> tried, long nowMillis) {
+        if (tried.size() >= MAXIMUM_ATTEMPTS) {
+            return Optional.empty();
+        }
+        Optional<Route> route =
+                router.choose(
+                        new RouteRequest(request.deadline(), Set.copyOf(tried)), nowMillis, random);
+        return route.filter(chosen -> retryBudget.tryAcquire(nowMillis));
+    }
+
+    private static ServiceReply ran(AgentCalls.Attempt attempt, TargetId target) {
+        return new ServiceReply.Ran(
+                attempt.result().getStatus(),
+                attempt.result().getContentType(),
+                attempt.result().getBody(),
+                target.value());
+    }
+
+    /**
+     * Counts an attempt of another dispatcher, so that routing knows its load.
+     *
+     * @param router the service's router
+     * @param target the target
+     * @param response how it ended
+     */
+    void completed(Router router, TargetId target, Response response) {
+        router.completed(target, response, clock.getAsLong());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/protocol/LeaderClient.java
@@ -0,0 +1,158 @@
+package org.yuccabank.protocol;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import org.yuccabank.protocol.generated.CommandResult;
+import org.yuccabank.protocol.generated.CommandResult.Verdict;
+import org.yuccabank.protocol.generated.Envelope;
+import reactor.core.publisher.Mono;
+
+/**
+ * Sends requests to the leader of the control group and follows it when it changes.
+ *
+ * <p>A control process that is not the leader answers so without accepting the request, which may
+ * then be sent to another one. A request that got no answer is not sent again here. Thread-safe.
+ */
+public final class LeaderClient {
+
+    private static final Duration NEXT_ROUND_DELAY = Duration.ofMillis(50);
+
+    private final PeerTransport transport;
+    private final PeerHandler handler;
+    private final List<InetSocketAddress> addresses;
+    private final Map<InetSocketAddress, PeerClient> clients = new ConcurrentHashMap<>();
+    private volatile InetSocketAddress likelyLeader;
+
+    private LeaderClient(
+            PeerTransport transport, List<InetSocketAddress> addresses, PeerHandler handler) {
+        this.transport = transport;
+        this.addresses = List.copyOf(addresses);
+        this.handler = handler;
+        this.likelyLeader = this.addresses.get(0);
+    }
+
+    /**
+     * Creates a client.
+     *
+     * @param transport threads and framing of this process
+     * @param addresses addresses of the control processes, at least one
+     * @param handler answers requests that a control process sends on its connection
+     * @return the client
+     */
+    public static LeaderClient of(
+            PeerTransport transport, List<InetSocketAddress> addresses, PeerHandler handler) {
+        Objects.requireNonNull(transport, "transport is null");
+        if (addresses.isEmpty()) {
+            throw new IllegalArgumentException("addresses is empty");
+        }
+        return new LeaderClient(transport, addresses, handler);
+    }
+
+    /**
+     * Sends a request to the leader.
+     *
+     * @param request the request
+     * @param timeout time for all attempts to find the leader and for its answer
+     * @return the answer, or an error with a {@link PeerException}
+     */
+    public Mono<Envelope> request(Envelope request, Duration timeout) {
+        long deadlineNanos = System.nanoTime() + timeout.toNanos();
+        return attempt(request, order(likelyLeader), 0, deadlineNanos);
+    }
+
+    private Mono<Envelope> attempt(
+            Envelope request, List<InetSocketAddress> order, int position, long deadlineNanos) {
+        Duration left = Duration.ofNanos(deadlineNanos - System.nanoTime());
+        if (left.isNegative() || left.isZero()) {
+            return Mono.error(PeerException.notSent("no leader of the control group was found"));
+        }
+        if (position >= order.size()) {
+            return Mono.delay(NEXT_ROUND_DELAY)
+                    .flatMap(tick -> attempt(request, order(likelyLeader), 0, deadlineNanos));
+        }
+        InetSocketAddress address = order.get(position);
+        return client(address)
+                .request(request, left)
+                .flatMap(
+                        answer -> {
+                            Optional<String> leader = notLeader(answer);
+                            if (leader.isEmpty()) {
+                                likelyLeader = address;
+                                return Mono.just(answer);
+                            }
+                            return follow(request, order, position, leader.get(), deadlineNanos);
+                        })
+                .onErrorResume(
+                        PeerException.class,
+                        error ->
+                                error.isInDoubt()
+                                        ? forget(address, error)
+                                        : attempt(request, order, position + 1, deadlineNanos));
+    }
+
+    private Mono<Envelope> forget(InetSocketAddress address, PeerException error) {
+        if (address.equals(likelyLeader)) {
+            List<InetSocketAddress> order = order(address);
+            likelyLeader = order.get(order.size() - 1);
+        }
+        return Mono.error(error);
+    }
+
+    private Mono<Envelope> follow(
+            Envelope request,
+            List<InetSocketAddress> order,
+            int position,
+            String leader,
+            long deadlineNanos) {
+        if (!leader.isEmpty() && position == 0) {
+            InetSocketAddress named = parse(leader);
+            if (!named.equals(order.get(0))) {
+                likelyLeader = named;
+                return attempt(request, order(named), 0, deadlineNanos);
+            }
+        }
+        return attempt(request, order, position + 1, deadlineNanos);
+    }
+
+    /** The leader's address if the answer says that the asked process is not the leader. */
+    private static Optional<String> notLeader(Envelope answer) {
+        if (answer.hasProtocolError()
+                && answer.getProtocolError().getCode().equals("not-leader")) {
+            return Optional.of(answer.getProtocolError().getLeaderAddress());
+        }
+        CommandResult result = answer.getCommandResult();
+        if (answer.hasCommandResult() && result.getVerdict() == Verdict.NOT_LEADER) {
+            return Optional.of(result.getLeaderAddress());
+        }
+        return Optional.empty();
+    }
+
+    private List<InetSocketAddress> order(InetSocketAddress first) {
+        List<InetSocketAddress> order = new ArrayList<>();
+        order.add(first);
+        addresses.stream().filter(address -> !address.equals(first)).forEach(order::add);
+        return order;
+    }
+
+    private PeerClient client(InetSocketAddress address) {
+        return clients.computeIfAbsent(
+                address, key -> PeerClient.of(transport, key, handler));
+    }
+
+    private static InetSocketAddress parse(String address) {
+        int colon = address.lastIndexOf(':');
+        return new InetSocketAddress(
+                address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+    }
+
+    /** Closes all connections. */
+    public void stop() {
+        clients.values().forEach(PeerClient::stop);
+    }
+}
