--- /dev/null
+++ b/src/main/java/org/yuccabank/policy/quota/AccountUsage.java
@@ -0,0 +1,82 @@
+package org.yuccabank.policy.quota;
+
+import java.util.Comparator;
+import java.util.SortedSet;
+import java.util.TreeSet;
+import org.yuccabank.model.AccountId;
+import org.yuccabank.model.Resources;
+import org.yuccabank.rules.Quota;
+
+/** Tasks that wait and resources that are held, for one account. Mutable; not thread-safe. */
+final class AccountUsage {
+
+    /** The account with the least weighted share first; the identifier makes the order total. */
+    static final Comparator<AccountUsage> ORDER =
+            Comparator.comparingDouble(AccountUsage::weightedShare)
+                    .thenComparing(AccountUsage::account);
+
+    private final AccountId account;
+    private final SortedSet<QueuedTask> waiting = new TreeSet<>(QueuedTask.ORDER);
+    private Quota quota;
+    private Resources held = Resources.none();
+    private double dominantShare;
+    private boolean setAside;
+
+    AccountUsage(AccountId account, Quota quota) {
+        this.account = account;
+        this.quota = quota;
+    }
+
+    AccountId account() {
+        return account;
+    }
+
+    SortedSet<QueuedTask> waiting() {
+        return waiting;
+    }
+
+    Quota quota() {
+        return quota;
+    }
+
+    void quota(Quota newQuota) {
+        quota = newQuota;
+    }
+
+    Resources held() {
+        return held;
+    }
+
+    /** Replaces the resources held; must not be called while an ordered set holds this account. */
+    void held(Resources newHeld, Resources capacity) {
+        held = newHeld;
+        dominantShare = newHeld.dominantShare(capacity);
+    }
+
+    double dominantShare() {
+        return dominantShare;
+    }
+
+    double weightedShare() {
+        return dominantShare / quota.weight();
+    }
+
+    boolean isSetAside() {
+        return setAside;
+    }
+
+    void setAside(boolean newValue) {
+        setAside = newValue;
+    }
+
+    boolean isIdle() {
+        return waiting.isEmpty() && held.equals(Resources.none());
+    }
+
+    /** Tells whether the first waiting task may be placed next. */
+    boolean isEligible() {
+        return !setAside
+                && !waiting.isEmpty()
+                && held.plus(waiting.first().request()).fitsWithin(quota.limit());
+    }
+}
--- a/src/main/java/org/yuccabank/policy/routing/FleetAverages.java
+++ b/src/main/java/org/yuccabank/policy/routing/FleetAverages.java
@@ -15,7 +15,7 @@
 
     void add(double serviceSample, double othersSample) {
         answers++;
-        double weight = 1 / Math.min(answers, MEMORY);
+        double weight = 1 / Math.min((double) answers, MEMORY);
         serviceMicros += weight * (serviceSample - serviceMicros);
         othersLoad += weight * (othersSample - othersLoad);
     }
--- a/src/main/java/org/yuccabank/policy/routing/TargetView.java
+++ b/src/main/java/org/yuccabank/policy/routing/TargetView.java
@@ -10,10 +10,10 @@
 final class TargetView {
 
     /** Age at which a reported load says no more than the average of all targets. */
-    private static final double LOAD_MEMORY_MILLIS = 200;
+    private static final long LOAD_MEMORY_MILLIS = 200;
 
     /** Age at which a measured service time says no more than the average of all targets. */
-    private static final double SERVICE_MEMORY_MILLIS = 5000;
+    private static final long SERVICE_MEMORY_MILLIS = 5000;
 
     /** Weight of one service time; lower ones follow a slowdown too slowly. */
     private static final double SERVICE_WEIGHT = 1.0 / 16;
@@ -36,7 +36,7 @@
 
     TargetView(Candidate candidate, long nowMillis) {
         this.candidate = candidate;
-        this.heardMillis = nowMillis - (long) SERVICE_MEMORY_MILLIS;
+        this.heardMillis = nowMillis - SERVICE_MEMORY_MILLIS;
     }
 
     TargetId target() {
@@ -66,14 +66,14 @@
         }
         othersLoad = Math.max(0, response.occupancy() - inFlight);
         if (response.kind() == Response.Kind.RAN) {
-            learnService(response.serviceMicros(), fleet, ageing, nowMillis);
-            fleet.add(response.serviceMicros(), othersLoad);
+            learnService((double) response.serviceMicros(), fleet, ageing, nowMillis);
+            fleet.add((double) response.serviceMicros(), othersLoad);
         }
         heardMillis = nowMillis;
         awaitedSinceMillis = nowMillis;
     }
 
-    private void learnService(long sample, FleetAverages fleet, boolean ageing, long nowMillis) {
+    private void learnService(double sample, FleetAverages fleet, boolean ageing, long nowMillis) {
         double base = serviceMicros(fleet, ageing, nowMillis);
         serviceMicros = base == 0 ? sample : base + SERVICE_WEIGHT * (sample - base);
     }
@@ -98,8 +98,8 @@
         return fresh * serviceMicros + (1 - fresh) * fleet.serviceMicros();
     }
 
-    private double freshness(double memoryMillis, long nowMillis) {
-        return Math.max(0, 1 - (nowMillis - heardMillis) / memoryMillis);
+    private double freshness(long memoryMillis, long nowMillis) {
+        return Math.max(0, 1 - (double) (nowMillis - heardMillis) / memoryMillis);
     }
 
     /** Time for which answers are overdue, 0 while the target is not silent. */
