--- a/src/main/java/org/yuccabank/entry/AgentCalls.java
+++ b/src/main/java/org/yuccabank/entry/AgentCalls.java
@@ -79,8 +79,7 @@
      * @param query the request's identifier
      * @return the answer; empty if the agent gave none
      */
-    static Mono<OutcomeAnswer> query(
-            org.yuccabank.protocol.PeerClient agent, OutcomeQuery query) {
+    static Mono<OutcomeAnswer> query(org.yuccabank.protocol.PeerClient agent, OutcomeQuery query) {
         return agent.request(Envelope.newBuilder().setOutcomeQuery(query).build(), QUERY_TIMEOUT)
                 .filter(Envelope::hasOutcomeAnswer)
                 .map(Envelope::getOutcomeAnswer)
--- a/src/main/java/org/yuccabank/entry/ClaimDispatcher.java
+++ b/src/main/java/org/yuccabank/entry/ClaimDispatcher.java
@@ -21,6 +21,7 @@
 import org.yuccabank.protocol.generated.CommandResult.Verdict;
 import org.yuccabank.protocol.generated.Invoke;
 import org.yuccabank.protocol.generated.InvokeResult;
+import org.yuccabank.protocol.generated.OutcomeAnswer;
 import org.yuccabank.protocol.generated.OutcomeKind;
 import org.yuccabank.protocol.generated.OutcomeQuery;
 import org.yuccabank.protocol.generated.ReportOutcome;
@@ -102,8 +103,7 @@
         return control.command(claimCommand(progress, location))
                 .publishOn(decisions)
                 .flatMap(
-                        result ->
-                                claimed(progress, router.orElseThrow(), target, location, result))
+                        result -> claimed(progress, router.orElseThrow(), target, location, result))
                 .onErrorResume(
                         PeerException.class,
                         error ->
@@ -246,8 +246,7 @@
                 .onErrorReturn(PeerException.class, false);
     }
 
-    private static ClaimOutcome outcome(
-            ServiceRequest request, long token, InvokeResult result) {
+    private static ClaimOutcome outcome(ServiceRequest request, long token, InvokeResult result) {
         return ClaimOutcome.newBuilder()
                 .setKey(request.requestId())
                 .setAccount(request.account().value())
@@ -268,7 +267,7 @@
                 yield claim(progress);
             }
             case IN_PROGRESS ->
-                    settle(progress, result.getIdentifier(), result.getFencingToken(), 0);
+                    askAgain(progress, result.getIdentifier(), result.getFencingToken(), 0);
             default -> unknown("the target was restarted while the request ran");
         };
     }
@@ -279,8 +278,7 @@
     }
 
     /** Asks the agent that holds a claim until the outcome is known. */
-    private Mono<ServiceReply> settle(
-            Progress progress, String hostId, long token, int questions) {
+    private Mono<ServiceReply> settle(Progress progress, String hostId, long token, int questions) {
         Optional<PeerClient> agent = directory.agentOf(hostId);
         if (agent.isEmpty() || questions >= MAXIMUM_QUESTIONS) {
             return Mono.just(new ServiceReply.InProgress());
@@ -292,7 +290,7 @@
                         .setFencingToken(token)
                         .build();
         return AgentCalls.query(agent.get(), query)
-                .map(answer -> answer.getOutcome())
+                .map(OutcomeAnswer::getOutcome)
                 .defaultIfEmpty(ClaimOutcome.getDefaultInstance())
                 .publishOn(decisions)
                 .flatMap(
--- a/src/main/java/org/yuccabank/entry/ControlContact.java
+++ b/src/main/java/org/yuccabank/entry/ControlContact.java
@@ -24,7 +24,7 @@
     private final EntryDirectory directory;
     private final Scheduler decisions;
     private boolean polling;
-    private boolean contacted;
+    private volatile boolean contacted;
     private long lastContactMillis;
 
     ControlContact(
--- /dev/null
+++ b/src/main/java/org/yuccabank/entry/EntryRoutes.java
@@ -0,0 +1,383 @@
+package org.yuccabank.entry;
+
+import com.codahale.metrics.Meter;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import com.google.protobuf.ByteString;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BiFunction;
+import org.yuccabank.event.Event;
+import org.yuccabank.event.EventLog;
+import org.yuccabank.http.Problem;
+import org.yuccabank.model.Outcome;
+import org.yuccabank.model.WorkKind;
+import org.yuccabank.policy.routing.Deadline;
+import org.yuccabank.protocol.generated.Query;
+import org.yuccabank.rules.RuleSet;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.http.server.HttpServerRoutes;
+
+/** The HTTP interface for callers and operators, described in {@code docs/http.md}. Thread-safe. */
+final class EntryRoutes {
+
+    private static final String KEY_HEADER = "Idempotency-Key";
+    private static final String DEADLINE_HEADER = "Yuccabank-Deadline-Ms";
+    private static final String AT_MOST_ONCE_HEADER = "Yuccabank-At-Most-Once";
+    private static final int MAXIMUM_KEY_LENGTH = 200;
+    private static final int MAXIMUM_BODY_BYTES = 4 << 20;
+    private static final long DEFAULT_DEADLINE_MILLIS = 10_000;
+    private static final int DEFAULT_PRIORITY = 5;
+    private static final int UNAUTHORIZED = 401;
+    private static final int PAYLOAD_TOO_LARGE = 413;
+    private static final int INTERNAL_ERROR = 500;
+
+    private final EntryConfiguration configuration;
+    private final Dispatchers dispatchers;
+    private final CallerIdentification identification;
+    private final EntryDirectory directory;
+    private final ControlContact control;
+    private final Scheduler decisions;
+    private final AtomicInteger inProgress = new AtomicInteger();
+    private final Timer served;
+    private final Meter late;
+    private final Meter refused;
+    private final Meter unknown;
+    private volatile boolean draining;
+
+    /**
+     * What serves the requests.
+     *
+     * @param urgent serves idempotent requests
+     * @param claims serves at-most-once requests
+     * @param commands serves jobs, rules and operators
+     */
+    record Dispatchers(UrgentDispatcher urgent, ClaimDispatcher claims, CommandRoutes commands) {}
+
+    EntryRoutes(
+            EntryConfiguration configuration,
+            Dispatchers dispatchers,
+            CallerIdentification identification,
+            EntryDirectory directory,
+            ControlContact control,
+            Scheduler decisions,
+            MetricRegistry metrics) {
+        this.configuration = configuration;
+        this.dispatchers = dispatchers;
+        this.identification = identification;
+        this.directory = directory;
+        this.control = control;
+        this.decisions = decisions;
+        served = metrics.timer("requests_served");
+        late = metrics.meter("requests_late");
+        refused = metrics.meter("requests_refused");
+        unknown = metrics.meter("requests_unknown");
+        metrics.gauge("requests_in_progress", () -> inProgress::get);
+    }
+
+    /** Handles a request of an identified caller. */
+    private interface Route {
+        Mono<Void> handle(
+                HttpServerRequest request,
+                HttpServerResponse response,
+                Caller caller,
+                ByteString body);
+    }
+
+    void addTo(HttpServerRoutes routes) {
+        CommandRoutes commands = dispatchers.commands();
+        routes.post("/v1/services/{service}/{kind}", handler(this::serve));
+        routes.get("/v1/requests/{key}", handler((q, r, c, b) -> commands.outcome(q, r, c)));
+        routes.post("/v1/jobs", handler(this::submitJob));
+        routes.get("/v1/jobs", query(Query.Subject.JOBS));
+        routes.get("/v1/jobs/{id}", jobQuery());
+        routes.get("/v1/jobs/{id}/result", jobQuery());
+        routes.delete("/v1/jobs/{id}", handler((q, r, c, b) -> commands.cancelJob(q, r, c)));
+        routes.get("/v1/rules", rulesQuery());
+        routes.get("/v1/rules/history", query(Query.Subject.RULES_HISTORY));
+        routes.put("/v1/rules", handler(commands::applyRules));
+        routes.get("/v1/status", query(Query.Subject.STATUS));
+        routes.get("/v1/targets", query(Query.Subject.TARGETS));
+        routes.get("/v1/audit", query(Query.Subject.AUDIT));
+        routes.post(
+                "/v1/hosts/{host}/drain", handler((q, r, c, b) -> commands.drain(q, r, c, false)));
+        routes.delete(
+                "/v1/hosts/{host}/drain", handler((q, r, c, b) -> commands.drain(q, r, c, true)));
+    }
+
+    private BiFunction<HttpServerRequest, HttpServerResponse, org.reactivestreams.Publisher<Void>>
+            query(Query.Subject subject) {
+        return handler(
+                (q, r, c, b) ->
+                        dispatchers
+                                .commands()
+                                .query(q, r, c, Query.newBuilder().setSubject(subject)));
+    }
+
+    private BiFunction<HttpServerRequest, HttpServerResponse, org.reactivestreams.Publisher<Void>>
+            jobQuery() {
+        return handler(
+                (q, r, c, b) ->
+                        dispatchers
+                                .commands()
+                                .query(
+                                        q,
+                                        r,
+                                        c,
+                                        Query.newBuilder()
+                                                .setSubject(Query.Subject.JOB)
+                                                .setIdentifier(q.param("id"))));
+    }
+
+    private BiFunction<HttpServerRequest, HttpServerResponse, org.reactivestreams.Publisher<Void>>
+            rulesQuery() {
+        return handler(
+                (q, r, c, b) -> {
+                    Query.Builder query = Query.newBuilder().setSubject(Query.Subject.RULES);
+                    versionParameter(q).ifPresent(query::setFrom);
+                    return dispatchers.commands().query(q, r, c, query);
+                });
+    }
+
+    private static Optional<Long> versionParameter(HttpServerRequest request) {
+        String uri = request.uri();
+        int start = uri.indexOf("?version=");
+        if (start < 0) {
+            return Optional.empty();
+        }
+        String value = uri.substring(start + "?version=".length());
+        return value.matches("\\d{1,18}") ? Optional.of(Long.parseLong(value)) : Optional.empty();
+    }
+
+    private BiFunction<HttpServerRequest, HttpServerResponse, org.reactivestreams.Publisher<Void>>
+            handler(Route route) {
+        return (request, response) -> {
+            Optional<Caller> caller = identification.identify(request.requestHeaders());
+            if (caller.isEmpty()) {
+                EventLog.warning(Event.CREDENTIAL_REFUSED, "path", request.fullPath());
+                response.header("WWW-Authenticate", "Bearer");
+                return HttpReplies.problem(
+                        request,
+                        response,
+                        Problem.of(UNAUTHORIZED, "credentials are missing or wrong", "send a token")
+                                .withOutcome(Outcome.NOT_RUN));
+            }
+            if (isTooLarge(request)) {
+                return HttpReplies.problem(request, response, tooLarge());
+            }
+            inProgress.incrementAndGet();
+            return body(request)
+                    .flatMap(body -> route.handle(request, response, caller.get(), body))
+                    .onErrorResume(
+                            BodyTooLargeException.class,
+                            error -> HttpReplies.problem(request, response, tooLarge()))
+                    .onErrorResume(error -> internalError(request, response, error))
+                    .doFinally(signal -> inProgress.decrementAndGet());
+        };
+    }
+
+    /** The body came without a length and was longer than allowed. */
+    private static final class BodyTooLargeException extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+    }
+
+    private static boolean isTooLarge(HttpServerRequest request) {
+        String length = request.requestHeaders().get(HttpHeaderNames.CONTENT_LENGTH, "0");
+        return length.length() > 9 || Long.parseLong(length) > MAXIMUM_BODY_BYTES;
+    }
+
+    private static Problem tooLarge() {
+        return Problem.of(
+                        PAYLOAD_TOO_LARGE,
+                        "body is too large",
+                        "a body has at most " + MAXIMUM_BODY_BYTES + " bytes")
+                .withOutcome(Outcome.NOT_RUN);
+    }
+
+    private static Mono<ByteString> body(HttpServerRequest request) {
+        return request.receive()
+                .asByteArray()
+                .map(ByteString::copyFrom)
+                .reduce(
+                        ByteString.EMPTY,
+                        (whole, part) -> {
+                            if (whole.size() + part.size() > MAXIMUM_BODY_BYTES) {
+                                throw new BodyTooLargeException();
+                            }
+                            return whole.concat(part);
+                        });
+    }
+
+    private static Mono<Void> internalError(
+            HttpServerRequest request, HttpServerResponse response, Throwable error) {
+        EventLog.error(Event.INTERNAL_ERROR, error, "path", request.fullPath());
+        if (response.hasSentHeaders()) {
+            return Mono.empty();
+        }
+        return HttpReplies.problem(
+                request,
+                response,
+                Problem.of(INTERNAL_ERROR, "internal error", "see the log of the entry")
+                        .withOutcome(Outcome.UNKNOWN));
+    }
+
+    private Mono<Void> submitJob(
+            HttpServerRequest request,
+            HttpServerResponse response,
+            Caller caller,
+            ByteString body) {
+        if (draining) {
+            return CommandRoutes.unavailable(request, response, "the entry is stopping");
+        }
+        return dispatchers.commands().submitJob(request, response, caller, body);
+    }
+
+    private Mono<Void> serve(
+            HttpServerRequest request,
+            HttpServerResponse response,
+            Caller caller,
+            ByteString body) {
+        long startNanos = System.nanoTime();
+        long nowMillis = System.currentTimeMillis();
+        return Mono.fromSupplier(() -> serviceRequest(request, caller, body, nowMillis))
+                .subscribeOn(decisions)
+                .flatMap(
+                        parsed ->
+                                parsed.refusal().isPresent()
+                                        ? HttpReplies.problem(
+                                                request, response, parsed.refusal().get())
+                                        : dispatch(
+                                                request, response, parsed.request(), startNanos));
+    }
+
+    /** A request or why it is refused at once. */
+    private record Parsed(ServiceRequest request, Optional<Problem> refusal) {
+
+        static Parsed refuse(int status, String title, String detail) {
+            Problem problem = Problem.of(status, title, detail).withOutcome(Outcome.NOT_RUN);
+            return new Parsed(null, Optional.of(problem));
+        }
+
+        static Parsed unavailable(String detail) {
+            Problem problem =
+                    Problem.of(503, "not admitting requests", detail)
+                            .withOutcome(Outcome.NOT_RUN)
+                            .withRetryAfter(1_000);
+            return new Parsed(null, Optional.of(problem));
+        }
+    }
+
+    private Parsed serviceRequest(
+            HttpServerRequest request, Caller caller, ByteString body, long nowMillis) {
+        HttpHeaders headers = request.requestHeaders();
+        WorkKind kind = WorkKind.of(request.param("kind"));
+        RuleSet rules = directory.rules();
+        boolean atMostOnce =
+                rules.atMostOnce().contains(kind)
+                        || headers.get(AT_MOST_ONCE_HEADER, "false").equals("true");
+        Optional<String> key = Optional.ofNullable(headers.get(KEY_HEADER));
+        if (key.map(text -> text.isBlank() || text.length() > MAXIMUM_KEY_LENGTH).orElse(false)) {
+            return Parsed.refuse(
+                    400,
+                    "key is invalid",
+                    KEY_HEADER + " has 1 to " + MAXIMUM_KEY_LENGTH + " characters");
+        }
+        if (atMostOnce && key.isEmpty()) {
+            return Parsed.refuse(
+                    400,
+                    "key is missing",
+                    "kind " + kind + " runs at most once; send " + KEY_HEADER);
+        }
+        String deadlineText = headers.get(DEADLINE_HEADER, "");
+        if (!deadlineText.isEmpty() && !deadlineText.matches("[1-9]\\d{0,8}")) {
+            return Parsed.refuse(
+                    400, "deadline is invalid", DEADLINE_HEADER + " is a number of milliseconds");
+        }
+        Optional<String> closed = whyNotAdmitting(atMostOnce, nowMillis);
+        if (closed.isPresent()) {
+            return Parsed.unavailable(closed.get());
+        }
+        Optional<RuleSet.UrgentClass> limits = Optional.ofNullable(rules.urgent().get(kind));
+        long budgetMillis =
+                deadlineText.isEmpty()
+                        ? limits.map(limit -> limit.deadline().toMillis())
+                                .orElse(DEFAULT_DEADLINE_MILLIS)
+                        : Long.parseLong(deadlineText);
+        ServiceRequest parsed =
+                new ServiceRequest(
+                        key.orElseGet(() -> UUID.randomUUID().toString()),
+                        caller.account(),
+                        request.param("service"),
+                        kind,
+                        atMostOnce,
+                        limits.map(RuleSet.UrgentClass::priority).orElse(DEFAULT_PRIORITY),
+                        Deadline.after(nowMillis, budgetMillis),
+                        headers.get(HttpHeaderNames.CONTENT_TYPE, ""),
+                        body);
+        return new Parsed(parsed, Optional.empty());
+    }
+
+    private Optional<String> whyNotAdmitting(boolean atMostOnce, long nowMillis) {
+        if (draining) {
+            return Optional.of("the entry is stopping");
+        }
+        if (!control.hasContacted()) {
+            return Optional.of("the entry has not confirmed the newest rules with control yet");
+        }
+        boolean needsControl = atMostOnce || !configuration.serveIdempotentWithoutControl();
+        if (needsControl && !control.isCurrent(nowMillis)) {
+            return Optional.of("control cannot be reached");
+        }
+        return Optional.empty();
+    }
+
+    private Mono<Void> dispatch(
+            HttpServerRequest request,
+            HttpServerResponse response,
+            ServiceRequest parsed,
+            long startNanos) {
+        Mono<ServiceReply> reply =
+                parsed.atMostOnce()
+                        ? dispatchers.claims().serve(parsed)
+                        : dispatchers.urgent().serve(parsed);
+        return reply.flatMap(
+                known -> {
+                    boolean isLate = parsed.deadline().isLate(System.currentTimeMillis());
+                    count(known, isLate, startNanos);
+                    return HttpReplies.service(request, response, known, isLate);
+                });
+    }
+
+    private void count(ServiceReply reply, boolean isLate, long startNanos) {
+        if (isLate) {
+            late.mark();
+        }
+        if (reply instanceof ServiceReply.Ran) {
+            served.update(System.nanoTime() - startNanos, TimeUnit.NANOSECONDS);
+        } else if (reply instanceof ServiceReply.NotRun) {
+            refused.mark();
+        } else {
+            unknown.mark();
+        }
+    }
+
+    void startDrain() {
+        draining = true;
+    }
+
+    int inProgress() {
+        return inProgress.get();
+    }
+
+    /** Tells whether the balancer should send requests here; called on any thread. */
+    boolean admits() {
+        return !draining && control.hasContacted();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/entry/EntryService.java
@@ -0,0 +1,217 @@
+package org.yuccabank.entry;
+
+import com.codahale.metrics.MetricRegistry;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.yuccabank.event.Event;
+import org.yuccabank.event.EventLog;
+import org.yuccabank.http.AdministrationServer;
+import org.yuccabank.model.AccountId;
+import org.yuccabank.policy.routing.AdmissionController;
+import org.yuccabank.policy.routing.DeadlineAdmission;
+import org.yuccabank.policy.routing.RetryBudget;
+import org.yuccabank.policy.routing.RouterOptions;
+import org.yuccabank.policy.routing.TwoChoicesRouter;
+import org.yuccabank.protocol.LeaderClient;
+import org.yuccabank.protocol.PeerHandler;
+import org.yuccabank.protocol.PeerSecurity;
+import org.yuccabank.protocol.PeerTimings;
+import org.yuccabank.protocol.PeerTransport;
+import org.yuccabank.protocol.generated.Hello;
+import org.yuccabank.protocol.generated.Role;
+import org.yuccabank.rules.Quota;
+import reactor.core.scheduler.Scheduler;
+import reactor.core.scheduler.Schedulers;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+
+/**
+ * The entry role: the HTTP interface for callers and operators.
+ *
+ * <p>Invariant: everything that decides runs on one thread. The public methods may be called by any
+ * thread.
+ */
+public final class EntryService {
+
+    private static final int NETWORK_THREADS = 2;
+    private static final long POLL_MILLIS = 200;
+    private static final Duration DRAIN_CHECK = Duration.ofMillis(20);
+    private static final Duration STOP_LIMIT = Duration.ofSeconds(5);
+
+    private final EntryConfiguration configuration;
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final Scheduler decisions = Schedulers.newSingle("entry-decisions");
+    private final PeerTransport transport;
+    private final LeaderClient leader;
+    private final EntryDirectory directory;
+    private final ControlContact control;
+    private final EntryRoutes routes;
+    private DisposableServer server;
+    private AdministrationServer administration;
+
+    private EntryService(
+            EntryConfiguration configuration,
+            CallerIdentification identification,
+            PeerSecurity security) {
+        this.configuration = configuration;
+        Hello greeting =
+                Hello.newBuilder()
+                        .setProcessId(configuration.processId())
+                        .setRole(Role.ENTRY)
+                        .setDataCentre(configuration.dataCentre())
+                        .setIncarnation(System.currentTimeMillis())
+                        .build();
+        transport =
+                PeerTransport.start(
+                        greeting,
+                        this::configurationVersion,
+                        PeerTimings.standard(),
+                        security,
+                        NETWORK_THREADS);
+        directory =
+                new EntryDirectory(
+                        transport,
+                        configuration.dataCentre(),
+                        () -> TwoChoicesRouter.of(RouterOptions.defaults()));
+        leader = LeaderClient.of(transport, configuration.controlAddresses(), PeerHandler.none());
+        control = new ControlContact(configuration, leader, directory, decisions);
+        routes = routes(identification);
+    }
+
+    private EntryRoutes routes(CallerIdentification identification) {
+        RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
+        AdmissionController admission = DeadlineAdmission.of(this::weight);
+        RetryBudget budget = RetryBudget.ofPercent(configuration.retryBudgetPercent());
+        UrgentDispatcher urgent =
+                new UrgentDispatcher(
+                        directory, admission, budget, decisions, System::currentTimeMillis, random);
+        ClaimDispatcher claims =
+                new ClaimDispatcher(
+                        directory, control, decisions, System::currentTimeMillis, random);
+        return new EntryRoutes(
+                configuration,
+                new EntryRoutes.Dispatchers(urgent, claims, new CommandRoutes(control)),
+                identification,
+                directory,
+                control,
+                decisions,
+                metrics);
+    }
+
+    private int weight(AccountId account) {
+        return directory.rules().quota(account).map(Quota::weight).orElse(1);
+    }
+
+    private long configurationVersion() {
+        return directory == null ? 0 : directory.configurationVersion();
+    }
+
+    /**
+     * Creates an entry process that is not started.
+     *
+     * @param configuration its configuration
+     * @param identification tells who sent a request
+     * @param security TLS of connections
+     * @return the service
+     */
+    public static EntryService of(
+            EntryConfiguration configuration,
+            CallerIdentification identification,
+            PeerSecurity security) {
+        Objects.requireNonNull(configuration, "configuration is null");
+        return new EntryService(configuration, identification, security);
+    }
+
+    /**
+     * Starts to serve; requests are admitted once control confirmed the newest rules.
+     *
+     * @return this service
+     */
+    public EntryService start() {
+        decisions.schedulePeriodically(
+                () -> control.poll(System.currentTimeMillis()),
+                0,
+                POLL_MILLIS,
+                TimeUnit.MILLISECONDS);
+        server =
+                HttpServer.create()
+                        .bindAddress(configuration::httpAddress)
+                        .route(routes::addTo)
+                        .bindNow();
+        administration =
+                AdministrationServer.start(
+                        configuration.administrationAddress(), metrics, routes::admits);
+        EventLog.information(
+                Event.ROLE_STARTED,
+                "role",
+                "entry",
+                "process",
+                configuration.processId(),
+                "address",
+                server.address(),
+                "administration",
+                administration.address());
+        return this;
+    }
+
+    /**
+     * Address for callers and operators.
+     *
+     * @return the address with the port in use
+     */
+    public InetSocketAddress httpAddress() {
+        return (InetSocketAddress) server.address();
+    }
+
+    /**
+     * Address of metrics and health.
+     *
+     * @return the address with the port in use
+     */
+    public InetSocketAddress administrationAddress() {
+        return administration.address();
+    }
+
+    /**
+     * Refuses new requests, finishes those in progress and stops.
+     *
+     * @return false if the drain time ended with requests in progress
+     */
+    public boolean stop() {
+        EventLog.information(
+                Event.ROLE_DRAINING, "role", "entry", "inProgress", routes.inProgress());
+        routes.startDrain();
+        boolean drained = awaitDrain();
+        if (!drained) {
+            EventLog.warning(Event.DRAIN_TIMEOUT, "inProgress", routes.inProgress());
+        }
+        server.disposeNow(STOP_LIMIT);
+        administration.stop();
+        leader.stop();
+        transport.stop();
+        decisions.dispose();
+        EventLog.information(Event.ROLE_STOPPED, "role", "entry");
+        return drained;
+    }
+
+    private boolean awaitDrain() {
+        long limitMillis = configuration.drainTimeoutMillis();
+        long startNanos = System.nanoTime();
+        while (routes.inProgress() > 0) {
+            long waitedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+            if (limitMillis > 0 && waitedMillis > limitMillis) {
+                return false;
+            }
+            try {
+                Thread.sleep(DRAIN_CHECK.toMillis());
+            } catch (InterruptedException exception) {
+                Thread.currentThread().interrupt();
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/entry/JobChecks.java
@@ -0,0 +1,43 @@
+package org.yuccabank.entry;
+
+import java.util.Optional;
+import org.yuccabank.protocol.generated.ResourceVector;
+import org.yuccabank.protocol.generated.SubmitJob;
+
+/** Checks what callers declare about a job. */
+final class JobChecks {
+
+    private static final int MAXIMUM_PRIORITY = 9;
+
+    private JobChecks() {}
+
+    /**
+     * Tells what is wrong with a job.
+     *
+     * @param job the job
+     * @return the first fault, empty if there is none
+     */
+    static Optional<String> firstFault(SubmitJob job) {
+        ResourceVector declared = job.getDeclared();
+        if (job.getKind().isBlank()) {
+            return Optional.of("kind is missing");
+        }
+        if (job.getTaskCount() < 1) {
+            return Optional.of("tasks must be at least 1");
+        }
+        if (declared.getProcessorMillis() <= 0 || declared.getMemoryMebibytes() <= 0) {
+            return Optional.of(
+                    "resources.processorMillis and resources.memoryMebibytes must be positive");
+        }
+        if (declared.getAccelerators() < 0) {
+            return Optional.of("resources.accelerators must not be negative");
+        }
+        if (job.getDeclaredRunMillis() <= 0) {
+            return Optional.of("runMillis must be positive");
+        }
+        if (job.getPriority() < 1 || job.getPriority() > MAXIMUM_PRIORITY) {
+            return Optional.of("priority must be from 1 to " + MAXIMUM_PRIORITY);
+        }
+        return Optional.empty();
+    }
+}
--- a/src/main/java/org/yuccabank/protocol/LeaderClient.java
+++ b/src/main/java/org/yuccabank/protocol/LeaderClient.java
@@ -122,8 +122,7 @@
 
     /** The leader's address if the answer says that the asked process is not the leader. */
     private static Optional<String> notLeader(Envelope answer) {
-        if (answer.hasProtocolError()
-                && answer.getProtocolError().getCode().equals("not-leader")) {
+        if (answer.hasProtocolError() && answer.getProtocolError().getCode().equals("not-leader")) {
             return Optional.of(answer.getProtocolError().getLeaderAddress());
         }
         CommandResult result = answer.getCommandResult();
@@ -141,8 +140,7 @@
     }
 
     private PeerClient client(InetSocketAddress address) {
-        return clients.computeIfAbsent(
-                address, key -> PeerClient.of(transport, key, handler));
+        return clients.computeIfAbsent(address, key -> PeerClient.of(transport, key, handler));
     }
 
     private static InetSocketAddress parse(String address) {
