--- /dev/null
+++ b/src/main/java/org/yuccabank/replication/CoreState.java
@@ -0,0 +1,196 @@
+package org.yuccabank.replication;
+
+import java.util.random.RandomGenerator;
+import org.yuccabank.protocol.generated.HardState;
+import org.yuccabank.protocol.generated.LogEntry;
+import org.yuccabank.protocol.generated.ReplicaMessage;
+
+/**
+ * State shared by the parts of a {@link ReplicaCore}: term, vote, role, log and membership. Not
+ * thread-safe.
+ */
+final class CoreState {
+
+    private final ReplicaSettings settings;
+    private final ReplicaOptions options;
+    private final RandomGenerator random;
+    private final EntryLog log;
+    private final MembershipHistory membership;
+    private final Outbox outbox;
+    private long now;
+    private long term;
+    private String vote;
+    private ReplicaRole role = ReplicaRole.FOLLOWER;
+    private String leaderId = "";
+    private long commitIndex;
+    private long lastLeaderContact;
+    private long electionDeadline;
+    private SnapshotData snapshot;
+
+    CoreState(
+            ReplicaSettings settings,
+            ReplicaOptions options,
+            StoredState stored,
+            RandomGenerator random,
+            long now) {
+        this.settings = settings;
+        this.options = options;
+        this.random = random;
+        this.now = now;
+        log = new EntryLog(stored.baseIndex(), stored.baseTerm(), stored.entries());
+        snapshot = stored.snapshot();
+        membership = new MembershipHistory(snapshot.lastIndex(), snapshot.membership());
+        stored.entries().stream()
+                .filter(entry -> entry.getIndex() > snapshot.lastIndex())
+                .forEach(membership::observe);
+        commitIndex = snapshot.lastIndex();
+        vote = stored.hardState().getVote();
+        term = stored.hardState().getTerm();
+        if (log.lastTerm() > term) {
+            // The entries were synced and the new term was not: the vote belongs to an older term.
+            term = log.lastTerm();
+            vote = "";
+        }
+        outbox = new Outbox(options.uses(Mechanism.SYNC_BEFORE_ACKNOWLEDGE), log.lastIndex());
+        // The leader may hold a lease that this replica granted before it was restarted.
+        lastLeaderContact = now;
+        resetElectionDeadline();
+    }
+
+    boolean uses(Mechanism mechanism) {
+        return options.uses(mechanism);
+    }
+
+    String id() {
+        return settings.replicaId();
+    }
+
+    ReplicaTiming timing() {
+        return settings.timing();
+    }
+
+    EntryLog log() {
+        return log;
+    }
+
+    MembershipHistory membership() {
+        return membership;
+    }
+
+    Outbox outbox() {
+        return outbox;
+    }
+
+    long now() {
+        return now;
+    }
+
+    void advance(long time) {
+        now = Math.max(now, time);
+    }
+
+    long term() {
+        return term;
+    }
+
+    String vote() {
+        return vote;
+    }
+
+    ReplicaRole role() {
+        return role;
+    }
+
+    void setRole(ReplicaRole newRole) {
+        role = newRole;
+    }
+
+    String leaderId() {
+        return leaderId;
+    }
+
+    void setLeaderId(String replicaId) {
+        leaderId = replicaId;
+    }
+
+    long commitIndex() {
+        return commitIndex;
+    }
+
+    void setCommitIndex(long index) {
+        commitIndex = Math.max(commitIndex, index);
+    }
+
+    SnapshotData snapshot() {
+        return snapshot;
+    }
+
+    void setSnapshot(SnapshotData data) {
+        snapshot = data;
+    }
+
+    boolean isSelfVoter() {
+        return membership.isVoter(id());
+    }
+
+    /** Enters a term and records a vote in it; both are written. */
+    void enterTerm(long newTerm, String newVote) {
+        term = newTerm;
+        vote = newVote;
+        outbox.writeHardState(
+                HardState.newBuilder()
+                        .setTerm(term)
+                        .setVote(vote)
+                        .setGroup(settings.group())
+                        .setReplicaId(id())
+                        .build());
+    }
+
+    /** Follows a leader, or nobody yet if the name is empty. */
+    void follow(String leader) {
+        role = isSelfVoter() ? ReplicaRole.FOLLOWER : ReplicaRole.LEARNER;
+        leaderId = leader;
+    }
+
+    void noteLeaderContact() {
+        lastLeaderContact = now;
+        resetElectionDeadline();
+    }
+
+    boolean heardFromLeaderRecently() {
+        return now - lastLeaderContact < timing().electionTimeoutMillis();
+    }
+
+    boolean isElectionDue() {
+        return now >= electionDeadline;
+    }
+
+    void resetElectionDeadline() {
+        electionDeadline =
+                now
+                        + timing().electionTimeoutMillis()
+                        + random.nextLong(timing().electionSpreadMillis());
+    }
+
+    /** Appends an entry to the log and to the writes. */
+    void append(LogEntry entry) {
+        log.append(entry);
+        membership.observe(entry);
+        outbox.append(entry);
+    }
+
+    /** Removes entries that conflict with those of the leader. */
+    void truncateFrom(long index) {
+        log.truncateFrom(index);
+        membership.truncateFrom(index);
+        outbox.truncateFrom(index);
+    }
+
+    ReplicaMessage.Builder messageTo(String replicaId) {
+        return ReplicaMessage.newBuilder()
+                .setGroup(settings.group())
+                .setFrom(id())
+                .setTo(replicaId)
+                .setTerm(term);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/replication/Election.java
@@ -0,0 +1,163 @@
+package org.yuccabank.replication;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.yuccabank.protocol.generated.ReplicaMessage;
+import org.yuccabank.protocol.generated.VoteReply;
+import org.yuccabank.protocol.generated.VoteRequest;
+
+/**
+ * Candidate and voter. At most one candidate of a term gets the votes of a majority, because a
+ * replica votes once in a term and its vote is synced before it is sent. Not thread-safe.
+ */
+final class Election {
+
+    private final CoreState state;
+    private final Set<String> votes = new HashSet<>();
+    private long ownVoteSequence;
+
+    Election(CoreState state) {
+        this.state = state;
+    }
+
+    /** Starts an election if this replica has not heard from a leader for too long. */
+    void tick() {
+        if (!state.isSelfVoter() || !state.isElectionDue()) {
+            return;
+        }
+        if (state.uses(Mechanism.PRE_VOTE)) {
+            startPreVote();
+        } else {
+            start(false);
+        }
+    }
+
+    private void startPreVote() {
+        state.setRole(ReplicaRole.PRE_CANDIDATE);
+        state.setLeaderId("");
+        state.resetElectionDeadline();
+        votes.clear();
+        votes.add(state.id());
+        if (state.membership().isMajority(votes)) {
+            start(false);
+        } else {
+            requestVotes(true, false);
+        }
+    }
+
+    /**
+     * Raises the term and asks for votes.
+     *
+     * @param transfer true if the leader asked for it, so that voters disregard its lease
+     */
+    void start(boolean transfer) {
+        state.enterTerm(state.term() + 1, state.id());
+        state.setRole(ReplicaRole.CANDIDATE);
+        state.setLeaderId("");
+        state.resetElectionDeadline();
+        votes.clear();
+        ownVoteSequence = state.outbox().newestSequence();
+        requestVotes(false, transfer);
+    }
+
+    private void requestVotes(boolean preVote, boolean transfer) {
+        VoteRequest request =
+                VoteRequest.newBuilder()
+                        .setPreVote(preVote)
+                        .setTransfer(transfer)
+                        .setLastIndex(state.log().lastIndex())
+                        .setLastTerm(state.log().lastTerm())
+                        .build();
+        long term = preVote ? state.term() + 1 : state.term();
+        for (String voter : state.membership().voters()) {
+            if (!voter.equals(state.id())) {
+                ReplicaMessage message =
+                        state.messageTo(voter).setTerm(term).setVoteRequest(request).build();
+                state.outbox().sendAfterSync(message);
+            }
+        }
+    }
+
+    /** Tells whether this candidate holds a majority; its own vote counts once it is synced. */
+    boolean isWon() {
+        if (state.role() != ReplicaRole.CANDIDATE) {
+            return false;
+        }
+        if (state.outbox().isSynced(ownVoteSequence)) {
+            votes.add(state.id());
+        }
+        return state.membership().isMajority(votes);
+    }
+
+    /** Tells whether a request must be ignored because a leader may hold a lease. */
+    boolean protectsLeader(VoteRequest request) {
+        if (request.getTransfer() || !state.uses(Mechanism.LEADER_STICKINESS)) {
+            return false;
+        }
+        return state.role() == ReplicaRole.LEADER || state.heardFromLeaderRecently();
+    }
+
+    /** Answers a request whose term was already entered if it was newer. */
+    void onRequest(ReplicaMessage message, boolean refused) {
+        VoteRequest request = message.getVoteRequest();
+        boolean granted = !refused && isComplete(request) && grants(message, request.getPreVote());
+        if (granted && !request.getPreVote()) {
+            state.enterTerm(state.term(), message.getFrom());
+            state.resetElectionDeadline();
+        }
+        VoteReply reply =
+                VoteReply.newBuilder().setPreVote(request.getPreVote()).setGranted(granted).build();
+        long term = granted ? message.getTerm() : state.term();
+        state.outbox()
+                .sendAfterSync(
+                        state.messageTo(message.getFrom())
+                                .setTerm(term)
+                                .setVoteReply(reply)
+                                .build());
+    }
+
+    private boolean grants(ReplicaMessage message, boolean preVote) {
+        if (preVote) {
+            return message.getTerm() > state.term();
+        }
+        if (message.getTerm() != state.term() || state.role() == ReplicaRole.LEADER) {
+            return false;
+        }
+        return state.vote().isEmpty()
+                || state.vote().equals(message.getFrom())
+                || !state.uses(Mechanism.SINGLE_VOTE);
+    }
+
+    private boolean isComplete(VoteRequest request) {
+        if (!state.uses(Mechanism.LOG_COMPLETENESS)) {
+            return true;
+        }
+        long lastTerm = state.log().lastTerm();
+        return request.getLastTerm() > lastTerm
+                || (request.getLastTerm() == lastTerm
+                        && request.getLastIndex() >= state.log().lastIndex());
+    }
+
+    /** Counts a vote; the election starts when enough replicas would vote for this one. */
+    void onReply(ReplicaMessage message) {
+        VoteReply reply = message.getVoteReply();
+        if (!reply.getGranted()) {
+            return;
+        }
+        if (reply.getPreVote()) {
+            countPreVote(message);
+        } else if (state.role() == ReplicaRole.CANDIDATE && message.getTerm() == state.term()) {
+            votes.add(message.getFrom());
+        }
+    }
+
+    private void countPreVote(ReplicaMessage message) {
+        if (state.role() != ReplicaRole.PRE_CANDIDATE || message.getTerm() != state.term() + 1) {
+            return;
+        }
+        votes.add(message.getFrom());
+        if (state.membership().isMajority(votes)) {
+            start(false);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/replication/Leadership.java
@@ -0,0 +1,303 @@
+package org.yuccabank.replication;
+
+import com.google.protobuf.ByteString;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.ToLongFunction;
+import org.yuccabank.protocol.generated.AppendReply;
+import org.yuccabank.protocol.generated.AppendRequest;
+import org.yuccabank.protocol.generated.LogEntry;
+import org.yuccabank.protocol.generated.ReplicaMessage;
+import org.yuccabank.protocol.generated.SnapshotChunk;
+import org.yuccabank.protocol.generated.SnapshotReply;
+
+/**
+ * One term of a leader: sends the log, decides what is committed and confirms reads. Not
+ * thread-safe.
+ */
+final class Leadership {
+
+    /** Keeps a message well below the largest frame of 4 MiB. */
+    static final int MAXIMUM_BATCH_BYTES = 1 << 20;
+
+    /** Bounds what is sent to a replica that does not answer. */
+    private static final int MAXIMUM_ENTRIES_IN_FLIGHT = 4096;
+
+    private static final int SNAPSHOT_CHUNK_BYTES = 256 << 10;
+
+    private final CoreState state;
+    private final Map<String, Progress> progress = new LinkedHashMap<>();
+    private final Lease lease;
+    private final PendingReads reads = new PendingReads();
+    private final long firstIndexOfTerm;
+    private final LeadershipTransfer transfer;
+
+    Leadership(CoreState state) {
+        this.state = state;
+        lease = new Lease(state.timing(), state.uses(Mechanism.CLOCK_DRIFT_MARGIN));
+        transfer = new LeadershipTransfer(state, lease);
+        firstIndexOfTerm = state.log().lastIndex() + 1;
+        refreshMembers();
+    }
+
+    /** Appends the entry that lets this term commit, and announces the leader. */
+    void start() {
+        append(LogEntry.Type.NO_OPERATION, ByteString.EMPTY);
+        startRound();
+    }
+
+    /**
+     * Appends an entry.
+     *
+     * @return its position
+     */
+    long append(LogEntry.Type type, ByteString payload) {
+        long index = state.log().lastIndex() + 1;
+        state.append(
+                LogEntry.newBuilder()
+                        .setIndex(index)
+                        .setTerm(state.term())
+                        .setType(type)
+                        .setPayload(payload)
+                        .build());
+        if (type == LogEntry.Type.MEMBERSHIP) {
+            refreshMembers();
+        }
+        return index;
+    }
+
+    private void refreshMembers() {
+        Set<String> present = new HashSet<>();
+        for (ReplicaMember member : state.membership().members()) {
+            String id = member.replicaId();
+            present.add(id);
+            if (!id.equals(state.id())) {
+                progress.computeIfAbsent(
+                        id, key -> new Progress(key, firstIndexOfTerm, state.now()));
+            }
+        }
+        progress.keySet().retainAll(present);
+    }
+
+    Collection<Progress> progress() {
+        return progress.values();
+    }
+
+    Progress progress(String replicaId) {
+        return progress.get(replicaId);
+    }
+
+    LeadershipTransfer transfer() {
+        return transfer;
+    }
+
+    long firstIndexOfTerm() {
+        return firstIndexOfTerm;
+    }
+
+    /** Tells whether an entry of this term is committed, so that the commit index is up to date. */
+    boolean hasCommittedInTerm() {
+        return state.commitIndex() >= firstIndexOfTerm;
+    }
+
+    /**
+     * Sends heartbeats.
+     *
+     * @return false if this leader has lost contact to the majority and must step down
+     */
+    boolean tick() {
+        transfer.tick(progress.values());
+        if (state.now() - lease.lastSentMillis() >= state.timing().heartbeatMillis()) {
+            startRound();
+        }
+        return hasContactToMajority();
+    }
+
+    private boolean hasContactToMajority() {
+        long limit = state.timing().electionTimeoutMillis() + state.timing().electionSpreadMillis();
+        Set<String> heard = new HashSet<>(Set.of(state.id()));
+        for (Progress each : progress.values()) {
+            if (state.now() - each.lastReplyMillis() < limit) {
+                heard.add(each.replicaId());
+            }
+        }
+        return state.membership().isMajority(heard);
+    }
+
+    /** Sends a heartbeat with the present commit index to every other replica. */
+    void startRound() {
+        lease.startRound(state.now());
+        if (hasCommittedInTerm()) {
+            reads.assignRound(lease.round(), state.commitIndex());
+        }
+        progress.values().forEach(this::sendHeartbeat);
+        confirmRounds();
+    }
+
+    private void sendHeartbeat(Progress each) {
+        if (each.mode() == Progress.Mode.SNAPSHOT) {
+            sendEntries(each, 0, 0, List.of());
+            if (state.now() - each.chunkSentMillis() >= state.timing().electionTimeoutMillis()) {
+                sendChunk(each);
+            }
+        } else if (!state.log().hasTerm(each.nextIndex() - 1)) {
+            each.startSnapshot(state.snapshot());
+            sendEntries(each, 0, 0, List.of());
+            sendChunk(each);
+        } else {
+            long previous = each.nextIndex() - 1;
+            sendEntries(each, previous, state.log().termAt(previous), List.of());
+        }
+    }
+
+    /** Sends entries that were appended since the last call, and starts a round for new reads. */
+    void flush() {
+        if (reads.needRound() && hasCommittedInTerm()) {
+            startRound();
+        }
+        progress.values().forEach(this::sendNewEntries);
+    }
+
+    private void sendNewEntries(Progress each) {
+        while (each.mode() == Progress.Mode.REPLICATE
+                && each.nextIndex() <= state.log().lastIndex()
+                && each.nextIndex() - each.matchIndex() <= MAXIMUM_ENTRIES_IN_FLIGHT) {
+            long previous = each.nextIndex() - 1;
+            if (!state.log().hasTerm(previous)) {
+                each.conflicted(each.nextIndex());
+                return;
+            }
+            List<LogEntry> entries =
+                    state.log()
+                            .slice(
+                                    each.nextIndex(),
+                                    each.nextIndex() + MAXIMUM_ENTRIES_IN_FLIGHT,
+                                    MAXIMUM_BATCH_BYTES);
+            sendEntries(each, previous, state.log().termAt(previous), entries);
+            each.sent(entries.size());
+        }
+    }
+
+    private void sendEntries(Progress to, long previous, long term, List<LogEntry> entries) {
+        AppendRequest request =
+                AppendRequest.newBuilder()
+                        .setPreviousIndex(previous)
+                        .setPreviousTerm(term)
+                        .setCommitIndex(state.commitIndex())
+                        .addAllEntries(entries)
+                        .setRound(lease.round())
+                        .build();
+        state.outbox().send(state.messageTo(to.replicaId()).setAppendRequest(request).build());
+    }
+
+    private void sendChunk(Progress to) {
+        SnapshotData data = to.snapshot();
+        int offset = (int) to.snapshotOffset();
+        int end = Math.min(offset + SNAPSHOT_CHUNK_BYTES, data.data().size());
+        SnapshotChunk chunk =
+                SnapshotChunk.newBuilder()
+                        .setLastIndex(data.lastIndex())
+                        .setLastTerm(data.lastTerm())
+                        .setMembership(data.membership())
+                        .setOffset(offset)
+                        .setData(data.data().substring(offset, end))
+                        .setLast(end == data.data().size())
+                        .build();
+        to.chunkSent(state.now());
+        state.outbox().send(state.messageTo(to.replicaId()).setSnapshotChunk(chunk).build());
+    }
+
+    /** Records how far a replica stores the log. */
+    void onAppendReply(ReplicaMessage message) {
+        Progress from = progress.get(message.getFrom());
+        if (from == null) {
+            return;
+        }
+        AppendReply reply = message.getAppendReply();
+        from.noteReply(state.now());
+        from.acknowledgeRound(reply.getRound());
+        confirmRounds();
+        if (reply.getSuccess()) {
+            if (from.mode() != Progress.Mode.SNAPSHOT) {
+                from.matched(reply.getMatchIndex());
+            }
+            commit();
+            transfer.onMatch(from);
+        } else if (from.mode() != Progress.Mode.SNAPSHOT
+                && reply.getConflictIndex() > from.matchIndex()) {
+            from.conflicted(reply.getConflictIndex());
+            sendHeartbeat(from);
+        }
+    }
+
+    /** Continues or ends the transfer of a snapshot. */
+    void onSnapshotReply(ReplicaMessage message) {
+        Progress from = progress.get(message.getFrom());
+        if (from == null) {
+            return;
+        }
+        from.noteReply(state.now());
+        SnapshotReply reply = message.getSnapshotReply();
+        if (from.mode() != Progress.Mode.SNAPSHOT
+                || from.snapshot().lastIndex() != reply.getLastIndex()) {
+            return;
+        }
+        if (reply.getInstalled()) {
+            from.finishSnapshot();
+        } else if (reply.getNextOffset() != from.snapshotOffset()) {
+            from.continueSnapshot(reply.getNextOffset());
+            sendChunk(from);
+        }
+    }
+
+    /** Commits what a majority of the voters has synced. */
+    void commit() {
+        long index = majority(state.outbox().syncedIndex(), Progress::matchIndex);
+        boolean own =
+                state.log().termAt(index) == state.term()
+                        || !state.uses(Mechanism.CURRENT_TERM_COMMIT);
+        if (index > state.commitIndex() && own) {
+            state.setCommitIndex(index);
+        }
+    }
+
+    private void confirmRounds() {
+        lease.confirm(majority(lease.round(), Progress::acknowledgedRound));
+        reads.confirmRounds(lease.confirmedRound());
+    }
+
+    /** The largest value that a majority of the voters has reached. */
+    private long majority(long own, ToLongFunction<Progress> value) {
+        long[] values = new long[state.membership().voters().size()];
+        int count = 0;
+        for (String voter : state.membership().voters()) {
+            Progress each = progress.get(voter);
+            values[count++] = each == null ? own : value.applyAsLong(each);
+        }
+        Arrays.sort(values);
+        return values.length == 0 ? 0 : values[values.length - state.membership().quorum()];
+    }
+
+    /** Registers a read; it is confirmed by the lease or by a round of heartbeats. */
+    void read(long id) {
+        if (!state.uses(Mechanism.READ_CONFIRMATION)
+                || (hasCommittedInTerm() && lease.isValid(state.now()))) {
+            reads.confirmNow(id, state.commitIndex());
+        } else {
+            reads.add(id);
+        }
+    }
+
+    List<ConfirmedRead> takeReads(long appliedIndex) {
+        return reads.takeConfirmed(appliedIndex);
+    }
+
+    boolean holdsLease() {
+        return hasCommittedInTerm() && lease.isValid(state.now());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/replication/LeadershipTransfer.java
@@ -0,0 +1,78 @@
+package org.yuccabank.replication;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Optional;
+import org.yuccabank.protocol.generated.TransferLeadership;
+
+/**
+ * Handing leadership to another voter. While it is in progress no command is accepted, so that the
+ * target can store the whole log. Not thread-safe.
+ */
+final class LeadershipTransfer {
+
+    private final CoreState state;
+    private final Lease lease;
+    private String target = "";
+    private boolean offered;
+    private long deadline;
+
+    LeadershipTransfer(CoreState state, Lease lease) {
+        this.state = state;
+        this.lease = lease;
+    }
+
+    boolean isInProgress() {
+        return !target.isEmpty();
+    }
+
+    /**
+     * Starts a transfer to the voter with the most complete log.
+     *
+     * @param progress the other replicas
+     * @return false if there is no voter that answers
+     */
+    boolean start(Collection<Progress> progress) {
+        long limit = state.timing().electionTimeoutMillis();
+        Optional<Progress> best =
+                progress.stream()
+                        .filter(each -> state.membership().isVoter(each.replicaId()))
+                        .filter(each -> state.now() - each.lastReplyMillis() < limit)
+                        .max(Comparator.comparingLong(Progress::matchIndex));
+        if (best.isEmpty() || isInProgress()) {
+            return false;
+        }
+        target = best.get().replicaId();
+        offered = false;
+        deadline = state.now() + limit + state.timing().electionSpreadMillis();
+        onMatch(best.get());
+        return true;
+    }
+
+    /** Offers leadership as soon as the target stores the whole log. */
+    void onMatch(Progress progress) {
+        boolean complete = progress.matchIndex() == state.log().lastIndex();
+        if (!progress.replicaId().equals(target) || offered || !complete) {
+            return;
+        }
+        offered = true;
+        lease.surrender();
+        state.outbox()
+                .send(
+                        state.messageTo(target)
+                                .setTransferLeadership(TransferLeadership.getDefaultInstance())
+                                .build());
+    }
+
+    /** Gives up when the target did not take over in time, or is no longer a voter. */
+    void tick(Collection<Progress> progress) {
+        if (!isInProgress()) {
+            return;
+        }
+        if (state.now() >= deadline || !state.membership().isVoter(target)) {
+            target = "";
+        } else {
+            progress.forEach(this::onMatch);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/replication/LogFollower.java
@@ -0,0 +1,145 @@
+package org.yuccabank.replication;
+
+import com.google.protobuf.ByteString;
+import java.util.Optional;
+import org.yuccabank.protocol.generated.AppendReply;
+import org.yuccabank.protocol.generated.AppendRequest;
+import org.yuccabank.protocol.generated.LogEntry;
+import org.yuccabank.protocol.generated.ReplicaMessage;
+import org.yuccabank.protocol.generated.SnapshotChunk;
+import org.yuccabank.protocol.generated.SnapshotReply;
+
+/**
+ * Receives the log and snapshots of a leader. Committed entries are never removed, and a position
+ * is acknowledged only after it is synced. Not thread-safe.
+ */
+final class LogFollower {
+
+    private final CoreState state;
+    private SnapshotChunk incomingHeader = SnapshotChunk.getDefaultInstance();
+    private ByteString incoming = ByteString.EMPTY;
+    private SnapshotData toRestore;
+    private long restoreSequence;
+
+    LogFollower(CoreState state) {
+        this.state = state;
+    }
+
+    /** Appends entries of the present leader. */
+    void onAppend(ReplicaMessage message) {
+        AppendRequest request = message.getAppendRequest();
+        AppendReply.Builder reply = AppendReply.newBuilder().setRound(request.getRound());
+        Optional<Long> conflict = conflict(request);
+        if (conflict.isPresent()) {
+            reply.setConflictIndex(conflict.get());
+        } else {
+            request.getEntriesList().forEach(this::store);
+            long matchIndex = request.getPreviousIndex() + request.getEntriesCount();
+            state.setCommitIndex(Math.min(request.getCommitIndex(), matchIndex));
+            reply.setSuccess(true).setMatchIndex(matchIndex);
+        }
+        state.outbox()
+                .sendAfterSync(state.messageTo(message.getFrom()).setAppendReply(reply).build());
+    }
+
+    /** Where the leader should look for a common entry, if the logs differ before the entries. */
+    private Optional<Long> conflict(AppendRequest request) {
+        EntryLog log = state.log();
+        long previous = request.getPreviousIndex();
+        if (previous <= log.baseIndex()) {
+            // Everything up to the base is committed and therefore equal.
+            return Optional.empty();
+        }
+        if (previous > log.lastIndex()) {
+            return Optional.of(log.lastIndex() + 1);
+        }
+        if (log.termAt(previous) == request.getPreviousTerm()
+                || !state.uses(Mechanism.PREVIOUS_ENTRY_CHECK)) {
+            return Optional.empty();
+        }
+        return Optional.of(Math.max(log.firstIndexOfTerm(previous), state.commitIndex() + 1));
+    }
+
+    private void store(LogEntry entry) {
+        EntryLog log = state.log();
+        if (entry.getIndex() <= log.baseIndex()) {
+            return;
+        }
+        if (entry.getIndex() <= log.lastIndex()) {
+            if (log.termAt(entry.getIndex()) == entry.getTerm()) {
+                return;
+            }
+            state.truncateFrom(entry.getIndex());
+        }
+        state.append(entry);
+    }
+
+    /** Collects a snapshot and installs it when it is complete. */
+    void onChunk(ReplicaMessage message) {
+        SnapshotChunk chunk = message.getSnapshotChunk();
+        SnapshotReply.Builder reply = SnapshotReply.newBuilder().setLastIndex(chunk.getLastIndex());
+        if (chunk.getLastIndex() <= state.commitIndex()) {
+            reply.setInstalled(true);
+        } else if (collect(chunk)) {
+            install();
+            reply.setInstalled(true);
+        } else {
+            reply.setNextOffset(isIncoming(chunk) ? incoming.size() : 0);
+        }
+        state.outbox()
+                .sendAfterSync(state.messageTo(message.getFrom()).setSnapshotReply(reply).build());
+    }
+
+    private boolean isIncoming(SnapshotChunk chunk) {
+        return incomingHeader.getLastIndex() == chunk.getLastIndex()
+                && incomingHeader.getLastTerm() == chunk.getLastTerm();
+    }
+
+    private boolean collect(SnapshotChunk chunk) {
+        if (chunk.getOffset() == 0) {
+            incomingHeader = chunk.toBuilder().clearData().build();
+            incoming = chunk.getData();
+            return chunk.getLast();
+        }
+        if (!isIncoming(chunk) || chunk.getOffset() != incoming.size()) {
+            return false;
+        }
+        incoming = incoming.concat(chunk.getData());
+        return chunk.getLast();
+    }
+
+    private void install() {
+        SnapshotData data =
+                new SnapshotData(
+                        incomingHeader.getLastIndex(),
+                        incomingHeader.getLastTerm(),
+                        incomingHeader.getMembership(),
+                        incoming);
+        incomingHeader = SnapshotChunk.getDefaultInstance();
+        incoming = ByteString.EMPTY;
+        if (state.log().termAt(data.lastIndex()) != data.lastTerm()) {
+            state.log().reset(data.lastIndex(), data.lastTerm());
+            state.membership().reset(data.lastIndex(), data.membership());
+            state.setSnapshot(data);
+            state.outbox().installSnapshot(data);
+            state.follow(state.leaderId());
+            toRestore = data;
+            restoreSequence = state.outbox().newestSequence();
+        }
+        state.setCommitIndex(data.lastIndex());
+    }
+
+    boolean isRestorePending() {
+        return toRestore != null;
+    }
+
+    /** Takes an installed snapshot once it is synced. */
+    Optional<SnapshotData> takeRestore() {
+        if (toRestore == null || !state.outbox().isSynced(restoreSequence)) {
+            return Optional.empty();
+        }
+        SnapshotData data = toRestore;
+        toRestore = null;
+        return Optional.of(data);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/replication/MembershipChange.java
@@ -0,0 +1,84 @@
+package org.yuccabank.replication;
+
+import java.util.Optional;
+import org.yuccabank.protocol.generated.Member;
+import org.yuccabank.protocol.generated.Membership;
+import org.yuccabank.result.Place;
+import org.yuccabank.result.Result;
+
+/** A change of one member. */
+sealed interface MembershipChange {
+
+    /** Adds a replica without a vote. */
+    record AddLearner(ReplicaMember member) implements MembershipChange {}
+
+    /** Gives a learner a vote. */
+    record Promote(String replicaId) implements MembershipChange {}
+
+    /** Removes a member; its identifier can not be used again. */
+    record Remove(String replicaId) implements MembershipChange {}
+
+    /**
+     * Applies the change.
+     *
+     * @param membership the present membership
+     * @return the new membership, or why the change is not possible
+     */
+    default Result<Membership> applyTo(Membership membership) {
+        if (this instanceof AddLearner add) {
+            return add(membership, add.member());
+        }
+        if (this instanceof Promote promote) {
+            return promote(membership, promote.replicaId());
+        }
+        return remove(membership, ((Remove) this).replicaId());
+    }
+
+    private static Result<Membership> add(Membership membership, ReplicaMember member) {
+        if (position(membership, member.replicaId()).isPresent()) {
+            return refuse(member.replicaId(), "is already a member");
+        }
+        if (membership.getRemovedList().contains(member.replicaId())) {
+            return refuse(member.replicaId(), "was removed; use a new identifier");
+        }
+        return Result.success(membership.toBuilder().addMembers(member.toWire()).build());
+    }
+
+    private static Result<Membership> promote(Membership membership, String replicaId) {
+        Optional<Integer> position = position(membership, replicaId);
+        if (position.isEmpty()) {
+            return refuse(replicaId, "is not a member");
+        }
+        Member member = membership.getMembers(position.get());
+        if (member.getVoter()) {
+            return refuse(replicaId, "is already a voter");
+        }
+        Member voter = member.toBuilder().setVoter(true).build();
+        return Result.success(membership.toBuilder().setMembers(position.get(), voter).build());
+    }
+
+    private static Result<Membership> remove(Membership membership, String replicaId) {
+        Optional<Integer> position = position(membership, replicaId);
+        if (position.isEmpty()) {
+            return refuse(replicaId, "is not a member");
+        }
+        Membership.Builder builder = membership.toBuilder().removeMembers(position.get());
+        if (builder.getMembersList().stream().noneMatch(Member::getVoter)) {
+            return refuse(replicaId, "is the last voter");
+        }
+        return Result.success(builder.addRemoved(replicaId).build());
+    }
+
+    private static Optional<Integer> position(Membership membership, String replicaId) {
+        for (int index = 0; index < membership.getMembersCount(); index++) {
+            if (membership.getMembers(index).getReplicaId().equals(replicaId)) {
+                return Optional.of(index);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static Result<Membership> refuse(String replicaId, String reason) {
+        return Result.failure(Place.of("membership"), "replica " + replicaId + " " + reason);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/replication/MembershipHistory.java
@@ -0,0 +1,106 @@
+package org.yuccabank.replication;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.yuccabank.protocol.generated.LogEntry;
+import org.yuccabank.protocol.generated.Member;
+import org.yuccabank.protocol.generated.Membership;
+
+/**
+ * Memberships by the log position that set them. A membership is in force from the moment it is in
+ * the log. Not thread-safe.
+ */
+final class MembershipHistory {
+
+    private final TreeMap<Long, Membership> byIndex = new TreeMap<>();
+    private List<ReplicaMember> members;
+    private Set<String> voters;
+
+    MembershipHistory(long index, Membership membership) {
+        reset(index, membership);
+    }
+
+    /** Records the membership of an entry if it holds one. */
+    void observe(LogEntry entry) {
+        if (entry.getType() == LogEntry.Type.MEMBERSHIP) {
+            byIndex.put(entry.getIndex(), parse(entry));
+            refresh();
+        }
+    }
+
+    private static Membership parse(LogEntry entry) {
+        try {
+            return Membership.parseFrom(entry.getPayload());
+        } catch (InvalidProtocolBufferException exception) {
+            throw new IllegalStateException(
+                    "entry " + entry.getIndex() + " is no membership", exception);
+        }
+    }
+
+    void truncateFrom(long index) {
+        byIndex.tailMap(index, true).clear();
+        refresh();
+    }
+
+    void compactTo(long index) {
+        byIndex.headMap(byIndex.floorKey(index), false).clear();
+    }
+
+    void reset(long index, Membership membership) {
+        byIndex.clear();
+        byIndex.put(index, membership);
+        refresh();
+    }
+
+    private void refresh() {
+        Set<String> found = new HashSet<>();
+        for (Member member : latest().getMembersList()) {
+            if (member.getVoter()) {
+                found.add(member.getReplicaId());
+            }
+        }
+        voters = found;
+        members = latest().getMembersList().stream().map(ReplicaMember::fromWire).toList();
+    }
+
+    Membership at(long index) {
+        return byIndex.floorEntry(index).getValue();
+    }
+
+    Membership latest() {
+        return byIndex.lastEntry().getValue();
+    }
+
+    long latestIndex() {
+        return byIndex.lastKey();
+    }
+
+    List<ReplicaMember> members() {
+        return members;
+    }
+
+    Optional<ReplicaMember> member(String replicaId) {
+        return members.stream().filter(each -> each.replicaId().equals(replicaId)).findFirst();
+    }
+
+    boolean isVoter(String replicaId) {
+        return voters.contains(replicaId);
+    }
+
+    Set<String> voters() {
+        return voters;
+    }
+
+    int quorum() {
+        return voters.size() / 2 + 1;
+    }
+
+    /** Tells whether a set of replicas holds a majority of the voters. */
+    boolean isMajority(Set<String> replicas) {
+        return !voters.isEmpty() && replicas.stream().filter(voters::contains).count() >= quorum();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/replication/RecordFormat.java
@@ -0,0 +1,61 @@
+package org.yuccabank.replication;
+
+import java.nio.ByteBuffer;
+import java.util.zip.CRC32C;
+
+/**
+ * Format of a record of the log file: a header with the length of the payload, the position where
+ * its batch starts, the CRC-32C of the payload and the CRC-32C of the header; then the payload.
+ *
+ * <p>Everything before the start of a batch was synced before the batch was written. A valid record
+ * therefore proves that a damaged record before its batch was not torn by a crash.
+ */
+final class RecordFormat {
+
+    static final int HEADER_BYTES = 20;
+
+    /** Larger than any entry that a leader accepts. */
+    static final int MAXIMUM_PAYLOAD_BYTES = 8 << 20;
+
+    private static final int HEADER_CHECKED_BYTES = 16;
+
+    /**
+     * Decoded header.
+     *
+     * @param length length of the payload in bytes
+     * @param batchStart position in the file where the batch of the record starts
+     * @param payloadChecksum CRC-32C of the payload
+     */
+    record Header(int length, long batchStart, int payloadChecksum) {}
+
+    private RecordFormat() {}
+
+    static int checksum(byte[] bytes, int offset, int length) {
+        CRC32C checksum = new CRC32C();
+        checksum.update(bytes, offset, length);
+        return (int) checksum.getValue();
+    }
+
+    static byte[] encode(byte[] payload, long batchStart) {
+        ByteBuffer buffer = ByteBuffer.allocate(HEADER_BYTES + payload.length);
+        buffer.putInt(payload.length);
+        buffer.putLong(batchStart);
+        buffer.putInt(checksum(payload, 0, payload.length));
+        buffer.putInt(checksum(buffer.array(), 0, HEADER_CHECKED_BYTES));
+        buffer.put(payload);
+        return buffer.array();
+    }
+
+    /** Decodes a header; null if its checksum or length is wrong. */
+    static Header decodeHeader(byte[] bytes, int offset) {
+        ByteBuffer buffer = ByteBuffer.wrap(bytes, offset, HEADER_BYTES);
+        int length = buffer.getInt();
+        long batchStart = buffer.getLong();
+        int payloadChecksum = buffer.getInt();
+        boolean plausible = length >= 0 && length <= MAXIMUM_PAYLOAD_BYTES && batchStart >= 0;
+        if (!plausible || buffer.getInt() != checksum(bytes, offset, HEADER_CHECKED_BYTES)) {
+            return null;
+        }
+        return new Header(length, batchStart, payloadChecksum);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/replication/ReplicaCore.java
@@ -0,0 +1,342 @@
+package org.yuccabank.replication;
+
+import com.google.protobuf.ByteString;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.random.RandomGenerator;
+import org.yuccabank.protocol.generated.AppendReply;
+import org.yuccabank.protocol.generated.LogEntry;
+import org.yuccabank.protocol.generated.Membership;
+import org.yuccabank.protocol.generated.ReplicaMessage;
+import org.yuccabank.result.Place;
+import org.yuccabank.result.Result;
+
+/**
+ * Deterministic core of the replication protocol, in the style of Raft. It performs no input or
+ * output and reads no clock: its owner feeds it messages, the time, proposals and completed writes,
+ * and executes the {@link CoreOutput}.
+ *
+ * <p>Invariants: a term has at most one leader; a committed entry is in the log of every later
+ * leader; nothing is acknowledged before it is synced. Not thread-safe.
+ */
+final class ReplicaCore {
+
+    /** Entries that a learner may be behind when it becomes a voter. */
+    private static final int CATCH_UP_ENTRIES = 64;
+
+    private final CoreState state;
+    private final Election election;
+    private final LogFollower follower;
+    private Leadership leadership;
+    private long appliedIndex;
+    private long nextReadId;
+
+    /**
+     * Creates a core.
+     *
+     * @param settings settings of the replica
+     * @param options mechanisms in use
+     * @param stored what was read from the disk
+     * @param random source of election timeouts
+     * @param now the present time in milliseconds of a clock that never runs backwards
+     */
+    ReplicaCore(
+            ReplicaSettings settings,
+            ReplicaOptions options,
+            StoredState stored,
+            RandomGenerator random,
+            long now) {
+        state = new CoreState(settings, options, stored, random, now);
+        election = new Election(state);
+        follower = new LogFollower(state);
+        appliedIndex = stored.snapshot().lastIndex();
+        state.follow("");
+    }
+
+    /** Accepts a message of another replica. */
+    void receive(ReplicaMessage message, long now) {
+        state.advance(now);
+        if (!message.getTo().equals(state.id())) {
+            return;
+        }
+        if (message.hasVoteRequest()) {
+            onVoteRequest(message);
+        } else if (message.hasVoteReply()) {
+            onVoteReply(message);
+        } else if (message.getTerm() < state.term()) {
+            refuseOldTerm(message);
+        } else {
+            onCurrentTerm(message);
+        }
+        becomeLeaderIfElected();
+    }
+
+    private void onVoteRequest(ReplicaMessage message) {
+        boolean refused = election.protectsLeader(message.getVoteRequest());
+        boolean preVote = message.getVoteRequest().getPreVote();
+        if (!refused && !preVote && message.getTerm() > state.term()) {
+            stepDown(message.getTerm(), "");
+        }
+        election.onRequest(message, refused);
+    }
+
+    private void onVoteReply(ReplicaMessage message) {
+        boolean granted = message.getVoteReply().getGranted();
+        if (!granted && message.getTerm() > state.term()) {
+            stepDown(message.getTerm(), "");
+        } else {
+            election.onReply(message);
+        }
+    }
+
+    /** Tells a leader of an earlier term about the present one. */
+    private void refuseOldTerm(ReplicaMessage message) {
+        if (message.hasAppendRequest() || message.hasSnapshotChunk()) {
+            AppendReply reply = AppendReply.newBuilder().setConflictIndex(0).build();
+            state.outbox()
+                    .sendAfterSync(
+                            state.messageTo(message.getFrom()).setAppendReply(reply).build());
+        }
+    }
+
+    private void onCurrentTerm(ReplicaMessage message) {
+        if (message.getTerm() > state.term()) {
+            stepDown(message.getTerm(), "");
+        }
+        if (message.hasAppendRequest() || message.hasSnapshotChunk()) {
+            onLeaderMessage(message);
+        } else if (message.hasTransferLeadership()) {
+            if (state.isSelfVoter() && state.role() != ReplicaRole.LEADER) {
+                election.start(true);
+            }
+        } else if (leadership != null && message.hasAppendReply()) {
+            leadership.onAppendReply(message);
+            stepDownIfRemoved();
+        } else if (leadership != null && message.hasSnapshotReply()) {
+            leadership.onSnapshotReply(message);
+        }
+    }
+
+    private void onLeaderMessage(ReplicaMessage message) {
+        if (state.role() == ReplicaRole.LEADER) {
+            return;
+        }
+        state.follow(message.getFrom());
+        state.noteLeaderContact();
+        if (message.hasAppendRequest()) {
+            follower.onAppend(message);
+        } else {
+            follower.onChunk(message);
+        }
+        state.follow(message.getFrom());
+    }
+
+    /** Advances the time: starts elections and sends heartbeats. */
+    void tick(long now) {
+        state.advance(now);
+        if (leadership == null) {
+            election.tick();
+            becomeLeaderIfElected();
+        } else if (!leadership.tick()) {
+            stepDown(state.term(), "");
+        }
+    }
+
+    /** Records that the writes up to a sequence number are synced. */
+    void written(long sequence, long now) {
+        state.advance(now);
+        state.outbox().written(sequence);
+        becomeLeaderIfElected();
+        commitOwnWrites();
+    }
+
+    private void commitOwnWrites() {
+        if (leadership != null) {
+            leadership.commit();
+            stepDownIfRemoved();
+        }
+    }
+
+    private void becomeLeaderIfElected() {
+        if (election.isWon()) {
+            state.setRole(ReplicaRole.LEADER);
+            state.setLeaderId(state.id());
+            leadership = new Leadership(state);
+            leadership.start();
+        }
+    }
+
+    private void stepDown(long term, String leader) {
+        if (term > state.term()) {
+            state.enterTerm(term, "");
+        }
+        if (leadership != null) {
+            leadership = null;
+            state.resetElectionDeadline();
+        }
+        state.follow(leader);
+    }
+
+    private void stepDownIfRemoved() {
+        boolean committed = state.commitIndex() >= state.membership().latestIndex();
+        if (committed && !state.isSelfVoter()) {
+            // The last heartbeat tells the others that the removal is committed.
+            leadership.startRound();
+            stepDown(state.term(), "");
+        }
+    }
+
+    /**
+     * Appends a command.
+     *
+     * @return its position, or empty if this replica does not accept commands
+     */
+    OptionalLong propose(byte[] command, long now) {
+        state.advance(now);
+        if (!acceptsProposals()) {
+            return OptionalLong.empty();
+        }
+        return OptionalLong.of(
+                leadership.append(LogEntry.Type.COMMAND, ByteString.copyFrom(command)));
+    }
+
+    boolean acceptsProposals() {
+        return leadership != null && !leadership.transfer().isInProgress();
+    }
+
+    /**
+     * Appends a change of membership.
+     *
+     * @return its position, or why it is refused
+     */
+    Result<Long> change(MembershipChange change, long now) {
+        state.advance(now);
+        if (!acceptsProposals()) {
+            return refuse("this replica is not the leader");
+        }
+        boolean settled =
+                leadership.hasCommittedInTerm()
+                        && state.commitIndex() >= state.membership().latestIndex();
+        if (!settled && state.uses(Mechanism.ONE_CHANGE_AT_A_TIME)) {
+            return refuse("an earlier change of membership is in progress");
+        }
+        if (change instanceof MembershipChange.Promote promote
+                && state.uses(Mechanism.LEARNER_BEFORE_VOTER)
+                && !hasCaughtUp(promote.replicaId())) {
+            return refuse("replica " + promote.replicaId() + " has not caught up");
+        }
+        Result<Membership> changed = change.applyTo(state.membership().latest());
+        return changed.map(
+                membership ->
+                        leadership.append(LogEntry.Type.MEMBERSHIP, membership.toByteString()));
+    }
+
+    private static Result<Long> refuse(String reason) {
+        return Result.failure(Place.of("membership"), reason);
+    }
+
+    private boolean hasCaughtUp(String replicaId) {
+        Progress progress = leadership.progress(replicaId);
+        return progress != null
+                && progress.matchIndex() + CATCH_UP_ENTRIES >= state.log().lastIndex()
+                && progress.matchIndex() >= leadership.firstIndexOfTerm()
+                && state.now() - progress.lastReplyMillis()
+                        < state.timing().electionTimeoutMillis();
+    }
+
+    /**
+     * Requests the confirmation of a read.
+     *
+     * @return number of the read, or empty if this replica does not lead
+     */
+    OptionalLong read(long now) {
+        state.advance(now);
+        if (leadership == null) {
+            return OptionalLong.empty();
+        }
+        nextReadId++;
+        leadership.read(nextReadId);
+        return OptionalLong.of(nextReadId);
+    }
+
+    /**
+     * Starts handing leadership to another voter.
+     *
+     * @return false if this replica does not lead or no other voter answers
+     */
+    boolean transferLeadership(long now) {
+        state.advance(now);
+        return leadership != null && leadership.transfer().start(leadership.progress());
+    }
+
+    /**
+     * Takes what has to be done. The owner calls this until it is empty.
+     *
+     * @return the output
+     */
+    CoreOutput takeOutput() {
+        if (leadership != null) {
+            leadership.flush();
+        }
+        Optional<WriteBatch> writes = state.outbox().takeWrites(state.log().lastIndex());
+        commitOwnWrites();
+        Optional<SnapshotData> restore = follower.takeRestore();
+        restore.ifPresent(data -> appliedIndex = data.lastIndex());
+        List<LogEntry> committed = takeCommitted();
+        List<ConfirmedRead> reads =
+                leadership == null ? List.of() : leadership.takeReads(appliedIndex);
+        return new CoreOutput(state.outbox().takeMessages(), writes, restore, committed, reads);
+    }
+
+    private List<LogEntry> takeCommitted() {
+        if (follower.isRestorePending()) {
+            return List.of();
+        }
+        long limit = Math.min(state.commitIndex(), state.outbox().syncedIndex());
+        if (limit <= appliedIndex) {
+            return List.of();
+        }
+        List<LogEntry> entries = state.log().slice(appliedIndex + 1, limit, Long.MAX_VALUE);
+        appliedIndex = limit;
+        return entries;
+    }
+
+    /**
+     * Replaces the start of the log by a snapshot of the state machine at the applied position.
+     *
+     * @param data the snapshot
+     * @param keptEntries entries before the snapshot that are kept for replicas that are behind
+     */
+    void compact(ByteString data, int keptEntries) {
+        SnapshotData snapshot =
+                new SnapshotData(
+                        appliedIndex,
+                        state.log().termAt(appliedIndex),
+                        state.membership().at(appliedIndex),
+                        data);
+        state.setSnapshot(snapshot);
+        state.membership().compactTo(appliedIndex);
+        state.log().compactTo(Math.max(state.log().baseIndex(), appliedIndex - keptEntries));
+        state.outbox().writeSnapshot(snapshot, state.log().baseIndex(), state.log().baseTerm());
+    }
+
+    boolean isReadyLeader() {
+        return leadership != null
+                && leadership.hasCommittedInTerm()
+                && appliedIndex >= leadership.firstIndexOfTerm();
+    }
+
+    boolean holdsLease(long now) {
+        state.advance(now);
+        return leadership != null && leadership.holdsLease();
+    }
+
+    long appliedIndex() {
+        return appliedIndex;
+    }
+
+    CoreState state() {
+        return state;
+    }
+}
--- a/src/main/java/org/yuccabank/replication/ReplicaService.java
+++ b/src/main/java/org/yuccabank/replication/ReplicaService.java
@@ -1,17 +1,23 @@
 package org.yuccabank.replication;
 
+import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.yuccabank.event.Event;
+import org.yuccabank.event.EventLog;
 import org.yuccabank.protocol.generated.ReplicaMessage;
+import org.yuccabank.result.Place;
 import org.yuccabank.result.Result;
 
 /**
@@ -19,22 +25,55 @@
  * complete on the thread of the replica, so a dependent function may read the state machine, but
  * must not block.
  *
- * <p>This version commits on one replica in memory.
+ * <p>Inputs that arrive while a write is being synced are handled together afterwards, with one
+ * sync for all of them.
  */
 public final class ReplicaService {
 
-    private static final byte[] NO_RESULT = {};
+    /** Bounds how long a waiting input delays the heartbeats. */
+    private static final int MAXIMUM_INPUTS_PER_STEP = 1024;
+
+    /** Memory of waiting inputs is bounded; messages beyond are dropped, proposals are refused. */
+    private static final int MAXIMUM_WAITING_INPUTS = 65_536;
+
+    private static final long TICK_MILLIS = 10;
+    private static final long STOP_TIMEOUT_MILLIS = 10_000;
+    private static final String STOPPED = "the replica is stopped";
 
     private final ReplicaSettings settings;
     private final StateMachine stateMachine;
+    private final ReplicaTransport transport;
     private final List<LeaderListener> listeners = new CopyOnWriteArrayList<>();
-    private ExecutorService executor;
+    private final BlockingQueue<Runnable> inputs =
+            new LinkedBlockingQueue<>(MAXIMUM_WAITING_INPUTS);
+    private final List<Transfer> transfers = new ArrayList<>();
+    private ReplicaNode node;
+    private Thread thread;
+    private volatile boolean stopping = true;
     private volatile boolean leader;
-    private final AtomicLong index = new AtomicLong();
+    private volatile ReplicaStatus status;
 
-    private ReplicaService(ReplicaSettings settings, StateMachine stateMachine) {
+    private record Transfer(CompletableFuture<Boolean> future, long deadline) {}
+
+    private ReplicaService(
+            ReplicaSettings settings, StateMachine stateMachine, ReplicaTransport transport) {
         this.settings = settings;
         this.stateMachine = stateMachine;
+        this.transport = transport;
+        status = stoppedStatus();
+    }
+
+    private ReplicaStatus stoppedStatus() {
+        return new ReplicaStatus(
+                settings.replicaId(),
+                ReplicaRole.STOPPED,
+                0,
+                Optional.empty(),
+                0,
+                0,
+                0,
+                settings.initialMembers(),
+                Optional.of(STOPPED));
     }
 
     /**
@@ -50,32 +89,127 @@
         Objects.requireNonNull(settings, "settings is null");
         Objects.requireNonNull(stateMachine, "stateMachine is null");
         Objects.requireNonNull(transport, "transport is null");
-        return new ReplicaService(settings, stateMachine);
+        return new ReplicaService(settings, stateMachine, transport);
     }
 
     /**
-     * Reads the durable state, restores the state machine and starts the thread of the replica.
+     * Reads the durable state, restores the state machine and starts the thread of the replica. A
+     * service is started once.
      *
      * @return the status after the start, or what is wrong with the durable state
      */
     public Result<ReplicaStatus> start() {
-        executor = Executors.newSingleThreadExecutor();
-        leader = true;
-        executor.execute(() -> listeners.forEach(each -> each.leadershipChanged(true, 1)));
-        return Result.success(status());
+        if (thread != null) {
+            throw new IllegalStateException("the replica was started before");
+        }
+        Result<ReplicaNode> opened = openDirectory().flatMap(this::openNode);
+        return opened.map(this::run);
     }
 
-    /** Stops the thread. Proposals in progress end with an unknown outcome. */
-    public void stop() {
+    private Result<StorageDirectory> openDirectory() {
+        try {
+            return Result.success(FileDirectory.open(settings.directory()));
+        } catch (IOException exception) {
+            return Result.failure(Place.of(settings.directory().toString()), exception.toString());
+        }
+    }
+
+    private Result<ReplicaNode> openNode(StorageDirectory directory) {
+        ReplicaNode.Environment environment =
+                new ReplicaNode.Environment(
+                        stateMachine,
+                        transport,
+                        directory,
+                        ReplicaEvents.logged(),
+                        RandomGenerator.getDefault());
+        return ReplicaNode.open(settings, environment, nowMillis());
+    }
+
+    private ReplicaStatus run(ReplicaNode opened) {
+        node = opened;
+        node.setLeaderListener(this::leadershipChanged);
+        status = node.status();
+        stopping = false;
+        thread = new Thread(this::loop, "replica-" + settings.replicaId());
+        thread.start();
+        return status;
+    }
+
+    private static long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    private void loop() {
+        try {
+            while (!stopping && node.isRunning()) {
+                handleInputs();
+                node.tick(nowMillis());
+                if (node.step(nowMillis())) {
+                    node.sync(nowMillis());
+                }
+                status = node.status();
+                leader = node.isLeader();
+                endTransfers(false);
+            }
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        } catch (RuntimeException exception) {
+            EventLog.error(Event.INTERNAL_ERROR, exception, "replica", settings.replicaId());
+            node.stop("internal error: " + exception);
+        }
+        end();
+    }
+
+    private void handleInputs() throws InterruptedException {
+        Runnable input = inputs.poll(TICK_MILLIS, TimeUnit.MILLISECONDS);
+        for (int count = 0; input != null; count++) {
+            input.run();
+            input = count < MAXIMUM_INPUTS_PER_STEP ? inputs.poll() : null;
+        }
+    }
+
+    private void end() {
+        stopping = true;
+        node.stop(STOPPED);
         leader = false;
-        executor.shutdown();
+        status = node.status();
+        endTransfers(true);
+        // The node is stopped, so the remaining inputs end as "not leader".
+        for (Runnable input = inputs.poll(); input != null; input = inputs.poll()) {
+            input.run();
+        }
+    }
+
+    private void leadershipChanged(boolean leads, long term) {
+        leader = leads;
+        listeners.forEach(each -> each.leadershipChanged(leads, term));
+    }
+
+    /**
+     * Stops the thread. Proposals in progress end with an unknown outcome. Hand leadership to
+     * another replica before, with {@link #transferLeadership}.
+     */
+    public void stop() {
+        stopping = true;
+        if (thread == null || thread == Thread.currentThread()) {
+            return;
+        }
         try {
-            executor.awaitTermination(10, TimeUnit.SECONDS);
+            thread.join(STOP_TIMEOUT_MILLIS);
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
         }
     }
 
+    /** Runs an input on the thread of the replica; false if it can not be accepted. */
+    private boolean submit(Runnable input) {
+        if (stopping || !inputs.offer(input)) {
+            return false;
+        }
+        // The thread may have ended after the check; nobody else removes its last inputs.
+        return !stopping || !inputs.remove(input);
+    }
+
     /**
      * Accepts a message of another replica.
      *
@@ -83,21 +217,32 @@
      */
     public void receive(ReplicaMessage message) {
         Objects.requireNonNull(message, "message is null");
+        submit(() -> node.receive(message, nowMillis()));
     }
 
     /**
      * Proposes a command.
      *
-     * @param command the command, at most 1 MiB
+     * @param command the command, at most {@link ReplicaNode#MAXIMUM_COMMAND_BYTES}
      * @return completes with the outcome
      */
     public CompletionStage<ProposalOutcome> propose(byte[] command) {
-        return CompletableFuture.supplyAsync(() -> apply(command), executor);
+        Objects.requireNonNull(command, "command is null");
+        return request(receiver -> node.propose(command, nowMillis(), receiver));
+    }
+
+    private CompletionStage<ProposalOutcome> request(Consumer<Consumer<ProposalOutcome>> request) {
+        CompletableFuture<ProposalOutcome> future = new CompletableFuture<>();
+        if (!submit(() -> request.accept(future::complete))) {
+            future.complete(refusal());
+        }
+        return future;
     }
 
-    private ProposalOutcome apply(byte[] command) {
-        long position = index.incrementAndGet();
-        return new ProposalOutcome.Committed(position, stateMachine.apply(position, command));
+    private ProposalOutcome refusal() {
+        return stopping
+                ? new ProposalOutcome.NotLeader(Optional.empty())
+                : new ProposalOutcome.Refused("too many requests are waiting");
     }
 
     /**
@@ -106,8 +251,11 @@
      * @return completes once the state contains everything committed before this call
      */
     public CompletionStage<ReadOutcome> readConfirmed() {
-        return CompletableFuture.supplyAsync(
-                () -> new ReadOutcome.Confirmed(index.get()), executor);
+        CompletableFuture<ReadOutcome> future = new CompletableFuture<>();
+        if (!submit(() -> node.readConfirmed(nowMillis(), future::complete))) {
+            future.complete(new ReadOutcome.NotLeader(Optional.empty()));
+        }
+        return future;
     }
 
     /**
@@ -116,10 +264,23 @@
      *
      * @param function the function, which must not block
      * @param <T> type of the result
-     * @return completes with the result
+     * @return completes with the result, or exceptionally if the function throws or the replica is
+     *     stopped
      */
     public <T> CompletionStage<T> call(Supplier<T> function) {
-        return CompletableFuture.supplyAsync(function, executor);
+        CompletableFuture<T> future = new CompletableFuture<>();
+        Runnable input =
+                () -> {
+                    try {
+                        future.complete(function.get());
+                    } catch (RuntimeException exception) {
+                        future.completeExceptionally(exception);
+                    }
+                };
+        if (!submit(input)) {
+            future.completeExceptionally(new IllegalStateException(STOPPED));
+        }
+        return future;
     }
 
     /**
@@ -133,7 +294,7 @@
     }
 
     /**
-     * Adds a listener for changes of leadership.
+     * Adds a listener for changes of leadership. Add it before the start to miss no change.
      *
      * @param listener the listener
      */
@@ -142,35 +303,53 @@
     }
 
     /**
-     * The present state of the replica.
+     * The state of the replica after its last step.
      *
      * @return the status
      */
     public ReplicaStatus status() {
-        ReplicaRole role = leader ? ReplicaRole.LEADER : ReplicaRole.STOPPED;
-        Optional<ReplicaMember> self =
-                settings.initialMembers().stream()
-                        .filter(member -> member.replicaId().equals(settings.replicaId()))
-                        .findFirst();
-        return new ReplicaStatus(
-                settings.replicaId(),
-                role,
-                1,
-                self,
-                index.get(),
-                index.get(),
-                index.get(),
-                settings.initialMembers(),
-                Optional.empty());
+        return status;
     }
 
     /**
      * Hands leadership to the voter with the most complete log.
      *
-     * @return completes with true once another replica leads, with false if none took over
+     * @return completes with true once this replica no longer leads, with false if none took over
+     *     within the longest election timeout
      */
     public CompletionStage<Boolean> transferLeadership() {
-        return CompletableFuture.completedFuture(false);
+        CompletableFuture<Boolean> future = new CompletableFuture<>();
+        if (!submit(() -> startTransfer(future))) {
+            future.complete(false);
+        }
+        return future;
+    }
+
+    private void startTransfer(CompletableFuture<Boolean> future) {
+        long now = nowMillis();
+        ReplicaTiming timing = settings.timing();
+        if (node.transferLeadership(now)) {
+            long limit = timing.electionTimeoutMillis() + timing.electionSpreadMillis();
+            transfers.add(new Transfer(future, now + limit));
+        } else {
+            future.complete(false);
+        }
+    }
+
+    private void endTransfers(boolean stopped) {
+        if (transfers.isEmpty()) {
+            return;
+        }
+        boolean handedOver = !stopped && status.role() != ReplicaRole.LEADER;
+        long now = nowMillis();
+        transfers.removeIf(
+                each -> {
+                    boolean ended = handedOver || stopped || now >= each.deadline();
+                    if (ended) {
+                        each.future().complete(handedOver);
+                    }
+                    return ended;
+                });
     }
 
     /**
@@ -181,8 +360,8 @@
      * @return completes with the outcome
      */
     public CompletionStage<ProposalOutcome> addLearner(String replicaId, String address) {
-        return CompletableFuture.completedFuture(
-                new ProposalOutcome.Committed(index.get(), NO_RESULT));
+        ReplicaMember member = ReplicaMember.learner(replicaId, address);
+        return request(receiver -> node.addLearner(member, nowMillis(), receiver));
     }
 
     /**
@@ -192,8 +371,8 @@
      * @return completes with the outcome
      */
     public CompletionStage<ProposalOutcome> promote(String replicaId) {
-        return CompletableFuture.completedFuture(
-                new ProposalOutcome.Committed(index.get(), NO_RESULT));
+        Objects.requireNonNull(replicaId, "replicaId is null");
+        return request(receiver -> node.promote(replicaId, nowMillis(), receiver));
     }
 
     /**
@@ -203,7 +382,7 @@
      * @return completes with the outcome
      */
     public CompletionStage<ProposalOutcome> remove(String replicaId) {
-        return CompletableFuture.completedFuture(
-                new ProposalOutcome.Committed(index.get(), NO_RESULT));
+        Objects.requireNonNull(replicaId, "replicaId is null");
+        return request(receiver -> node.remove(replicaId, nowMillis(), receiver));
     }
 }
--- /dev/null
+++ b/src/test/java/org/yuccabank/replication/AppendingStateMachine.java
@@ -0,0 +1,35 @@
+package org.yuccabank.replication;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** State machine that records the commands it applied. Safe for use by several threads. */
+final class AppendingStateMachine implements StateMachine {
+
+    private final List<String> commands = new CopyOnWriteArrayList<>();
+
+    @Override
+    public byte[] apply(long index, byte[] command) {
+        commands.add(new String(command, StandardCharsets.UTF_8));
+        return Integer.toString(commands.size()).getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public byte[] snapshot() {
+        return String.join("\n", commands).getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public void restore(byte[] snapshot) {
+        commands.clear();
+        String text = new String(snapshot, StandardCharsets.UTF_8);
+        if (!text.isEmpty()) {
+            commands.addAll(List.of(text.split("\n", -1)));
+        }
+    }
+
+    List<String> commands() {
+        return commands;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/yuccabank/replication/ReplicaServiceTest.java
@@ -0,0 +1,187 @@
+package org.yuccabank.replication;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.yuccabank.protocol.generated.ReplicaMessage;
+
+/** Runs groups of replicas with threads and real files in one process. */
+public final class ReplicaServiceTest {
+
+    private static final long WAIT_MILLIS = 20_000;
+    private static final int SNAPSHOT_ENTRIES = 40;
+
+    private final Map<String, ReplicaService> services = new ConcurrentHashMap<>();
+    private final Map<String, AppendingStateMachine> machines = new HashMap<>();
+    private Path directory;
+
+    /** Creates an empty directory and a group of three. */
+    @BeforeMethod
+    public void start() throws IOException {
+        directory = Files.createTempDirectory("replica");
+        for (String id : List.of("a", "b", "c")) {
+            start(id, voters());
+        }
+    }
+
+    /** Stops all replicas. */
+    @AfterMethod
+    public void stop() {
+        services.values().forEach(ReplicaService::stop);
+        services.clear();
+        machines.clear();
+    }
+
+    private static List<ReplicaMember> voters() {
+        return List.of(
+                ReplicaMember.voter("a", "a"),
+                ReplicaMember.voter("b", "b"),
+                ReplicaMember.voter("c", "c"));
+    }
+
+    private void start(String id, List<ReplicaMember> members) {
+        AppendingStateMachine machine = new AppendingStateMachine();
+        ReplicaSettings settings =
+                new ReplicaSettings(
+                        "test",
+                        id,
+                        directory.resolve(id),
+                        members,
+                        ReplicaTiming.standard(),
+                        SNAPSHOT_ENTRIES);
+        ReplicaService service = ReplicaService.of(settings, machine, this::deliver);
+        machines.put(id, machine);
+        assertTrue(service.start().isSuccess());
+        services.put(id, service);
+    }
+
+    private void deliver(String address, ReplicaMessage message) {
+        ReplicaService service = services.get(address.isEmpty() ? message.getTo() : address);
+        if (service != null) {
+            service.receive(message);
+        }
+    }
+
+    private void stop(String id) {
+        services.remove(id).stop();
+    }
+
+    private static void await(String what, BooleanSupplier condition) throws Exception {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MILLIS);
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() < end, "timed out waiting for " + what);
+            Thread.sleep(5);
+        }
+    }
+
+    private String leader() throws Exception {
+        await("a leader", () -> services.values().stream().anyMatch(ReplicaService::isLeader));
+        return services.entrySet().stream()
+                .filter(entry -> entry.getValue().isLeader())
+                .findFirst()
+                .orElseThrow()
+                .getKey();
+    }
+
+    private List<String> propose(String prefix, int count) throws Exception {
+        List<String> accepted = new ArrayList<>();
+        ReplicaService leader = services.get(leader());
+        for (int number = 0; number < count; number++) {
+            String command = prefix + number;
+            ProposalOutcome outcome =
+                    leader.propose(command.getBytes(StandardCharsets.UTF_8))
+                            .toCompletableFuture()
+                            .get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
+            assertTrue(outcome instanceof ProposalOutcome.Committed, outcome.toString());
+            accepted.add(command);
+        }
+        return accepted;
+    }
+
+    /** Guards against committed commands that are lost when the leader stops or all restart. */
+    @Test
+    public void shouldKeepCommandsAcrossLeaderChangeAndRestart() throws Exception {
+        List<String> expected = new ArrayList<>(propose("first-", 20));
+        String stopped = leader();
+        stop(stopped);
+        expected.addAll(propose("second-", 100));
+        start(stopped, voters());
+        await("catch-up", () -> machines.get(stopped).commands().equals(expected));
+        List.copyOf(services.keySet()).forEach(this::stop);
+        for (String id : List.of("a", "b", "c")) {
+            start(id, voters());
+        }
+        expected.addAll(propose("third-", 1));
+        for (AppendingStateMachine machine : machines.values()) {
+            await("equal state", () -> machine.commands().equals(expected));
+        }
+    }
+
+    /** Guards against a replacement that never gets the snapshot, or votes before it has it. */
+    @Test
+    public void shouldReplaceMemberByLearner() throws Exception {
+        List<String> expected = new ArrayList<>(propose("first-", 90));
+        String lost = List.of("a", "b", "c").stream().filter(id -> !isLeader(id)).findFirst().get();
+        stop(lost);
+        start("d", List.of());
+        ReplicaService leader = services.get(leader());
+        assertCommitted(leader.addLearner("d", "d").toCompletableFuture().get());
+        await("catch-up", () -> machines.get("d").commands().equals(expected));
+        assertCommitted(leader.promote("d").toCompletableFuture().get());
+        assertCommitted(leader.remove(lost).toCompletableFuture().get());
+        ProposalOutcome again = leader.addLearner(lost, lost).toCompletableFuture().get();
+        assertTrue(again instanceof ProposalOutcome.Refused, again.toString());
+        assertEquals(leader.status().members().size(), 3);
+    }
+
+    private boolean isLeader(String id) {
+        return services.get(id).isLeader();
+    }
+
+    private static void assertCommitted(ProposalOutcome outcome) {
+        assertTrue(outcome instanceof ProposalOutcome.Committed, outcome.toString());
+    }
+
+    /** Guards against a transfer that is acknowledged while nobody took over. */
+    @Test
+    public void shouldTransferLeadership() throws Exception {
+        String before = leader();
+        assertTrue(
+                services.get(before)
+                        .transferLeadership()
+                        .toCompletableFuture()
+                        .get(WAIT_MILLIS, TimeUnit.MILLISECONDS));
+        await(
+                "another leader",
+                () -> services.values().stream().anyMatch(ReplicaService::isLeader));
+        assertTrue(!leader().equals(before));
+    }
+
+    /** Guards against reads on a replica that does not lead. */
+    @Test
+    public void shouldConfirmReadsOnLeaderOnly() throws Exception {
+        String leader = leader();
+        for (Map.Entry<String, ReplicaService> entry : services.entrySet()) {
+            ReadOutcome outcome =
+                    entry.getValue()
+                            .readConfirmed()
+                            .toCompletableFuture()
+                            .get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
+            assertEquals(outcome instanceof ReadOutcome.Confirmed, entry.getKey().equals(leader));
+        }
+    }
+}
