Add settings of each role with a catalogue of keys

Cause: the roles had no settings. '--set KEY=VALUE' replaces keys, so that processes can share a file.

--- a/src/main/java/org/yuccabank/command/CommandOptions.java
+++ b/src/main/java/org/yuccabank/command/CommandOptions.java
@@ -1,5 +1,7 @@
 package org.yuccabank.command;
 
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 
@@ -24,4 +26,15 @@
     static Option value(String name, String argument, String description) {
         return Option.builder().longOpt(name).hasArg().argName(argument).desc(description).get();
     }
+
+    /** {@code --set KEY=VALUE}, which may be given several times. */
+    static Option settings() {
+        return value("set", "KEY=VALUE", "Replaces a key of the settings file; repeatable.");
+    }
+
+    /** The values of {@code --set} in the order in which they are given. */
+    static List<String> overrides(CommandLine line) {
+        String[] values = line.getOptionValues("set");
+        return values == null ? List.of() : List.of(values);
+    }
 }
--- a/src/main/java/org/yuccabank/command/Commands.java
+++ b/src/main/java/org/yuccabank/command/Commands.java
@@ -6,7 +6,9 @@
 final class Commands {
 
     private static final List<Command> ALL =
-            List.of(new RulesCheckCommand(), new RulesDiffCommand(), new VersionCommand());
+            List.of(
+                    new RulesCheckCommand(), new RulesDiffCommand(),
+                    new SettingsCheckCommand(), new VersionCommand());
 
     private Commands() {}
 
--- /dev/null
+++ b/src/main/java/org/yuccabank/command/SettingsCheckCommand.java
@@ -0,0 +1,70 @@
+package org.yuccabank.command;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.yuccabank.result.Result;
+import org.yuccabank.settings.ProcessRole;
+import org.yuccabank.settings.Settings;
+
+/** Checks a settings file without starting the role. Thread-safe, as it has no state. */
+final class SettingsCheckCommand implements Command {
+
+    @Override
+    public String name() {
+        return "settings check";
+    }
+
+    @Override
+    public String summary() {
+        return "Checks the settings file of a process and prints every fault with its place.";
+    }
+
+    @Override
+    public String arguments() {
+        return "FILE";
+    }
+
+    @Override
+    public Options options() {
+        return CommandOptions.json()
+                .addOption(
+                        CommandOptions.value(
+                                "role", "ROLE", "Role: control, entry, agent or worker."))
+                .addOption(CommandOptions.settings());
+    }
+
+    @Override
+    public List<String> examples() {
+        return List.of(
+                "yuccabank settings check --role entry /etc/yuccabank/entry.toml",
+                "yuccabank settings check --role agent --set process_id=agent-2 agent.toml");
+    }
+
+    @Override
+    public ExitCode run(CommandLine line, PrintStream output, PrintStream errors)
+            throws ParseException {
+        Optional<ProcessRole> role =
+                Optional.ofNullable(line.getOptionValue("role")).flatMap(ProcessRole::find);
+        if (role.isEmpty() || line.getArgList().size() != 1) {
+            throw new ParseException("--role control|entry|agent|worker and one file are needed");
+        }
+        String file = line.getArgList().get(0);
+        List<String> overrides = CommandOptions.overrides(line);
+        Result<? extends Record> settings = Settings.of(role.get(), Path.of(file), overrides);
+        if (line.hasOption(CommandOptions.JSON)) {
+            ObjectNode node = CommandJson.object().put("file", file);
+            node.put("valid", settings.isSuccess());
+            node.set("findings", CommandJson.findings(settings.findings()));
+            output.println(CommandJson.line(node));
+        } else {
+            output.println(settings.isSuccess() ? file + ": valid" : settings.findings());
+        }
+        return settings.isSuccess() ? ExitCode.SUCCESS : ExitCode.REFUSED;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/settings/Addresses.java
@@ -0,0 +1,53 @@
+package org.yuccabank.settings;
+
+import io.netty.util.NetUtil;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Reads IP addresses with a port, without asking a name service. Thread-safe, without state. */
+public final class Addresses {
+
+    private static final Pattern WITH_PORT =
+            Pattern.compile("(?:\\[([0-9A-Fa-f:.]{2,45})]|([0-9.]{7,15})):([0-9]{1,5})");
+    private static final int GREATEST_PORT = 65_535;
+
+    private Addresses() {}
+
+    /**
+     * Reads an address.
+     *
+     * @param text an address such as {@code 127.0.0.1:7101} or {@code [::1]:7101}
+     * @return the address, empty if the text is none
+     */
+    public static Optional<InetSocketAddress> parse(String text) {
+        Matcher matcher = WITH_PORT.matcher(text);
+        if (!matcher.matches()) {
+            return Optional.empty();
+        }
+        String number = matcher.group(1) != null ? matcher.group(1) : matcher.group(2);
+        byte[] bytes = NetUtil.createByteArrayFromIpAddressString(number);
+        int port = Integer.parseInt(matcher.group(3));
+        if (bytes == null || port > GREATEST_PORT) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(new InetSocketAddress(InetAddress.getByAddress(bytes), port));
+        } catch (UnknownHostException exception) {
+            return Optional.empty();
+        }
+    }
+
+    /**
+     * Writes an address as {@link #parse} reads it.
+     *
+     * @param address a resolved address
+     * @return its text
+     */
+    public static String format(InetSocketAddress address) {
+        return NetUtil.toSocketAddressString(address);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/settings/PeerAddressesType.java
@@ -0,0 +1,58 @@
+package org.yuccabank.settings;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import org.tomlj.TomlArray;
+import org.yuccabank.result.FindingCollector;
+import org.yuccabank.result.Place;
+import org.yuccabank.result.Result;
+import org.yuccabank.result.TomlDocument;
+
+/**
+ * A list of addresses to connect to, each given once. Immutable.
+ *
+ * @param element type of one address
+ */
+record PeerAddressesType(SettingType<InetSocketAddress> element)
+        implements SettingType<List<InetSocketAddress>> {
+
+    private static final int GREATEST_COUNT = 16;
+
+    @Override
+    public String range() {
+        return "1 to " + GREATEST_COUNT + " different IP addresses with ports";
+    }
+
+    @Override
+    public Result<List<InetSocketAddress>> convert(Object value, Place place) {
+        if (!(value instanceof TomlArray array)
+                || array.isEmpty()
+                || array.size() > GREATEST_COUNT) {
+            return SettingTypes.fault(value, place, "a list of " + range());
+        }
+        FindingCollector findings = FindingCollector.of(place.source());
+        List<InetSocketAddress> addresses = new ArrayList<>();
+        for (int index = 0; index < array.size(); index++) {
+            Place at = TomlDocument.place(place.source(), array.inputPositionOf(index));
+            Result<InetSocketAddress> address = element.convert(array.get(index), at);
+            address.findings().all().forEach(findings::add);
+            address.toOptional().ifPresent(parsed -> add(parsed, addresses, at, findings));
+        }
+        return findings.isEmpty()
+                ? Result.success(List.copyOf(addresses))
+                : Result.failure(findings.toFindings());
+    }
+
+    private static void add(
+            InetSocketAddress address,
+            List<InetSocketAddress> addresses,
+            Place place,
+            FindingCollector findings) {
+        if (addresses.contains(address)) {
+            String shown = Addresses.format(address);
+            findings.add(place.line(), place.column(), shown + " stands twice; remove one");
+        }
+        addresses.add(address);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/settings/SettingValues.java
@@ -0,0 +1,43 @@
+package org.yuccabank.settings;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.yuccabank.result.Place;
+
+/**
+ * Converted values of one settings file. Each value has the type of its key. Not safe for use by
+ * several threads while it is filled.
+ */
+final class SettingValues {
+
+    private final Map<String, Object> values = new HashMap<>();
+    private final Map<String, Place> places = new HashMap<>();
+    private final String source;
+
+    SettingValues(String source) {
+        this.source = source;
+    }
+
+    <T> void put(SettingKey<T> key, T value, Place place) {
+        values.put(key.name(), value);
+        places.put(key.name(), place);
+    }
+
+    /** The value of a key, its default if absent, empty if it has neither. */
+    @SuppressWarnings("unchecked") // put() stores only values of the key's type
+    <T> Optional<T> find(SettingKey<T> key) {
+        Optional<T> given = Optional.ofNullable((T) values.get(key.name()));
+        return given.or(key::fallback);
+    }
+
+    /** The value of a key that is required or has a default. */
+    <T> T get(SettingKey<T> key) {
+        return find(key).orElseThrow(() -> new IllegalStateException(key.name() + " is absent"));
+    }
+
+    /** Place of a key's value, or the beginning of the file if the key is absent. */
+    Place place(SettingKey<?> key) {
+        return places.getOrDefault(key.name(), new Place(source, 1, 1));
+    }
+}
