--- a/src/main/java/org/yuccabank/command/Commands.java
+++ b/src/main/java/org/yuccabank/command/Commands.java
@@ -7,8 +7,12 @@
 
     private static final List<Command> ALL =
             List.of(
-                    new RulesCheckCommand(), new RulesDiffCommand(),
-                    new SettingsCheckCommand(), new VersionCommand());
+                    new ControlCommand(),
+                    new EntryCommand(),
+                    new RulesCheckCommand(),
+                    new RulesDiffCommand(),
+                    new SettingsCheckCommand(),
+                    new VersionCommand());
 
     private Commands() {}
 
--- a/src/main/java/org/yuccabank/control/HostEntry.java
+++ b/src/main/java/org/yuccabank/control/HostEntry.java
@@ -43,16 +43,12 @@
     }
 
     /**
-     * Merges a report.
-     *
-     * @return false if the report is a delta whose predecessor was lost
+     * Merges a report. A delta holds every change since the newest report that was acknowledged, so
+     * a gap between two reports loses nothing; an older report that arrives late is ignored.
      */
-    boolean apply(AgentReport report, PeerConnection reportedOn, long nowMillis) {
-        if (!report.getFull() && report.getSequence() > last.getSequence() + 1) {
-            return false;
-        }
-        if (!report.getFull() && report.getSequence() <= last.getSequence()) {
-            return true;
+    void apply(AgentReport report, PeerConnection reportedOn, long nowMillis) {
+        if (report.getSequence() <= last.getSequence()) {
+            return;
         }
         connection = reportedOn;
         lastReportMillis = nowMillis;
@@ -77,7 +73,6 @@
                         .setDraining(report.getDraining())
                         .setUsageAgeMillis(report.getUsageAgeMillis())
                         .build();
-        return true;
     }
 
     private void applyFull(AgentReport report) {
@@ -121,6 +116,10 @@
                 .build();
     }
 
+    long sequence() {
+        return last.getSequence();
+    }
+
     boolean takeRoutingChange() {
         boolean changed = routingChanged;
         routingChanged = false;
--- a/src/main/java/org/yuccabank/control/HostRegistry.java
+++ b/src/main/java/org/yuccabank/control/HostRegistry.java
@@ -42,9 +42,7 @@
             hosts.put(report.getHostId(), entry);
         }
         boolean wasSuspect = entry.isSuspect(nowMillis);
-        if (!entry.apply(report, connection, nowMillis)) {
-            return Optional.empty();
-        }
+        entry.apply(report, connection, nowMillis);
         if (entry.takeRoutingChange() || wasSuspect) {
             revision++;
         }
--- a/src/main/java/org/yuccabank/control/ReportHandler.java
+++ b/src/main/java/org/yuccabank/control/ReportHandler.java
@@ -99,7 +99,7 @@
         }
     }
 
-    private static boolean isDraining(SystemState state, String hostId) {
+    static boolean isDraining(SystemState state, String hostId) {
         return state.host(hostId).map(HostRecord::getDraining).orElse(false);
     }
 
