--- /dev/null
+++ b/src/main/java/org/yuccabank/agent/AgentService.java
@@ -0,0 +1,286 @@
+package org.yuccabank.agent;
+
+import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.yuccabank.event.Event;
+import org.yuccabank.event.EventLog;
+import org.yuccabank.protocol.PeerConnection;
+import org.yuccabank.protocol.PeerSecurity;
+import org.yuccabank.protocol.PeerServer;
+import org.yuccabank.protocol.PeerTimings;
+import org.yuccabank.protocol.PeerTransport;
+import org.yuccabank.protocol.generated.Envelope;
+import org.yuccabank.protocol.generated.Hello;
+import org.yuccabank.protocol.generated.InvokeResult;
+import org.yuccabank.protocol.generated.OutcomeQuery;
+import org.yuccabank.protocol.generated.Role;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.MonoSink;
+
+/**
+ * The agent: connects {@link AgentCore} to control, entries, the worker and the target.
+ *
+ * <p>The core is called on one event loop only. {@link #start} and {@link #stop} may be called by
+ * any thread.
+ */
+public final class AgentService {
+
+    private static final long TICK_MILLIS = 100;
+
+    private final AgentConfiguration configuration;
+    private final long incarnation;
+    private final PeerTransport transport;
+    private final EventLoop loop;
+    private final AgentCore core;
+    private final WorkerClient worker;
+    private final ControlLink control;
+    private final PeerServer server;
+    private final HttpListener announcements;
+    private final HttpListener administration;
+    private final Map<Long, MonoSink<Envelope>> tickets = new HashMap<>();
+    private final CompletableFuture<Void> drained = new CompletableFuture<>();
+    // The time never steps back or forth with the clock of the host, as leases are measured in it.
+    private final long startMillis = System.currentTimeMillis();
+    private final long startNanos = System.nanoTime();
+    private volatile long configurationVersion;
+    private volatile boolean draining;
+    private long lastTicket;
+
+    private AgentService(AgentConfiguration given, PeerSecurity security) {
+        incarnation = startMillis;
+        Hello greeting =
+                Hello.newBuilder()
+                        .setProcessId("agent-" + given.hostId())
+                        .setIncarnation(incarnation)
+                        .setRole(Role.AGENT)
+                        .setDataCentre(given.dataCentre())
+                        .build();
+        transport =
+                PeerTransport.start(
+                        greeting,
+                        () -> configurationVersion,
+                        PeerTimings.standard(),
+                        security,
+                        1);
+        loop = transport.eventLoop();
+        server = PeerServer.start(transport, given.listenAddress(), this::handle);
+        configuration = given.withListenAddress(server.address());
+        core = AgentCore.of(configuration, incarnation, AgentOptions.standard());
+        worker = new WorkerClient(new HttpCaller(loop, given.workerAddress()), this::now);
+        control =
+                new ControlLink(
+                        transport,
+                        loop,
+                        configuration.controlAddresses(),
+                        this::handle,
+                        this::directives,
+                        core::hastenReport);
+        AgentEndpoint endpoint = new AgentEndpoint(core, control, this::now, this::runActions);
+        announcements =
+                HttpListener.start(loop, given.announcementAddress(), endpoint::announcement);
+        administration =
+                HttpListener.start(loop, given.administrationAddress(), endpoint::administration);
+    }
+
+    /**
+     * Starts an agent.
+     *
+     * @param configuration addresses and limits
+     * @param security TLS of the inner protocol
+     * @return the running agent
+     * @throws java.io.UncheckedIOException if an address cannot be used
+     */
+    public static AgentService start(AgentConfiguration configuration, PeerSecurity security) {
+        Objects.requireNonNull(configuration, "configuration is null");
+        Objects.requireNonNull(security, "security is null");
+        AgentService service = new AgentService(configuration, security);
+        service.loop.scheduleWithFixedDelay(
+                service::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        EventLog.information(
+                Event.ROLE_STARTED,
+                "role",
+                "agent",
+                "host",
+                configuration.hostId(),
+                "incarnation",
+                service.incarnation);
+        return service;
+    }
+
+    /**
+     * Refuses new work, finishes the work in progress, checkpoints and stops tasks, reports, and
+     * then ends.
+     *
+     * @return false if the drain time ended first
+     */
+    public boolean stop() {
+        EventLog.information(
+                Event.ROLE_DRAINING, "role", "agent", "host", configuration.hostId());
+        loop.execute(
+                () -> {
+                    draining = true;
+                    core.beginDrain(now());
+                    runActions();
+                });
+        boolean complete = awaitDrained();
+        announcements.stop();
+        administration.stop();
+        server.stop();
+        control.stop();
+        loop.execute(worker::stop);
+        transport.stop();
+        EventLog.information(Event.ROLE_STOPPED, "role", "agent", "host", configuration.hostId());
+        return complete;
+    }
+
+    private boolean awaitDrained() {
+        long limit = configuration.limits().drainTimeoutMillis();
+        try {
+            drained.get(limit == 0 ? Long.MAX_VALUE : limit, TimeUnit.MILLISECONDS);
+            return true;
+        } catch (TimeoutException exception) {
+            EventLog.warning(
+                    Event.DRAIN_TIMEOUT, "role", "agent", "requests", core.heldRequests());
+            return false;
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            return false;
+        } catch (ExecutionException exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+
+    /**
+     * Address of the inner protocol.
+     *
+     * @return the address with the port in use
+     */
+    public InetSocketAddress address() {
+        return server.address();
+    }
+
+    /**
+     * Address on which the target announces itself.
+     *
+     * @return the address with the port in use
+     */
+    public InetSocketAddress announcementAddress() {
+        return announcements.address();
+    }
+
+    /**
+     * Address of metrics and health.
+     *
+     * @return the address with the port in use
+     */
+    public InetSocketAddress administrationAddress() {
+        return administration.address();
+    }
+
+    private long now() {
+        return startMillis + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+    }
+
+    private void tick() {
+        try {
+            core.tick(now());
+            runActions();
+            if (draining && core.isDrained(now())) {
+                drained.complete(null);
+            }
+        } catch (RuntimeException exception) {
+            EventLog.error(Event.INTERNAL_ERROR, exception, "role", "agent");
+        }
+    }
+
+    private Mono<Envelope> handle(PeerConnection from, Envelope request) {
+        return switch (request.getBodyCase()) {
+            case INVOKE -> Mono.create(sink -> loop.execute(() -> invoke(request, sink)));
+            case OUTCOME_QUERY ->
+                    Mono.create(
+                            sink ->
+                                    loop.execute(
+                                            () -> sink.success(query(request.getOutcomeQuery()))));
+            default -> Mono.empty();
+        };
+    }
+
+    private void invoke(Envelope request, MonoSink<Envelope> sink) {
+        long ticket = ++lastTicket;
+        tickets.put(ticket, sink);
+        core.invoke(ticket, request.getInvoke(), request.getConfigurationVersion(), now());
+        runActions();
+    }
+
+    private Envelope query(OutcomeQuery query) {
+        return Envelope.newBuilder().setOutcomeAnswer(core.query(query, now())).build();
+    }
+
+    private void directives(
+            org.yuccabank.protocol.generated.AgentDirectives directives, long controlVersion) {
+        core.directives(directives, controlVersion, now());
+        if (core.configurationVersion() != configurationVersion) {
+            configurationVersion = core.configurationVersion();
+            EventLog.information(
+                    Event.CONFIGURATION_APPLIED, "role", "agent", "version", configurationVersion);
+        }
+        runActions();
+    }
+
+    private void runActions() {
+        for (AgentAction action : core.take()) {
+            run(action);
+        }
+    }
+
+    private void run(AgentAction action) {
+        if (action instanceof AgentAction.SendReport send) {
+            control.send(send.report());
+        } else if (action instanceof AgentAction.CallWorker call) {
+            worker.call(
+                    call.call(),
+                    answer -> {
+                        core.workerAnswered(call.call(), answer, now());
+                        runActions();
+                    });
+        } else if (action instanceof AgentAction.ReadWorker read) {
+            readWorker(read.readId());
+        } else if (action instanceof AgentAction.Dispatch dispatch) {
+            worker.serve(
+                    dispatch.request(),
+                    answer -> {
+                        core.served(dispatch.ticket(), answer, now());
+                        runActions();
+                    });
+        } else if (action instanceof AgentAction.Answer answer) {
+            answer(answer.ticket(), answer.result());
+        }
+    }
+
+    private void readWorker(long readId) {
+        worker.read(
+                state -> {
+                    if (state.isPresent()) {
+                        core.workerRead(readId, state.get(), now());
+                    } else {
+                        core.workerReadFailed(now());
+                    }
+                    runActions();
+                });
+    }
+
+    private void answer(long ticket, InvokeResult result) {
+        MonoSink<Envelope> sink = tickets.remove(ticket);
+        if (sink != null) {
+            sink.success(Envelope.newBuilder().setInvokeResult(result).build());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/agent/AgentTask.java
@@ -0,0 +1,146 @@
+package org.yuccabank.agent;
+
+import org.yuccabank.model.Resources;
+import org.yuccabank.protocol.generated.TaskDirective;
+import org.yuccabank.protocol.generated.TaskPhase;
+import org.yuccabank.protocol.generated.TaskState;
+
+/**
+ * One lease of a task on this host. Mutable; owned by {@link TaskTable}.
+ *
+ * <p>Invariant: {@link State#ENDED} is reached only when the worker confirmed the end or when the
+ * worker surely never received a start.
+ */
+final class AgentTask {
+
+    /** Where a task is in its life on this host. */
+    enum State {
+        /** The worker is asked to start it. */
+        STARTING,
+        /** The worker runs it. */
+        RUNNING,
+        /** A last checkpoint is written before the stop. */
+        CHECKPOINTING,
+        /** The worker is asked to stop it. */
+        STOPPING,
+        /** It does not run and will not run under this token. */
+        ENDED
+    }
+
+    // The worker lists only the end of a lease; this is the margin of the usual 10 s lease.
+    private static final long ADOPTED_MARGIN_MILLIS = 1_000;
+
+    final String taskId;
+    final long token;
+    String kind = "";
+    String account = "";
+    Resources reservation = Resources.none();
+    Resources usage = Resources.none();
+    State state = State.STARTING;
+    TaskPhase phase = TaskPhase.TASK_STARTING;
+    String detail = "";
+    long startGeneration;
+    long checkpoint;
+    long requestedCheckpoint;
+    long checkpointIntervalMillis;
+    long nextCheckpointMillis = Long.MAX_VALUE;
+    long runTimeMillis;
+    Lease lease = Lease.endedAt(0);
+    long workerLeaseEndMillis;
+    double progress;
+    boolean throttled;
+    boolean throttleWanted;
+    boolean checkpointWanted;
+    boolean workerMayKnow;
+    boolean confirmed;
+    long confirmedAtRead;
+    boolean callOpen;
+    boolean renewalOpen;
+    long retryAtMillis;
+    long changedAt;
+    long endedAtMillis;
+
+    AgentTask(String taskId, long token) {
+        this.taskId = taskId;
+        this.token = token;
+    }
+
+    static AgentTask of(TaskDirective directive, Lease lease, long nowMillis) {
+        AgentTask task = new AgentTask(directive.getTaskId(), directive.getFencingToken());
+        task.kind = directive.getKind();
+        task.account = directive.getAccount();
+        task.reservation = Vectors.fromMessage(directive.getReservation());
+        task.startGeneration = directive.getCheckpointGeneration();
+        task.checkpoint = task.startGeneration;
+        task.requestedCheckpoint = task.startGeneration;
+        task.runTimeMillis = directive.getRunTimeMillis();
+        task.lease = lease;
+        task.workerLeaseEndMillis = lease.endMillis();
+        task.checkpointIntervalMillis = directive.getCheckpointIntervalMillis();
+        task.scheduleCheckpoint(nowMillis);
+        return task;
+    }
+
+    static AgentTask adopted(WorkerTask listed, long nowMillis) {
+        AgentTask task = new AgentTask(listed.taskId(), listed.token());
+        task.kind = listed.kind();
+        task.reservation = listed.reservation();
+        long stopAt = listed.leaseEndMillis() - ADOPTED_MARGIN_MILLIS;
+        task.lease = new Lease(stopAt, listed.leaseEndMillis());
+        task.workerLeaseEndMillis = listed.leaseEndMillis();
+        task.checkpoint = listed.checkpoint();
+        task.requestedCheckpoint = listed.checkpoint();
+        task.workerMayKnow = true;
+        task.confirmed = true;
+        task.state = listed.isActive() ? State.RUNNING : State.ENDED;
+        task.phase = listed.phase();
+        task.endedAtMillis = nowMillis;
+        return task;
+    }
+
+    boolean isActive() {
+        return state != State.ENDED;
+    }
+
+    boolean isStopping() {
+        return state == State.CHECKPOINTING || state == State.STOPPING;
+    }
+
+    void extendLease(Lease renewed) {
+        if (renewed.endMillis() > lease.endMillis()) {
+            lease = renewed;
+        }
+    }
+
+    void scheduleCheckpoint(long nowMillis) {
+        if (checkpointIntervalMillis > 0) {
+            nextCheckpointMillis = nowMillis + checkpointIntervalMillis;
+        }
+    }
+
+    WorkerCall call(WorkerCall.Action action, long generation) {
+        return new WorkerCall(
+                action,
+                taskId,
+                token,
+                kind,
+                account,
+                reservation,
+                lease.endMillis(),
+                generation,
+                runTimeMillis);
+    }
+
+    TaskState toMessage() {
+        return TaskState.newBuilder()
+                .setTaskId(taskId)
+                .setFencingToken(token)
+                .setPhase(phase)
+                .setConfirmedCheckpoint(checkpoint)
+                .setProgress(progress)
+                .setDetail(detail)
+                .setUsage(Vectors.toMessage(usage))
+                .setThrottled(throttled)
+                .build();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/agent/ControlLink.java
@@ -0,0 +1,112 @@
+package org.yuccabank.agent;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.function.BiConsumer;
+import org.yuccabank.protocol.PeerClient;
+import org.yuccabank.protocol.PeerHandler;
+import org.yuccabank.protocol.PeerTransport;
+import org.yuccabank.protocol.generated.AgentDirectives;
+import org.yuccabank.protocol.generated.AgentReport;
+import org.yuccabank.protocol.generated.CommandResult;
+import org.yuccabank.protocol.generated.Envelope;
+
+/**
+ * Sends reports to the leader of control and finds it again after a change. Used on one event loop
+ * only.
+ */
+final class ControlLink {
+
+    private static final Duration REPORT_TIMEOUT = Duration.ofSeconds(1);
+
+    private final PeerTransport transport;
+    private final List<InetSocketAddress> addresses;
+    private final PeerHandler handler;
+    private final BiConsumer<AgentDirectives, Long> onDirectives;
+    private final Runnable onLeaderChange;
+    private final java.util.concurrent.Executor loop;
+    private PeerClient client;
+    private int nextAddress;
+    private long sentBytes;
+
+    ControlLink(
+            PeerTransport transport,
+            java.util.concurrent.Executor loop,
+            List<InetSocketAddress> addresses,
+            PeerHandler handler,
+            BiConsumer<AgentDirectives, Long> onDirectives,
+            Runnable onLeaderChange) {
+        this.transport = transport;
+        this.loop = loop;
+        this.addresses = addresses;
+        this.handler = handler;
+        this.onDirectives = onDirectives;
+        this.onLeaderChange = onLeaderChange;
+    }
+
+    /** Sends a report; the answer comes by the callback. */
+    void send(AgentReport report) {
+        if (client == null) {
+            connect(addresses.get(Math.floorMod(nextAddress++, addresses.size())));
+        }
+        PeerClient used = client;
+        sentBytes += report.getSerializedSize();
+        used.request(Envelope.newBuilder().setAgentReport(report).build(), REPORT_TIMEOUT)
+                .subscribe(
+                        reply -> loop.execute(() -> receive(used, reply)),
+                        error -> loop.execute(() -> abandon(used)));
+    }
+
+    private void receive(PeerClient used, Envelope reply) {
+        switch (reply.getBodyCase()) {
+            case AGENT_DIRECTIVES ->
+                    onDirectives.accept(
+                            reply.getAgentDirectives(), reply.getConfigurationVersion());
+            case PROTOCOL_ERROR -> redirect(used, reply.getProtocolError().getLeaderAddress());
+            case COMMAND_RESULT -> {
+                if (reply.getCommandResult().getVerdict() == CommandResult.Verdict.NOT_LEADER) {
+                    redirect(used, reply.getCommandResult().getLeaderAddress());
+                }
+            }
+            default -> abandon(used);
+        }
+    }
+
+    private void redirect(PeerClient used, String leaderAddress) {
+        if (client != used) {
+            return;
+        }
+        int colon = leaderAddress.lastIndexOf(':');
+        if (colon < 0) {
+            abandon(used);
+            return;
+        }
+        used.stop();
+        String host = leaderAddress.substring(0, colon);
+        connect(new InetSocketAddress(host, Integer.parseInt(leaderAddress.substring(colon + 1))));
+        onLeaderChange.run();
+    }
+
+    private void connect(InetSocketAddress address) {
+        client = PeerClient.of(transport, address, handler);
+    }
+
+    private void abandon(PeerClient used) {
+        if (client == used) {
+            used.stop();
+            client = null;
+        }
+    }
+
+    /** Bytes of all reports that were sent, without framing. */
+    long sentBytes() {
+        return sentBytes;
+    }
+
+    void stop() {
+        if (client != null) {
+            client.stop();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/agent/RequestLedger.java
@@ -0,0 +1,207 @@
+package org.yuccabank.agent;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.yuccabank.protocol.generated.ClaimOutcome;
+import org.yuccabank.protocol.generated.OutcomeKind;
+
+/**
+ * Keys of at-most-once requests that this incarnation received, with their outcomes.
+ *
+ * <p>Invariants: a token is dispatched at most once; a key is dispatched again only under a greater
+ * token and only if it was refused before. A key is forgotten only after control acknowledged its
+ * outcome and {@link #REMEMBER_MILLIS} passed; its token is then at most {@link #watermark}, and an
+ * unknown key with such a token is never dispatched and never called "not run". Memory is bounded
+ * by {@link #MAXIMUM_ENTRIES} and {@link #MAXIMUM_BYTES}. Not thread-safe.
+ */
+final class RequestLedger {
+
+    /** Keys are kept this long after control acknowledged their outcome. */
+    static final long REMEMBER_MILLIS = 60_000;
+
+    /** Greatest number of remembered keys. */
+    static final int MAXIMUM_ENTRIES = 2_048;
+
+    /** Greatest sum of the bodies that are kept for control and for late queries. */
+    static final long MAXIMUM_BYTES = 1 << 20;
+
+    private static final long RESEND_MILLIS = 2_000;
+
+    /** What is to be done with a request. */
+    enum Verdict {
+        /** It was not seen: it may be admitted. */
+        NEW,
+        /** It was seen or may have been seen: it must not run. */
+        SEEN
+    }
+
+    /** One key. */
+    private static final class Entry {
+        private ClaimOutcome outcome;
+        private boolean acknowledged;
+        private long endedAtMillis;
+        private long sentAtMillis = Long.MIN_VALUE / 2;
+        private long firstSequence;
+
+        private Entry(ClaimOutcome outcome) {
+            this.outcome = outcome;
+        }
+
+        private boolean isOpen() {
+            return outcome.getOutcome() == OutcomeKind.IN_PROGRESS;
+        }
+    }
+
+    private final AgentOptions options;
+    private final Map<String, Entry> entries = new LinkedHashMap<>();
+    private long watermark;
+    private long bytes;
+
+    private RequestLedger(AgentOptions options) {
+        this.options = options;
+    }
+
+    static RequestLedger of(AgentOptions options) {
+        return new RequestLedger(options);
+    }
+
+    /** Decides whether a request may be admitted. */
+    Verdict check(String account, String key, long token) {
+        if (!options.rememberKeys()) {
+            return Verdict.NEW;
+        }
+        Entry entry = entries.get(identity(account, key));
+        if (entry == null) {
+            return token <= watermark ? Verdict.SEEN : Verdict.NEW;
+        }
+        boolean refusedBefore = entry.outcome.getOutcome() == OutcomeKind.NOT_RUN;
+        boolean newer = token > entry.outcome.getFencingToken();
+        return refusedBefore && newer ? Verdict.NEW : Verdict.SEEN;
+    }
+
+    /** Tells whether a further key can be remembered. */
+    boolean hasRoom() {
+        return entries.size() < MAXIMUM_ENTRIES && bytes < MAXIMUM_BYTES;
+    }
+
+    /** Records that a request is being run. */
+    void begin(String account, String key, long token) {
+        put(outcome(account, key, token, OutcomeKind.IN_PROGRESS).build(), 0);
+    }
+
+    /** Records that a request was refused before its dispatch. */
+    void refuse(String account, String key, long token, long nowMillis) {
+        if (!options.recordRefusals()) {
+            entries.remove(identity(account, key));
+            return;
+        }
+        if (!hasRoom() && !entries.containsKey(identity(account, key))) {
+            // The order of tokens keeps the refusal where there is no room for the key.
+            watermark = Math.max(watermark, token);
+            return;
+        }
+        put(outcome(account, key, token, OutcomeKind.NOT_RUN).build(), nowMillis);
+    }
+
+    /** Records how a request ended. */
+    void end(ClaimOutcome outcome, long nowMillis) {
+        put(outcome, nowMillis);
+    }
+
+    private void put(ClaimOutcome outcome, long nowMillis) {
+        Entry entry = new Entry(outcome);
+        entry.endedAtMillis = nowMillis;
+        Entry before = entries.put(identity(outcome.getAccount(), outcome.getKey()), entry);
+        bytes += outcome.getBody().size();
+        if (before != null) {
+            bytes -= before.outcome.getBody().size();
+        }
+    }
+
+    static ClaimOutcome.Builder outcome(
+            String account, String key, long token, OutcomeKind kind) {
+        return ClaimOutcome.newBuilder()
+                .setAccount(account)
+                .setKey(key)
+                .setFencingToken(token)
+                .setOutcome(kind);
+    }
+
+    /** What is known of a key. */
+    Optional<ClaimOutcome> find(String account, String key) {
+        return Optional.ofNullable(entries.get(identity(account, key)))
+                .map(entry -> entry.outcome);
+    }
+
+    /**
+     * Outcomes that control has not acknowledged and that are due to be sent.
+     *
+     * @param sequence sequence of the report that will carry them
+     */
+    List<ClaimOutcome> due(long sequence, long nowMillis, long byteLimit) {
+        List<ClaimOutcome> result = new ArrayList<>();
+        long size = 0;
+        for (Entry entry : entries.values()) {
+            boolean due = nowMillis - entry.sentAtMillis >= RESEND_MILLIS;
+            if (!entry.isOpen() && !entry.acknowledged && due && size < byteLimit) {
+                entry.sentAtMillis = nowMillis;
+                entry.firstSequence =
+                        entry.firstSequence == 0 ? sequence : entry.firstSequence;
+                size += entry.outcome.getSerializedSize();
+                result.add(entry.outcome);
+            }
+        }
+        return result;
+    }
+
+    /**
+     * Takes the acknowledgement of control for a key.
+     *
+     * @param sequence sequence of the report that control answers; an outcome that was not in that
+     *     report or an earlier one is not acknowledged by it
+     */
+    void acknowledge(String key, long sequence) {
+        for (Entry entry : entries.values()) {
+            boolean same = entry.outcome.getKey().equals(key);
+            boolean sent = entry.firstSequence != 0 && entry.firstSequence <= sequence;
+            if (same && !entry.isOpen() && sent) {
+                entry.acknowledged = true;
+            }
+        }
+    }
+
+    /** Forgets keys that control has acknowledged a while ago. */
+    void forget(long nowMillis) {
+        Iterator<Entry> iterator = entries.values().iterator();
+        while (iterator.hasNext()) {
+            Entry entry = iterator.next();
+            if (entry.acknowledged && nowMillis - entry.endedAtMillis >= REMEMBER_MILLIS) {
+                watermark = Math.max(watermark, entry.outcome.getFencingToken());
+                bytes -= entry.outcome.getBody().size();
+                iterator.remove();
+            }
+        }
+    }
+
+    /** Tells whether control has acknowledged every outcome. */
+    boolean isSettled() {
+        for (Entry entry : entries.values()) {
+            if (!entry.acknowledged) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    int size() {
+        return entries.size();
+    }
+
+    private static String identity(String account, String key) {
+        return account + '\n' + key;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/agent/TargetPresence.java
@@ -0,0 +1,85 @@
+package org.yuccabank.agent;
+
+import java.util.Optional;
+import org.yuccabank.protocol.generated.TargetState;
+
+/**
+ * The target beside this agent, as it announced itself.
+ *
+ * <p>A target that withdrew, or whose announcement was not repeated for {@link #REPEAT_MILLIS}, is
+ * reported as leaving until it announces itself again. Not thread-safe.
+ */
+final class TargetPresence {
+
+    /** Time within which an announcement has to be repeated. */
+    static final long REPEAT_MILLIS = 10_000;
+
+    // Weight of the newest service time in the running mean.
+    private static final double SMOOTHING = 0.1;
+
+    private Announcement announcement;
+    private boolean leaving;
+    private long announcedAtMillis;
+    private double serviceTimeMicros;
+
+    /** Takes an announcement; returns whether anything changed. */
+    boolean announce(Announcement received, long nowMillis) {
+        boolean changed = leaving || !received.equals(announcement);
+        announcement = received;
+        announcedAtMillis = nowMillis;
+        leaving = false;
+        return changed;
+    }
+
+    /** Withdraws the target; returns whether anything changed. */
+    boolean withdraw() {
+        boolean changed = announcement != null && !leaving;
+        leaving = true;
+        return changed;
+    }
+
+    /** Ends an announcement that was not repeated; returns whether anything changed. */
+    boolean expire(long nowMillis) {
+        return nowMillis - announcedAtMillis >= REPEAT_MILLIS && withdraw();
+    }
+
+    boolean isServing() {
+        return announcement != null && !leaving;
+    }
+
+    boolean serves(String kind) {
+        return announcement.kinds().isEmpty() || announcement.kinds().contains(kind);
+    }
+
+    String targetId() {
+        return announcement == null ? "" : announcement.targetId();
+    }
+
+    void recordServiceTime(long micros) {
+        serviceTimeMicros =
+                serviceTimeMicros == 0
+                        ? micros
+                        : serviceTimeMicros + SMOOTHING * (micros - serviceTimeMicros);
+    }
+
+    long serviceTimeMicros() {
+        return (long) serviceTimeMicros;
+    }
+
+    Optional<TargetState> toMessage(int slotsUsed, boolean draining) {
+        if (announcement == null) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                TargetState.newBuilder()
+                        .setTargetId(announcement.targetId())
+                        .setService(announcement.service())
+                        .addAllKinds(announcement.kinds())
+                        .setSlots(announcement.slots())
+                        .setConnections(announcement.connections())
+                        .setSlotsUsed(slotsUsed)
+                        .setLeaving(leaving || draining)
+                        .setServiceTimeMicros(serviceTimeMicros())
+                        .build());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/agent/TaskTable.java
@@ -0,0 +1,180 @@
+package org.yuccabank.agent;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.yuccabank.model.Resources;
+import org.yuccabank.protocol.generated.TaskDirective;
+import org.yuccabank.protocol.generated.TaskPhase;
+
+/**
+ * The leases of tasks on this host and the exact account of its capacity.
+ *
+ * <p>Invariants: the reservations of all tasks that are not ended, with that of the service
+ * instance, fit into the capacity; at most one lease of a task is not ended; a token that was
+ * forgotten is at most {@link #watermark}, and no token up to it is admitted. Not thread-safe.
+ */
+final class TaskTable {
+
+    /** Ended tasks are kept this long after control acknowledged them. */
+    static final long REMEMBER_MILLIS = 60_000;
+
+    private final AgentOptions options;
+    private final Map<Long, AgentTask> tasks = new LinkedHashMap<>();
+    private Resources capacity = Resources.none();
+    private Resources serviceReservation = Resources.none();
+    private long watermark;
+
+    private TaskTable(AgentOptions options) {
+        this.options = options;
+    }
+
+    static TaskTable of(AgentOptions options) {
+        return new TaskTable(options);
+    }
+
+    /** Takes the capacity over from the worker. */
+    void setCapacity(Resources hostCapacity, Resources ofService) {
+        capacity = hostCapacity;
+        serviceReservation = ofService;
+    }
+
+    /** Capacity that is left for tasks beside the service instance. */
+    Resources allocatable() {
+        return capacity.minus(serviceReservation).maximum(Resources.none());
+    }
+
+    /** Sum of the reservations of all tasks that are not ended. */
+    Resources reserved() {
+        Resources sum = Resources.none();
+        for (AgentTask task : tasks.values()) {
+            boolean counted = options.countStopping() ? task.isActive() : !task.isStopping();
+            if (counted && task.isActive()) {
+                sum = sum.plus(task.reservation);
+            }
+        }
+        return sum;
+    }
+
+    /**
+     * Decides about a start.
+     *
+     * @return the new lease, ended with a reason if it is refused; empty if the directive is a
+     *     repetition
+     */
+    Optional<AgentTask> admit(TaskDirective directive, Lease lease, long nowMillis) {
+        AgentTask known = tasks.get(directive.getFencingToken());
+        if (known != null) {
+            return Optional.empty();
+        }
+        AgentTask task = AgentTask.of(directive, lease, nowMillis);
+        Optional<String> reason = refusalOf(task);
+        tasks.put(task.token, task);
+        reason.ifPresent(text -> end(task, TaskPhase.TASK_REFUSED, text, nowMillis));
+        return Optional.of(task);
+    }
+
+    /** Records a start that is refused for a reason outside this table. */
+    Optional<AgentTask> refuse(TaskDirective directive, String reason, long nowMillis) {
+        if (tasks.containsKey(directive.getFencingToken())) {
+            return Optional.empty();
+        }
+        AgentTask task = AgentTask.of(directive, Lease.endedAt(nowMillis), nowMillis);
+        tasks.put(task.token, task);
+        end(task, TaskPhase.TASK_REFUSED, reason, nowMillis);
+        return Optional.of(task);
+    }
+
+    private Optional<String> refusalOf(AgentTask candidate) {
+        if (options.checkTokens()) {
+            if (candidate.token <= watermark) {
+                return Optional.of("fencing token is older than this agent remembers");
+            }
+            for (AgentTask other : tasks.values()) {
+                if (other.taskId.equals(candidate.taskId)) {
+                    if (other.token > candidate.token) {
+                        return Optional.of("a newer fencing token is known: " + other.token);
+                    }
+                    if (other.isActive()) {
+                        return Optional.of("an earlier lease has not ended: " + other.token);
+                    }
+                }
+            }
+        }
+        Resources total = reserved().plus(candidate.reservation);
+        if (options.checkCapacity() && !total.fitsWithin(allocatable())) {
+            return Optional.of("capacity is used up");
+        }
+        return Optional.empty();
+    }
+
+    /** Adds a task that the worker runs or ran and that this incarnation did not start. */
+    AgentTask adopt(WorkerTask listed, long nowMillis) {
+        AgentTask task = AgentTask.adopted(listed, nowMillis);
+        tasks.put(task.token, task);
+        return task;
+    }
+
+    /** Records a token that must not start any more because its stop came first. */
+    AgentTask block(TaskDirective directive, long nowMillis) {
+        AgentTask task = AgentTask.of(directive, Lease.endedAt(nowMillis), nowMillis);
+        tasks.put(task.token, task);
+        end(task, TaskPhase.TASK_STOPPED, "stopped before its start", nowMillis);
+        return task;
+    }
+
+    /** Ends a lease. */
+    void end(AgentTask task, TaskPhase phase, String detail, long nowMillis) {
+        task.state = AgentTask.State.ENDED;
+        task.phase = phase;
+        task.detail = detail;
+        task.endedAtMillis = nowMillis;
+        task.usage = Resources.none();
+    }
+
+    Optional<AgentTask> find(long token) {
+        return Optional.ofNullable(tasks.get(token));
+    }
+
+    Collection<AgentTask> all() {
+        return Collections.unmodifiableCollection(tasks.values());
+    }
+
+    List<AgentTask> active() {
+        List<AgentTask> result = new ArrayList<>();
+        for (AgentTask task : tasks.values()) {
+            if (task.isActive()) {
+                result.add(task);
+            }
+        }
+        return result;
+    }
+
+    /** Refuses all tokens up to the given one that are not known. */
+    void raiseWatermark(long token) {
+        watermark = Math.max(watermark, token);
+    }
+
+    boolean isForgotten(long token) {
+        return token <= watermark && !tasks.containsKey(token);
+    }
+
+    /** Forgets leases that ended a while ago and whose end control has acknowledged. */
+    void forget(long acknowledgedSequence, long nowMillis) {
+        Iterator<AgentTask> iterator = tasks.values().iterator();
+        while (iterator.hasNext()) {
+            AgentTask task = iterator.next();
+            if (!task.isActive()
+                    && task.changedAt <= acknowledgedSequence
+                    && nowMillis - task.endedAtMillis >= REMEMBER_MILLIS) {
+                raiseWatermark(task.token);
+                iterator.remove();
+            }
+        }
+    }
+}
--- a/src/main/java/org/yuccabank/protocol/PeerTransport.java
+++ b/src/main/java/org/yuccabank/protocol/PeerTransport.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
@@ -91,6 +92,15 @@
                 .awaitUninterruptibly(SHUTDOWN_LIMIT_MILLIS);
     }
 
+    /**
+     * One of the network threads, for roles that run their decisions on it.
+     *
+     * @return the thread's event loop
+     */
+    public EventLoop eventLoop() {
+        return threads.next();
+    }
+
     /**
      * Number of open connections.
      *
--- /dev/null
+++ b/src/main/java/org/yuccabank/standin/StandInTask.java
@@ -0,0 +1,86 @@
+package org.yuccabank.standin;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.yuccabank.model.Resources;
+
+/** One task of a stand-in worker. Mutable; guarded by its worker. */
+final class StandInTask {
+
+    // Share of its usual speed at which a throttled task runs.
+    private static final double THROTTLED_SPEED = 0.3;
+
+    /** Phase names of the worker interface. */
+    enum Phase {
+        RUNNING("running"),
+        STOPPED("stopped"),
+        FINISHED("finished"),
+        FAILED("failed");
+
+        final String label;
+
+        Phase(String label) {
+            this.label = label;
+        }
+    }
+
+    final String id;
+    final long token;
+    final String kind;
+    final Resources reservation;
+    final long runTimeMillis;
+    Phase phase = Phase.RUNNING;
+    long leaseUntilMillis;
+    long checkpoint;
+    double progress;
+    boolean throttled;
+    long advancedAtMillis;
+    long endedAtMillis;
+
+    StandInTask(String id, StartOrder order, long nowMillis) {
+        this.id = id;
+        this.token = order.token();
+        this.kind = order.kind();
+        this.reservation = order.reservation();
+        this.runTimeMillis = Math.max(1, order.runTimeMillis());
+        this.leaseUntilMillis = order.leaseUntilMillis();
+        this.checkpoint = order.generation();
+        this.advancedAtMillis = nowMillis;
+    }
+
+    /** Lets the task run up to a time. */
+    void advance(long nowMillis, double slowdown) {
+        long elapsed = Math.max(0, nowMillis - advancedAtMillis);
+        double speed = (throttled ? THROTTLED_SPEED : 1) / (1 + slowdown);
+        progress = Math.min(1, progress + elapsed * speed / runTimeMillis);
+        advancedAtMillis = nowMillis;
+    }
+
+    boolean isRunning() {
+        return phase == Phase.RUNNING;
+    }
+
+    void end(Phase newPhase, long nowMillis) {
+        phase = newPhase;
+        endedAtMillis = nowMillis;
+    }
+
+    Resources usage() {
+        return isRunning() ? reservation.scaled(throttled ? THROTTLED_SPEED : 1) : Resources.none();
+    }
+
+    Map<String, Object> toJson() {
+        Map<String, Object> json = new LinkedHashMap<>();
+        json.put("id", id);
+        json.put("token", token);
+        json.put("kind", kind);
+        json.put("phase", phase.label);
+        json.put("reservation", reservation);
+        json.put("leaseUntilMillis", leaseUntilMillis);
+        json.put("checkpoint", checkpoint);
+        json.put("progress", progress);
+        json.put("usage", usage());
+        json.put("throttled", throttled);
+        return json;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/standin/StandInWorker.java
@@ -0,0 +1,290 @@
+package org.yuccabank.standin;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import org.yuccabank.model.Resources;
+import org.yuccabank.standin.WorkerRecord.Event;
+
+/**
+ * The platform's side of a host: runs fake tasks under leases and records what happened.
+ *
+ * <p>Time is an argument, so that tests drive it with their own clock. It refuses a token smaller
+ * than one it has seen for the task, a token that it was told to stop, and a lease that has ended.
+ * It does not refuse for lack of capacity: that is the duty of the agent, and {@link
+ * #overCapacity()} tells whether it was neglected. Thread-safe.
+ */
+public final class StandInWorker {
+
+    private static final long KEEP_ENDED_MILLIS = 60_000;
+
+    private final StandInConfiguration configuration;
+    private final CheckpointStore checkpoints;
+    private final WorkerRecords records;
+    private final Map<Long, StandInTask> tasks = new LinkedHashMap<>();
+    private final Map<String, Long> newestTokens = new HashMap<>();
+    private final Set<Long> stoppedTokens = new HashSet<>();
+    private Behaviour behaviour = Behaviour.healthy();
+    private boolean overCapacity;
+
+    private StandInWorker(
+            StandInConfiguration configuration,
+            CheckpointStore checkpoints,
+            WorkerRecords records) {
+        this.configuration = configuration;
+        this.checkpoints = checkpoints;
+        this.records = records;
+    }
+
+    /**
+     * Creates a worker without tasks.
+     *
+     * @param configuration capacity and hidden slowdowns
+     * @param checkpoints store of checkpoints, shared by workers
+     * @return the worker
+     */
+    public static StandInWorker of(
+            StandInConfiguration configuration, CheckpointStore checkpoints) {
+        Objects.requireNonNull(configuration, "configuration is null");
+        Objects.requireNonNull(checkpoints, "checkpoints is null");
+        return new StandInWorker(
+                configuration, checkpoints, WorkerRecords.of(configuration.recordFile()));
+    }
+
+    /** What happened here, in order. */
+    public WorkerRecords records() {
+        return records;
+    }
+
+    /** Sets the faults that the worker shows. */
+    public synchronized void setBehaviour(Behaviour newBehaviour) {
+        behaviour = Objects.requireNonNull(newBehaviour, "newBehaviour is null");
+    }
+
+    /** Faults that the worker shows. */
+    public synchronized Behaviour behaviour() {
+        return behaviour;
+    }
+
+    /** Tells whether the tasks ever held more than the capacity that is left for tasks. */
+    public synchronized boolean overCapacity() {
+        return overCapacity;
+    }
+
+    /**
+     * Lets time pass: tasks advance, finish, and stop at the end of their leases.
+     *
+     * @param nowMillis present time
+     */
+    public synchronized void advance(long nowMillis) {
+        for (StandInTask task : new ArrayList<>(tasks.values())) {
+            if (task.isRunning()) {
+                advance(task, nowMillis);
+            } else if (nowMillis - task.endedAtMillis > KEEP_ENDED_MILLIS) {
+                tasks.remove(task.token);
+            }
+        }
+    }
+
+    private void advance(StandInTask task, long nowMillis) {
+        task.advance(Math.min(nowMillis, task.leaseUntilMillis), slowdownOf(task.kind));
+        if (task.progress >= 1) {
+            end(task, StandInTask.Phase.FINISHED, Event.TASK_FINISHED, "", nowMillis);
+        } else if (nowMillis >= task.leaseUntilMillis) {
+            end(task, StandInTask.Phase.STOPPED, Event.TASK_LEASE_EXPIRED, "", nowMillis);
+        }
+    }
+
+    /**
+     * Sum of the hidden slowdowns of a kind by the tasks that run now.
+     *
+     * @param kind the kind
+     * @return the share by which it takes longer
+     */
+    public synchronized double slowdownOf(String kind) {
+        double sum = 0;
+        for (StandInTask task : tasks.values()) {
+            if (task.isRunning()) {
+                sum += configuration.slowdown(kind, task.kind) * (task.throttled ? 0.3 : 1);
+            }
+        }
+        return sum;
+    }
+
+    /** Starts a task, or answers with its phase if this token was started before. */
+    public synchronized TaskReply start(String id, StartOrder order, long nowMillis) {
+        advance(nowMillis);
+        StandInTask known = tasks.get(order.token());
+        if (known != null) {
+            return TaskReply.of(known);
+        }
+        Optional<String> reason = refusalOf(id, order, nowMillis);
+        if (reason.isPresent()) {
+            add(nowMillis, Event.TASK_REFUSED, id, order, reason.get());
+            return TaskReply.refused(reason.get());
+        }
+        newestTokens.put(id, order.token());
+        StandInTask task = new StandInTask(id, order, nowMillis);
+        tasks.put(task.token, task);
+        Optional<Double> saved = checkpoints.load(id, order.generation());
+        saved.ifPresent(share -> task.progress = share);
+        boolean resumed = order.generation() > 0;
+        String detail = resumed && saved.isEmpty() ? "checkpoint is missing" : "";
+        add(nowMillis, resumed ? Event.TASK_RESUMED : Event.TASK_STARTED, id, order, detail);
+        overCapacity |= !reserved().fitsWithin(allocatable());
+        if (behaviour.failing()) {
+            end(task, StandInTask.Phase.FAILED, Event.TASK_FAILED, "failing worker", nowMillis);
+        }
+        return TaskReply.of(task);
+    }
+
+    private Optional<String> refusalOf(String id, StartOrder order, long nowMillis) {
+        if (order.token() < newestTokens.getOrDefault(id, 0L)) {
+            return Optional.of("a newer fencing token was seen");
+        }
+        if (stoppedTokens.contains(order.token())) {
+            return Optional.of("the token was stopped");
+        }
+        if (order.leaseUntilMillis() <= nowMillis) {
+            return Optional.of("the lease has ended");
+        }
+        return Optional.empty();
+    }
+
+    private Resources allocatable() {
+        return configuration.capacity().minus(configuration.serviceReservation());
+    }
+
+    private Resources reserved() {
+        Resources sum = Resources.none();
+        for (StandInTask task : tasks.values()) {
+            if (task.isRunning()) {
+                sum = sum.plus(task.reservation);
+            }
+        }
+        return sum;
+    }
+
+    /** Extends a lease. */
+    public synchronized TaskReply renew(String id, TaskOrder order, long nowMillis) {
+        return whileRunning(
+                order,
+                nowMillis,
+                task ->
+                        task.leaseUntilMillis =
+                                Math.max(task.leaseUntilMillis, order.leaseUntilMillis()));
+    }
+
+    /** Writes a checkpoint. */
+    public synchronized TaskReply checkpoint(String id, TaskOrder order, long nowMillis) {
+        return whileRunning(
+                order,
+                nowMillis,
+                task -> {
+                    task.checkpoint = Math.max(task.checkpoint, order.generation());
+                    checkpoints.save(id, order.generation(), task.progress);
+                    add(nowMillis, Event.TASK_CHECKPOINTED, task, order.generation(), "");
+                });
+    }
+
+    /** Throttles a task or takes the throttle off. */
+    public synchronized TaskReply throttle(String id, TaskOrder order, long nowMillis) {
+        return whileRunning(
+                order,
+                nowMillis,
+                task -> {
+                    task.throttled = order.on();
+                    add(
+                            nowMillis,
+                            Event.TASK_THROTTLED,
+                            task,
+                            0,
+                            order.on() ? "throttled" : "unthrottled");
+                });
+    }
+
+    private TaskReply whileRunning(
+            TaskOrder order, long nowMillis, java.util.function.Consumer<StandInTask> change) {
+        advance(nowMillis);
+        StandInTask task = tasks.get(order.token());
+        if (task == null || !task.isRunning()) {
+            return TaskReply.refused("the task does not run under this token");
+        }
+        change.accept(task);
+        return TaskReply.of(task);
+    }
+
+    /** Stops a task and refuses later starts under its token. */
+    public synchronized TaskReply stop(String id, TaskOrder order, long nowMillis) {
+        advance(nowMillis);
+        stoppedTokens.add(order.token());
+        StandInTask task = tasks.get(order.token());
+        if (task == null) {
+            return TaskReply.stopped();
+        }
+        if (task.isRunning()) {
+            end(task, StandInTask.Phase.STOPPED, Event.TASK_STOPPED, "", nowMillis);
+        }
+        return TaskReply.of(task);
+    }
+
+    private void end(
+            StandInTask task,
+            StandInTask.Phase phase,
+            Event event,
+            String detail,
+            long nowMillis) {
+        task.end(phase, nowMillis);
+        add(nowMillis, event, task, task.checkpoint, detail);
+    }
+
+    private void add(
+            long nowMillis, Event event, StandInTask task, long generation, String detail) {
+        records.add(
+                new WorkerRecord(
+                        nowMillis, event, task.id, task.kind, task.token, generation, detail));
+    }
+
+    private void add(long nowMillis, Event event, String id, StartOrder order, String detail) {
+        records.add(
+                new WorkerRecord(
+                        nowMillis,
+                        event,
+                        id,
+                        order.kind(),
+                        order.token(),
+                        order.generation(),
+                        detail));
+    }
+
+    /** State as {@code GET /v1/worker} gives it. */
+    public synchronized Map<String, Object> state(long nowMillis) {
+        advance(nowMillis);
+        Map<String, Object> json = usage();
+        json.put("capacity", configuration.capacity());
+        json.put("serviceReservation", configuration.serviceReservation());
+        json.put("newestToken", newestTokens.values().stream().max(Long::compare).orElse(0L));
+        List<Map<String, Object>> list = new ArrayList<>();
+        tasks.values().forEach(task -> list.add(task.toJson()));
+        json.put("tasks", list);
+        return json;
+    }
+
+    /** Usage as {@code GET /v1/usage} gives it. */
+    public synchronized Map<String, Object> usage() {
+        Resources sum = Resources.none();
+        for (StandInTask task : tasks.values()) {
+            sum = sum.plus(task.usage());
+        }
+        Map<String, Object> json = new LinkedHashMap<>();
+        json.put("usage", sum);
+        json.put("usageAgeMillis", 0);
+        return json;
+    }
+}
