--- a/src/main/java/org/yuccabank/agent/AgentCore.java
+++ b/src/main/java/org/yuccabank/agent/AgentCore.java
@@ -51,12 +51,7 @@
         this.reporter = new Reporter(configuration, incarnation);
         this.desk =
                 new RequestDesk(
-                        incarnation,
-                        options,
-                        configuration.limits(),
-                        rules,
-                        target,
-                        actions::add);
+                        incarnation, options, configuration.limits(), rules, target, actions::add);
     }
 
     static AgentCore of(AgentConfiguration configuration, long incarnation, AgentOptions options) {
--- a/src/main/java/org/yuccabank/agent/AgentEndpoint.java
+++ b/src/main/java/org/yuccabank/agent/AgentEndpoint.java
@@ -13,8 +13,7 @@
     private final Runnable afterChange;
     private final AgentMetrics metrics = new AgentMetrics();
 
-    AgentEndpoint(
-            AgentCore core, ControlLink control, LongSupplier clock, Runnable afterChange) {
+    AgentEndpoint(AgentCore core, ControlLink control, LongSupplier clock, Runnable afterChange) {
         this.core = core;
         this.clock = clock;
         this.afterChange = afterChange;
--- a/src/main/java/org/yuccabank/agent/AgentService.java
+++ b/src/main/java/org/yuccabank/agent/AgentService.java
@@ -1,7 +1,6 @@
 package org.yuccabank.agent;
 
 import io.netty.channel.EventLoop;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
@@ -10,6 +9,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.yuccabank.event.Event;
 import org.yuccabank.event.EventLog;
 import org.yuccabank.protocol.PeerConnection;
@@ -50,6 +50,7 @@
     // The time never steps back or forth with the clock of the host, as leases are measured in it.
     private final long startMillis = System.currentTimeMillis();
     private final long startNanos = System.nanoTime();
+    private final AtomicBoolean stopped = new AtomicBoolean();
     private volatile long configurationVersion;
     private volatile boolean draining;
     private long lastTicket;
@@ -65,11 +66,7 @@
                         .build();
         transport =
                 PeerTransport.start(
-                        greeting,
-                        () -> configurationVersion,
-                        PeerTimings.standard(),
-                        security,
-                        1);
+                        greeting, () -> configurationVersion, PeerTimings.standard(), security, 1);
         loop = transport.eventLoop();
         server = PeerServer.start(transport, given.listenAddress(), this::handle);
         configuration = given.withListenAddress(server.address());
@@ -102,8 +99,9 @@
         Objects.requireNonNull(configuration, "configuration is null");
         Objects.requireNonNull(security, "security is null");
         AgentService service = new AgentService(configuration, security);
-        service.loop.scheduleWithFixedDelay(
-                service::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        var unused =
+                service.loop.scheduleWithFixedDelay(
+                        service::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
         EventLog.information(
                 Event.ROLE_STARTED,
                 "role",
@@ -122,8 +120,10 @@
      * @return false if the drain time ended first
      */
     public boolean stop() {
-        EventLog.information(
-                Event.ROLE_DRAINING, "role", "agent", "host", configuration.hostId());
+        if (!stopped.compareAndSet(false, true)) {
+            return true;
+        }
+        EventLog.information(Event.ROLE_DRAINING, "role", "agent", "host", configuration.hostId());
         loop.execute(
                 () -> {
                     draining = true;
@@ -147,8 +147,7 @@
             drained.get(limit == 0 ? Long.MAX_VALUE : limit, TimeUnit.MILLISECONDS);
             return true;
         } catch (TimeoutException exception) {
-            EventLog.warning(
-                    Event.DRAIN_TIMEOUT, "role", "agent", "requests", core.heldRequests());
+            EventLog.warning(Event.DRAIN_TIMEOUT, "role", "agent", "requests", core.heldRequests());
             return false;
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
--- a/src/main/java/org/yuccabank/agent/HttpCaller.java
+++ b/src/main/java/org/yuccabank/agent/HttpCaller.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -107,15 +108,16 @@
                                     }
                                 })
                         .connect(address);
-        connected.addListener(
-                result -> {
-                    if (result.isSuccess()) {
-                        send(connected.channel(), request, timeoutMillis, onEnd);
-                    } else {
-                        String reason = "cannot connect: " + result.cause().getMessage();
-                        onEnd.accept(HttpReply.failed(ServeAnswer.Kind.NOT_SENT, reason));
-                    }
-                });
+        var unused =
+                connected.addListener(
+                        result -> {
+                            if (result.isSuccess()) {
+                                send(connected.channel(), request, timeoutMillis, onEnd);
+                            } else {
+                                String reason = "cannot connect: " + result.cause().getMessage();
+                                onEnd.accept(HttpReply.failed(ServeAnswer.Kind.NOT_SENT, reason));
+                            }
+                        });
     }
 
     private void send(
@@ -125,18 +127,15 @@
             Consumer<HttpReply> onEnd) {
         Exchange exchange = channel.pipeline().get(Exchange.class);
         exchange.begin(channel, timeoutMillis, onEnd);
-        channel.writeAndFlush(request)
-                .addListener(
-                        result -> {
-                            if (!result.isSuccess()) {
-                                channel.close();
-                            }
-                        });
+        var unused =
+                channel.writeAndFlush(request).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
     }
 
     /** Closes the kept connections. */
     void stop() {
-        idle.forEach(Channel::close);
+        for (Channel channel : idle) {
+            var unused = channel.close();
+        }
         idle.clear();
     }
 
@@ -152,7 +151,7 @@
                     loop.schedule(
                             () -> {
                                 end(uncertain("no response within " + timeoutMillis + " ms"));
-                                channel.close();
+                                var unused = channel.close();
                             },
                             timeoutMillis,
                             TimeUnit.MILLISECONDS);
@@ -161,7 +160,7 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
             if (response.decoderResult().isFailure()) {
-                context.close();
+                var unused = context.close();
                 return;
             }
             String contentType = response.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
@@ -175,7 +174,7 @@
             if (HttpUtil.isKeepAlive(response)) {
                 idle.addLast(context.channel());
             } else {
-                context.close();
+                var unused = context.close();
             }
             end(reply);
         }
@@ -189,7 +188,7 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             end(uncertain("the response could not be read: " + cause.getMessage()));
-            context.close();
+            var unused = context.close();
         }
 
         private HttpReply uncertain(String detail) {
--- a/src/main/java/org/yuccabank/agent/HttpListener.java
+++ b/src/main/java/org/yuccabank/agent/HttpListener.java
@@ -87,7 +87,7 @@
     }
 
     void stop() {
-        channel.close();
+        var unused = channel.close();
     }
 
     /** Connects the handler to one connection. */
@@ -102,7 +102,7 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
             if (request.decoderResult().isFailure()) {
-                context.close();
+                var unused = context.close();
                 return;
             }
             String path = request.uri().split("\\?", 2)[0];
@@ -121,13 +121,13 @@
             HttpUtil.setKeepAlive(message, keepAlive);
             var written = context.writeAndFlush(message);
             if (!keepAlive) {
-                written.addListener(ChannelFutureListener.CLOSE);
+                var unused = written.addListener(ChannelFutureListener.CLOSE);
             }
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            context.close();
+            var unused = context.close();
         }
     }
 }
--- a/src/main/java/org/yuccabank/agent/HttpReply.java
+++ b/src/main/java/org/yuccabank/agent/HttpReply.java
@@ -9,6 +9,7 @@
  * @param contentType content type of the response
  * @param detail reason if no response came
  */
+@SuppressWarnings("ArrayRecordComponent") // never compared; a copy would cost memory
 record HttpReply(
         ServeAnswer.Kind kind, int status, byte[] body, String contentType, String detail) {
 
--- a/src/main/java/org/yuccabank/agent/RequestDesk.java
+++ b/src/main/java/org/yuccabank/agent/RequestDesk.java
@@ -90,8 +90,7 @@
             // An earlier incarnation may have run it, so this is no evidence of "not run".
             return Optional.of(unknown("the claim names another incarnation"));
         }
-        if (ledger.check(account, key, request.getFencingToken())
-                == RequestLedger.Verdict.NEW) {
+        if (ledger.check(account, key, request.getFencingToken()) == RequestLedger.Verdict.NEW) {
             return Optional.empty();
         }
         return Optional.of(
@@ -239,10 +238,7 @@
     }
 
     private InvokeResult unknown(String reason) {
-        return result(OutcomeKind.UNKNOWN)
-                .setReason(reason)
-                .setBody(ByteString.EMPTY)
-                .build();
+        return result(OutcomeKind.UNKNOWN).setReason(reason).setBody(ByteString.EMPTY).build();
     }
 
     private InvokeResult.Builder result(OutcomeKind outcome) {
--- a/src/main/java/org/yuccabank/agent/RequestLedger.java
+++ b/src/main/java/org/yuccabank/agent/RequestLedger.java
@@ -122,8 +122,7 @@
         }
     }
 
-    static ClaimOutcome.Builder outcome(
-            String account, String key, long token, OutcomeKind kind) {
+    static ClaimOutcome.Builder outcome(String account, String key, long token, OutcomeKind kind) {
         return ClaimOutcome.newBuilder()
                 .setAccount(account)
                 .setKey(key)
@@ -133,8 +132,7 @@
 
     /** What is known of a key. */
     Optional<ClaimOutcome> find(String account, String key) {
-        return Optional.ofNullable(entries.get(identity(account, key)))
-                .map(entry -> entry.outcome);
+        return Optional.ofNullable(entries.get(identity(account, key))).map(entry -> entry.outcome);
     }
 
     /**
@@ -149,8 +147,7 @@
             boolean due = nowMillis - entry.sentAtMillis >= RESEND_MILLIS;
             if (!entry.isOpen() && !entry.acknowledged && due && size < byteLimit) {
                 entry.sentAtMillis = nowMillis;
-                entry.firstSequence =
-                        entry.firstSequence == 0 ? sequence : entry.firstSequence;
+                entry.firstSequence = entry.firstSequence == 0 ? sequence : entry.firstSequence;
                 size += entry.outcome.getSerializedSize();
                 result.add(entry.outcome);
             }
--- a/src/main/java/org/yuccabank/agent/TaskRunner.java
+++ b/src/main/java/org/yuccabank/agent/TaskRunner.java
@@ -20,8 +20,7 @@
     private final Consumer<AgentAction> output;
     private final Consumer<AgentTask> changed;
 
-    private TaskRunner(
-            TaskTable table, Consumer<AgentAction> output, Consumer<AgentTask> changed) {
+    private TaskRunner(TaskTable table, Consumer<AgentAction> output, Consumer<AgentTask> changed) {
         this.table = table;
         this.output = output;
         this.changed = changed;
@@ -58,9 +57,7 @@
         if (task.throttleWanted != task.throttled) {
             send(
                     task,
-                    task.throttleWanted
-                            ? WorkerCall.Action.THROTTLE
-                            : WorkerCall.Action.UNTHROTTLE,
+                    task.throttleWanted ? WorkerCall.Action.THROTTLE : WorkerCall.Action.UNTHROTTLE,
                     0);
         } else if (task.checkpointWanted) {
             task.checkpointWanted = false;
@@ -71,7 +68,8 @@
     private void renewAtWorker(AgentTask task, long nowMillis) {
         long end = task.lease.endMillis();
         long atWorker = task.workerLeaseEndMillis;
-        // More than half of the lease is left for repetitions, and the worker is not called at each report.
+        // More than half of the lease is left for repetitions, and the worker is not called at each
+        // report.
         boolean due = end > atWorker && atWorker - nowMillis < (end - nowMillis) * 6 / 10;
         if (task.state == AgentTask.State.RUNNING && due && !task.renewalOpen) {
             task.renewalOpen = true;
@@ -132,8 +130,7 @@
         advance(task, nowMillis);
     }
 
-    private void startAnswered(
-            AgentTask task, WorkerAnswer answer, long lastRead, long nowMillis) {
+    private void startAnswered(AgentTask task, WorkerAnswer answer, long lastRead, long nowMillis) {
         switch (answer.kind()) {
             case DONE -> {
                 task.confirmed = true;
@@ -165,8 +162,7 @@
     }
 
     private void stopAnswered(AgentTask task, WorkerAnswer answer, long nowMillis) {
-        boolean neverStarted =
-                answer.kind() == WorkerAnswer.Kind.NOT_SENT && !task.workerMayKnow;
+        boolean neverStarted = answer.kind() == WorkerAnswer.Kind.NOT_SENT && !task.workerMayKnow;
         if (answer.kind() == WorkerAnswer.Kind.DONE || neverStarted) {
             endAs(task, answer.phase(), answer.generation(), nowMillis);
         } else {
--- a/src/main/java/org/yuccabank/agent/WorkerJson.java
+++ b/src/main/java/org/yuccabank/agent/WorkerJson.java
@@ -33,8 +33,7 @@
         try (JsonGenerator json = FACTORY.createGenerator(bytes)) {
             json.writeStartObject();
             json.writeNumberField("token", call.token());
-            json.writeNumberField(
-                    "leaseUntilMillis", call.leaseEndMillis() + clockOffsetMillis);
+            json.writeNumberField("leaseUntilMillis", call.leaseEndMillis() + clockOffsetMillis);
             json.writeNumberField("generation", call.generation());
             switch (call.action()) {
                 case START -> writeStart(json, call);
@@ -77,8 +76,7 @@
                         }
                     });
         }
-        return new WorkerAnswer(
-                WorkerAnswer.Kind.DONE, phase(texts[0]), generation[0], texts[1]);
+        return new WorkerAnswer(WorkerAnswer.Kind.DONE, phase(texts[0]), generation[0], texts[1]);
     }
 
     /** Reads the state of the worker. Lease ends are converted from the clock of the host. */
--- a/src/main/java/org/yuccabank/command/AgentCommand.java
+++ b/src/main/java/org/yuccabank/command/AgentCommand.java
@@ -42,11 +42,11 @@
     }
 
     private static Option required(String name, String argument, String description) {
-        return option(name, argument, description).required().build();
+        return option(name, argument, description).required().get();
     }
 
     private static Option optional(String name, String argument, String description) {
-        return option(name, argument, description).build();
+        return option(name, argument, description).get();
     }
 
     private static Option.Builder option(String name, String argument, String description) {
--- a/src/main/java/org/yuccabank/command/Commands.java
+++ b/src/main/java/org/yuccabank/command/Commands.java
@@ -6,7 +6,12 @@
 final class Commands {
 
     private static final List<Command> ALL =
-            List.of(new RulesCheckCommand(), new RulesDiffCommand(), new VersionCommand());
+            List.of(
+                    new AgentCommand(),
+                    new WorkerCommand(),
+                    new RulesCheckCommand(),
+                    new RulesDiffCommand(),
+                    new VersionCommand());
 
     private Commands() {}
 
--- a/src/main/java/org/yuccabank/command/RoleProcess.java
+++ b/src/main/java/org/yuccabank/command/RoleProcess.java
@@ -20,9 +20,7 @@
                 new Thread(
                         () -> {
                             ExitCode code =
-                                    stop.getAsBoolean()
-                                            ? ExitCode.SUCCESS
-                                            : ExitCode.DRAIN_TIMEOUT;
+                                    stop.getAsBoolean() ? ExitCode.SUCCESS : ExitCode.DRAIN_TIMEOUT;
                             // A JVM that ends by a signal exits with 128 + signal, which would
                             // read as a failure of a complete stop.
                             Runtime.getRuntime().halt(code.number());
--- a/src/main/java/org/yuccabank/command/WorkerCommand.java
+++ b/src/main/java/org/yuccabank/command/WorkerCommand.java
@@ -36,16 +36,16 @@
     @Override
     public Options options() {
         return new Options()
-                .addOption(option("listen", "ADDRESS", "Worker interface.").required().build())
-                .addOption(option("announce", "ADDRESS", "Agent to announce the target to.").build())
-                .addOption(option("target", "ID", "Identifier of the target.").build())
-                .addOption(option("service", "NAME", "Service of the target.").build())
-                .addOption(option("kinds", "LIST", "Kinds that it serves, by commas.").build())
-                .addOption(option("serve-ms", "N", "Time of a request on an idle host.").build())
-                .addOption(option("slowdown", "LIST", "Such as preview:render=0.5, by commas.")
-                        .build())
-                .addOption(option("seed", "N", "Seed of random times.").build())
-                .addOption(option("records", "FILE", "File for the records.").build());
+                .addOption(option("listen", "ADDRESS", "Worker interface.").required().get())
+                .addOption(option("announce", "ADDRESS", "Agent to announce the target to.").get())
+                .addOption(option("target", "ID", "Identifier of the target.").get())
+                .addOption(option("service", "NAME", "Service of the target.").get())
+                .addOption(option("kinds", "LIST", "Kinds that it serves, by commas.").get())
+                .addOption(option("serve-ms", "N", "Time of a request on an idle host.").get())
+                .addOption(
+                        option("slowdown", "LIST", "Such as preview:render=0.5, by commas.").get())
+                .addOption(option("seed", "N", "Seed of random times.").get())
+                .addOption(option("records", "FILE", "File for the records.").get());
     }
 
     private static Option.Builder option(String name, String argument, String description) {
@@ -74,7 +74,9 @@
                                 Addresses.parse(line.getOptionValue("listen")),
                                 agent)
                         .withTimes(
-                                number(line, "serve-ms", 20), slowdowns(line), number(line, "seed", 1));
+                                number(line, "serve-ms", 20),
+                                slowdowns(line),
+                                number(line, "seed", 1));
         String records = line.getOptionValue("records");
         if (records != null) {
             configuration = configuration.withRecordFile(Path.of(records));
--- a/src/main/java/org/yuccabank/protocol/PeerConnection.java
+++ b/src/main/java/org/yuccabank/protocol/PeerConnection.java
@@ -1,6 +1,7 @@
 package org.yuccabank.protocol;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.DecoderException;
@@ -103,13 +104,8 @@
                         .setReply(reply)
                         .setConfigurationVersion(transport.configurationVersion())
                         .build();
-        target.writeAndFlush(framed)
-                .addListener(
-                        result -> {
-                            if (!result.isSuccess()) {
-                                target.close();
-                            }
-                        });
+        var unused =
+                target.writeAndFlush(framed).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
     }
 
     /**
@@ -135,7 +131,7 @@
     public void close() {
         Channel current = channel;
         if (current != null) {
-            current.close();
+            var unused = current.close();
         }
     }
 
@@ -167,7 +163,7 @@
                     describe(),
                     "silentMs",
                     TimeUnit.NANOSECONDS.toMillis(silentNanos));
-            channel.close();
+            close();
             return;
         }
         Heartbeat heartbeat =
@@ -179,17 +175,15 @@
     protected void channelRead0(ChannelHandlerContext context, Envelope message) {
         lastFrameNanos = System.nanoTime();
         switch (message.getBodyCase()) {
-            case HEARTBEAT:
-                break;
-            case HELLO:
-                remote = message.getHello();
-                break;
-            default:
+            case HEARTBEAT -> {}
+            case HELLO -> remote = message.getHello();
+            default -> {
                 if (message.getReply()) {
                     complete(message);
                 } else {
                     answer(message);
                 }
+            }
         }
     }
 
@@ -238,7 +232,7 @@
         if (cause instanceof DecoderException) {
             EventLog.warning(Event.FRAME_REFUSED, "peer", describe(), "cause", cause.getMessage());
         }
-        context.close();
+        var unused = context.close();
     }
 
     private String describe() {
--- a/src/main/java/org/yuccabank/protocol/PeerTransport.java
+++ b/src/main/java/org/yuccabank/protocol/PeerTransport.java
@@ -12,10 +12,6 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
-import io.netty.handler.codec.LengthFieldPrepender;
-import io.netty.handler.codec.protobuf.ProtobufDecoder;
-import io.netty.handler.codec.protobuf.ProtobufEncoder;
 import java.net.InetSocketAddress;
 import java.util.Objects;
 import java.util.Set;
@@ -38,7 +34,6 @@
     /** Version of the inner protocol, sent in {@link Hello}. */
     public static final int PROTOCOL_VERSION = 1;
 
-    private static final int LENGTH_FIELD_BYTES = 4;
     private static final WriteBufferWaterMark WATER_MARK =
             new WriteBufferWaterMark(MAXIMUM_FRAME_BYTES, 4 * MAXIMUM_FRAME_BYTES);
     private static final long SHUTDOWN_QUIET_MILLIS = 0;
@@ -151,12 +146,8 @@
 
     private void addFraming(Channel channel, PeerHandler handler) {
         channel.pipeline()
-                .addLast(
-                        new LengthFieldBasedFrameDecoder(
-                                MAXIMUM_FRAME_BYTES, 0, LENGTH_FIELD_BYTES, 0, LENGTH_FIELD_BYTES))
-                .addLast(new ProtobufDecoder(Envelope.getDefaultInstance()))
-                .addLast(new LengthFieldPrepender(LENGTH_FIELD_BYTES))
-                .addLast(new ProtobufEncoder())
+                .addLast(new EnvelopeDecoder(MAXIMUM_FRAME_BYTES))
+                .addLast(new EnvelopeEncoder(MAXIMUM_FRAME_BYTES))
                 .addLast(new PeerConnection(this, handler));
     }
 
--- a/src/main/java/org/yuccabank/standin/StandInInstance.java
+++ b/src/main/java/org/yuccabank/standin/StandInInstance.java
@@ -26,8 +26,7 @@
     private final ArrayDeque<MonoSink<Boolean>> waiting = new ArrayDeque<>();
     private int running;
 
-    StandInInstance(
-            StandInConfiguration configuration, StandInWorker worker, ObjectMapper json) {
+    StandInInstance(StandInConfiguration configuration, StandInWorker worker, ObjectMapper json) {
         this.configuration = configuration;
         this.worker = worker;
         this.json = json;
--- a/src/main/java/org/yuccabank/standin/StandInServer.java
+++ b/src/main/java/org/yuccabank/standin/StandInServer.java
@@ -147,8 +147,7 @@
     }
 
     private Publisher<Void> setBehaviour(HttpServerRequest in, HttpServerResponse out) {
-        return body(in)
-                .flatMap(
+        return body(in).flatMap(
                         text -> {
                             worker.setBehaviour(read(text, Behaviour.class));
                             return Mono.from(sendNow(out, 200, worker.behaviour()));
@@ -157,8 +156,7 @@
 
     private Publisher<Void> start(HttpServerRequest in, HttpServerResponse out) {
         String id = decode(in.param("id"));
-        return body(in)
-                .flatMap(
+        return body(in).flatMap(
                         text ->
                                 Mono.from(
                                         reply(
@@ -173,8 +171,7 @@
     private Publisher<Void> change(HttpServerRequest in, HttpServerResponse out) {
         String id = decode(in.param("id"));
         String action = in.param("action");
-        return body(in)
-                .flatMap(
+        return body(in).flatMap(
                         text ->
                                 Mono.from(
                                         reply(
@@ -199,9 +196,7 @@
     private Publisher<Void> serve(HttpServerRequest in, HttpServerResponse out) {
         String kind = decode(in.param("kind"));
         List<String> keys =
-                new QueryStringDecoder(in.uri())
-                        .parameters()
-                        .getOrDefault("key", List.of(""));
+                new QueryStringDecoder(in.uri()).parameters().getOrDefault("key", List.of(""));
         return whenThawed()
                 .then(body(in))
                 .flatMap(text -> instance.serve(kind, keys.get(0), text))
@@ -221,8 +216,7 @@
         return whenThawed()
                 .then(Mono.fromSupplier(call))
                 .flatMap(this::delayed)
-                .flatMap(
-                        answer -> Mono.from(sendNow(out, answer.accepted() ? 200 : 409, answer)));
+                .flatMap(answer -> Mono.from(sendNow(out, answer.accepted() ? 200 : 409, answer)));
     }
 
     private Publisher<Void> respond(
--- a/src/main/java/org/yuccabank/standin/StandInWorker.java
+++ b/src/main/java/org/yuccabank/standin/StandInWorker.java
@@ -235,11 +235,7 @@
     }
 
     private void end(
-            StandInTask task,
-            StandInTask.Phase phase,
-            Event event,
-            String detail,
-            long nowMillis) {
+            StandInTask task, StandInTask.Phase phase, Event event, String detail, long nowMillis) {
         task.end(phase, nowMillis);
         add(nowMillis, event, task, task.checkpoint, detail);
     }
