--- a/src/test/java/org/yuccabank/agent/AgentServiceTest.java
+++ b/src/test/java/org/yuccabank/agent/AgentServiceTest.java
@@ -34,7 +34,8 @@
 public class AgentServiceTest {
 
     private static final Duration TIMEOUT = Duration.ofSeconds(10);
-    private static final InetSocketAddress ANY = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    private static final InetSocketAddress ANY =
+            new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
 
     private StubControl control;
     private StandInServer worker;
@@ -47,7 +48,8 @@
         // The announcement address of the agent is known only once it runs, so the worker's
         // interface is opened on a port that is free now and announced there.
         int announcementPort = freePort();
-        InetSocketAddress announcements = new InetSocketAddress(InetAddress.getLoopbackAddress(), announcementPort);
+        InetSocketAddress announcements =
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), announcementPort);
         worker =
                 StandInServer.start(
                         StandInConfiguration.standard(
--- a/src/test/java/org/yuccabank/agent/StubControl.java
+++ b/src/test/java/org/yuccabank/agent/StubControl.java
@@ -36,7 +36,11 @@
         transport =
                 PeerTransport.start(
                         greeting, version::get, PeerTimings.standard(), PeerSecurity.off(), 1);
-        server = PeerServer.start(transport, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), this::handle);
+        server =
+                PeerServer.start(
+                        transport,
+                        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                        this::handle);
     }
 
     private synchronized Mono<Envelope> handle(PeerConnection from, Envelope request) {
