--- a/src/main/java/org/yuccabank/agent/AgentConfiguration.java
+++ b/src/main/java/org/yuccabank/agent/AgentConfiguration.java
@@ -7,6 +7,7 @@
 /**
  * What an agent needs to know before it starts. Immutable.
  *
+ * @param processId identifier of the process
  * @param hostId identifier of the host
  * @param dataCentre data centre of the host
  * @param rack rack of the host
@@ -18,6 +19,7 @@
  * @param limits times and limits
  */
 public record AgentConfiguration(
+        String processId,
         String hostId,
         String dataCentre,
         String rack,
@@ -30,6 +32,7 @@
 
     /** Checks the parts. */
     public AgentConfiguration {
+        Objects.requireNonNull(processId, "processId is null");
         Objects.requireNonNull(hostId, "hostId is null");
         Objects.requireNonNull(limits, "limits is null");
         controlAddresses = List.copyOf(controlAddresses);
@@ -55,6 +58,7 @@
      */
     AgentConfiguration withListenAddress(InetSocketAddress bound) {
         return new AgentConfiguration(
+                processId,
                 hostId,
                 dataCentre,
                 rack,
@@ -69,6 +73,7 @@
     /**
      * Times and limits of an agent.
      *
+     * @param reportIntervalMillis time between two reports to control
      * @param configurationLeaseMillis time without control after which at-most-once requests and
      *     new tasks are refused
      * @param clockDriftPercent greatest difference between clock rates that leases allow for
@@ -76,6 +81,7 @@
      * @param drainTimeoutMillis longest wait for work in progress on a stop, 0 for no limit
      */
     public record Limits(
+            long reportIntervalMillis,
             long configurationLeaseMillis,
             int clockDriftPercent,
             boolean serveIdempotentWithoutControl,
@@ -84,10 +90,11 @@
         /**
          * The documented defaults.
          *
-         * @return 3 s configuration lease, 10 % drift, idempotent requests served, no drain limit
+         * @return reports each second, 3 s configuration lease, 10 % drift, idempotent requests
+         *     served, no drain limit
          */
         public static Limits standard() {
-            return new Limits(3_000, 10, true, 0);
+            return new Limits(1_000, 3_000, 10, true, 0);
         }
     }
 }
--- a/src/main/java/org/yuccabank/agent/AgentService.java
+++ b/src/main/java/org/yuccabank/agent/AgentService.java
@@ -59,7 +59,7 @@
         incarnation = startMillis;
         Hello greeting =
                 Hello.newBuilder()
-                        .setProcessId("agent-" + given.hostId())
+                        .setProcessId(given.processId())
                         .setIncarnation(incarnation)
                         .setRole(Role.AGENT)
                         .setDataCentre(given.dataCentre())
@@ -208,6 +208,10 @@
                             sink ->
                                     loop.execute(
                                             () -> sink.success(query(request.getOutcomeQuery()))));
+            case AGENT_DIRECTIVES -> {
+                loop.execute(() -> pushed(request));
+                yield Mono.empty();
+            }
             default -> Mono.empty();
         };
     }
@@ -219,6 +223,11 @@
         runActions();
     }
 
+    private void pushed(Envelope message) {
+        core.pushed(message.getAgentDirectives(), now());
+        runActions();
+    }
+
     private Envelope query(OutcomeQuery query) {
         return Envelope.newBuilder().setOutcomeAnswer(core.query(query, now())).build();
     }
--- a/src/main/java/org/yuccabank/command/Commands.java
+++ b/src/main/java/org/yuccabank/command/Commands.java
@@ -11,6 +11,7 @@
                     new WorkerCommand(),
                     new RulesCheckCommand(),
                     new RulesDiffCommand(),
+                    new SettingsCheckCommand(),
                     new VersionCommand());
 
     private Commands() {}
--- a/src/main/java/org/yuccabank/control/HostEntry.java
+++ b/src/main/java/org/yuccabank/control/HostEntry.java
@@ -139,6 +139,10 @@
         return incarnation;
     }
 
+    long lastSequence() {
+        return last.getSequence();
+    }
+
     String processId() {
         return last.getProcessId().isEmpty() ? hostId : last.getProcessId();
     }
--- a/src/main/java/org/yuccabank/control/LeaderLogic.java
+++ b/src/main/java/org/yuccabank/control/LeaderLogic.java
@@ -20,6 +20,7 @@
 import org.yuccabank.protocol.generated.Envelope;
 import org.yuccabank.protocol.generated.StateCommand;
 import org.yuccabank.protocol.generated.SubmitJob;
+import org.yuccabank.protocol.generated.TaskDirective;
 import org.yuccabank.replication.ReplicaService;
 import org.yuccabank.rules.ParsedRules;
 import org.yuccabank.rules.RuleSet;
@@ -156,17 +157,18 @@
         }
         leases.renew(task.get().getLease().getFencingToken(), System.currentTimeMillis());
         JobRecord job = records.job(task.get().getJobId()).orElseThrow();
+        TaskDirective start = reports.start(task.get(), job, records);
+        registry.host(task.get().getLease().getHostId()).ifPresent(host -> push(host, start));
+    }
+
+    /** The agent measures the lease from the report that is named here. */
+    private static void push(HostEntry host, TaskDirective directive) {
         AgentDirectives directives =
                 AgentDirectives.newBuilder()
-                        .addDirectives(reports.start(task.get(), job, records))
+                        .setAcknowledgedSequence(host.lastSequence())
+                        .addDirectives(directive)
                         .build();
-        registry.host(task.get().getLease().getHostId())
-                .flatMap(HostEntry::connection)
-                .ifPresent(
-                        connection ->
-                                connection.send(
-                                        Envelope.newBuilder()
-                                                .setAgentDirectives(directives)
-                                                .build()));
+        Envelope message = Envelope.newBuilder().setAgentDirectives(directives).build();
+        host.connection().ifPresent(connection -> connection.send(message));
     }
 }
