--- a/src/main/java/org/yuccabank/agent/AgentCore.java
+++ b/src/main/java/org/yuccabank/agent/AgentCore.java
@@ -24,6 +24,9 @@
  */
 final class AgentCore implements ReportSource {
 
+    // Several reports, so that the loss of one or a change of leader does not lose the outcomes.
+    private static final long SETTLE_MILLIS = 5_000;
+
     private final AgentConfiguration configuration;
     private final AgentOptions options;
     private final ConfigurationState rules;
@@ -40,7 +43,7 @@
     private boolean readOpen;
     private boolean stopping;
     private boolean drainedByControl;
-    private long lastContactMillis;
+    private long idleSinceMillis;
 
     private AgentCore(AgentConfiguration configuration, long incarnation, AgentOptions options) {
         this.configuration = configuration;
@@ -101,7 +104,7 @@
     /** Takes the state of the worker. */
     void workerRead(long readId, WorkerState state, long nowMillis) {
         readOpen = false;
-        nextReadMillis = nowMillis + Reporter.INTERVAL_MILLIS;
+        nextReadMillis = nowMillis + configuration.limits().reportIntervalMillis();
         workerReadAtMillis = nowMillis;
         boolean first = worker == null;
         boolean resized =
@@ -130,7 +133,7 @@
     /** Takes the news that the worker did not answer a reading. */
     void workerReadFailed(long nowMillis) {
         readOpen = false;
-        nextReadMillis = nowMillis + Reporter.INTERVAL_MILLIS;
+        nextReadMillis = nowMillis + configuration.limits().reportIntervalMillis();
     }
 
     /** Takes the answer of the worker to a call. */
@@ -145,15 +148,15 @@
      * @param controlVersion newest configuration version that control knows
      */
     void directives(AgentDirectives directives, long controlVersion, long nowMillis) {
+        if (directives.getFullReportWanted()) {
+            reporter.wantFull();
+        }
         Optional<Long> sentAt = reporter.sentAt(directives.getAcknowledgedSequence());
         if (sentAt.isEmpty()) {
             return;
         }
         long base = options.leaseFromReport() ? sentAt.get() : nowMillis;
-        boolean newest =
-                reporter.acknowledge(
-                        directives.getAcknowledgedSequence(), directives.getFullReportWanted());
-        lastContactMillis = Math.max(lastContactMillis, base);
+        boolean newest = reporter.acknowledge(directives.getAcknowledgedSequence());
         rules.update(directives.getRules(), controlVersion, base);
         if (newest && directives.getDrain() != drainedByControl) {
             drainedByControl = directives.getDrain();
@@ -164,6 +167,22 @@
         for (String key : directives.getAcknowledgedClaimsList()) {
             desk.ledger().acknowledge(key, directives.getAcknowledgedSequence());
         }
+        applyAll(directives, base, nowMillis);
+    }
+
+    /**
+     * Takes directives that control sends between two reports. They name the newest report that
+     * control has, from which their leases are measured; they change tasks only.
+     */
+    void pushed(AgentDirectives directives, long nowMillis) {
+        Optional<Long> sentAt = reporter.sentAt(directives.getAcknowledgedSequence());
+        if (sentAt.isPresent()) {
+            long base = options.leaseFromReport() ? sentAt.get() : nowMillis;
+            applyAll(directives, base, nowMillis);
+        }
+    }
+
+    private void applyAll(AgentDirectives directives, long base, long nowMillis) {
         for (TaskDirective directive : directives.getDirectivesList()) {
             apply(directive, base, nowMillis);
         }
@@ -212,6 +231,12 @@
     }
 
     private void start(TaskDirective directive, long base, long nowMillis) {
+        Optional<AgentTask> known = table.find(directive.getFencingToken());
+        if (known.isPresent()) {
+            // Control repeats a start until a report names its token.
+            markChanged(known.get());
+            return;
+        }
         Lease lease = lease(base, directive.getLeaseMillis());
         Optional<String> refusal = Optional.empty();
         if (isDraining()) {
@@ -221,11 +246,10 @@
         } else if (lease.stopAtMillis() <= nowMillis) {
             refusal = Optional.of("the lease ended before the directive came");
         }
-        Optional<AgentTask> task =
+        markChanged(
                 refusal.isPresent()
                         ? table.refuse(directive, refusal.get(), nowMillis)
-                        : table.admit(directive, lease, nowMillis);
-        task.ifPresent(this::markChanged);
+                        : table.admit(directive, lease, nowMillis));
     }
 
     private void markChanged(AgentTask task) {
@@ -271,6 +295,7 @@
     /** Begins the end of the process: nothing new is admitted, tasks are stopped. */
     void beginDrain(long nowMillis) {
         stopping = true;
+        idleSinceMillis = nowMillis;
         desk.setClosed(true);
         hostChanged();
         for (AgentTask task : table.active()) {
@@ -284,13 +309,18 @@
         reporter.hasten();
     }
 
-    /** Tells whether no request and no task is left and control knows all outcomes. */
+    /**
+     * Tells whether no request and no task is left and control knows all outcomes. Without an
+     * acknowledgement of control the wait for it ends after {@link #SETTLE_MILLIS}.
+     */
     boolean isDrained(long nowMillis) {
         boolean idle = desk.held() == 0 && table.active().isEmpty();
+        if (!idle) {
+            idleSinceMillis = nowMillis;
+            return false;
+        }
         boolean settled = desk.ledger().isSettled() && reporter.isSettled();
-        boolean unheard =
-                nowMillis - lastContactMillis > configuration.limits().configurationLeaseMillis();
-        return idle && (settled || unheard);
+        return settled || nowMillis - idleSinceMillis > SETTLE_MILLIS;
     }
 
     boolean isDraining() {
@@ -337,7 +367,8 @@
 
     @Override
     public void writeHost(AgentReport.Builder report) {
-        report.setCapacity(Vectors.toMessage(table.allocatable()))
+        report.setCapacity(Vectors.toMessage(worker.capacity()))
+                .setServiceReservation(Vectors.toMessage(worker.serviceReservation()))
                 .setAgentAddress(configuration.advertisedAddress());
     }
 
--- a/src/main/java/org/yuccabank/agent/AgentService.java
+++ b/src/main/java/org/yuccabank/agent/AgentService.java
@@ -59,7 +59,7 @@
         incarnation = startMillis;
         Hello greeting =
                 Hello.newBuilder()
-                        .setProcessId("agent-" + given.hostId())
+                        .setProcessId(given.processId())
                         .setIncarnation(incarnation)
                         .setRole(Role.AGENT)
                         .setDataCentre(given.dataCentre())
@@ -209,11 +209,7 @@
                                     loop.execute(
                                             () -> sink.success(query(request.getOutcomeQuery()))));
             case AGENT_DIRECTIVES -> {
-                loop.execute(
-                        () ->
-                                directives(
-                                        request.getAgentDirectives(),
-                                        request.getConfigurationVersion()));
+                loop.execute(() -> pushed(request));
                 yield Mono.empty();
             }
             default -> Mono.empty();
@@ -227,6 +223,11 @@
         runActions();
     }
 
+    private void pushed(Envelope message) {
+        core.pushed(message.getAgentDirectives(), now());
+        runActions();
+    }
+
     private Envelope query(OutcomeQuery query) {
         return Envelope.newBuilder().setOutcomeAnswer(core.query(query, now())).build();
     }
--- a/src/main/java/org/yuccabank/agent/Reporter.java
+++ b/src/main/java/org/yuccabank/agent/Reporter.java
@@ -17,9 +17,6 @@
  */
 final class Reporter {
 
-    /** Time between two reports. */
-    static final long INTERVAL_MILLIS = 1_000;
-
     /** Time between two full reports. */
     static final long FULL_MILLIS = 30_000;
 
@@ -56,6 +53,11 @@
         hostChangedAt = nextSequence();
     }
 
+    /** Makes the next report a full one. */
+    void wantFull() {
+        fullWanted = true;
+    }
+
     /** Asks for a report with the next tick. */
     void hasten() {
         nextMillis = 0;
@@ -71,8 +73,7 @@
     }
 
     /** Takes an acknowledgement; returns false if it is older than another one. */
-    boolean acknowledge(long reportSequence, boolean wantsFull) {
-        fullWanted |= wantsFull;
+    boolean acknowledge(long reportSequence) {
         if (reportSequence < acknowledged || reportSequence > sequence) {
             return false;
         }
@@ -135,7 +136,7 @@
     }
 
     private void remember(long nowMillis) {
-        nextMillis = nowMillis + INTERVAL_MILLIS;
+        nextMillis = nowMillis + configuration.limits().reportIntervalMillis();
         sentAt.put(sequence, nowMillis);
         if (sentAt.size() > REMEMBERED_SEQUENCES) {
             sentAt.remove(sentAt.keySet().iterator().next());
--- a/src/main/java/org/yuccabank/agent/TaskTable.java
+++ b/src/main/java/org/yuccabank/agent/TaskTable.java
@@ -64,30 +64,23 @@
     /**
      * Decides about a start.
      *
-     * @return the new lease, ended with a reason if it is refused; empty if the directive is a
-     *     repetition
+     * @param directive a start whose token is not known
+     * @return the new lease, ended with a reason if it is refused
      */
-    Optional<AgentTask> admit(TaskDirective directive, Lease lease, long nowMillis) {
-        AgentTask known = tasks.get(directive.getFencingToken());
-        if (known != null) {
-            return Optional.empty();
-        }
+    AgentTask admit(TaskDirective directive, Lease lease, long nowMillis) {
         AgentTask task = AgentTask.of(directive, lease, nowMillis);
         Optional<String> reason = refusalOf(task);
         tasks.put(task.token, task);
         reason.ifPresent(text -> end(task, TaskPhase.TASK_REFUSED, text, nowMillis));
-        return Optional.of(task);
+        return task;
     }
 
     /** Records a start that is refused for a reason outside this table. */
-    Optional<AgentTask> refuse(TaskDirective directive, String reason, long nowMillis) {
-        if (tasks.containsKey(directive.getFencingToken())) {
-            return Optional.empty();
-        }
+    AgentTask refuse(TaskDirective directive, String reason, long nowMillis) {
         AgentTask task = AgentTask.of(directive, Lease.endedAt(nowMillis), nowMillis);
         tasks.put(task.token, task);
         end(task, TaskPhase.TASK_REFUSED, reason, nowMillis);
-        return Optional.of(task);
+        return task;
     }
 
     private Optional<String> refusalOf(AgentTask candidate) {
--- a/src/main/java/org/yuccabank/command/AgentCommand.java
+++ b/src/main/java/org/yuccabank/command/AgentCommand.java
@@ -1,14 +1,19 @@
 package org.yuccabank.command;
 
 import java.io.PrintStream;
+import java.nio.file.Path;
+import java.time.Duration;
 import java.util.List;
 import org.apache.commons.cli.CommandLine;
-import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
 import org.yuccabank.agent.AgentConfiguration;
 import org.yuccabank.agent.AgentService;
 import org.yuccabank.protocol.PeerSecurity;
+import org.yuccabank.result.Result;
+import org.yuccabank.settings.AgentSettings;
+import org.yuccabank.settings.ProcessSettings;
+import org.yuccabank.settings.Settings;
 
 /** Runs the agent beside a target. */
 final class AgentCommand implements Command {
@@ -31,51 +36,53 @@
     @Override
     public Options options() {
         return new Options()
-                .addOption(required("host", "ID", "Identifier of this host."))
-                .addOption(required("control", "LIST", "Addresses of control, by commas."))
-                .addOption(required("worker", "ADDRESS", "Worker interface of the platform."))
-                .addOption(required("listen", "ADDRESS", "Address for the inner protocol."))
-                .addOption(required("announcements", "ADDRESS", "Loopback address for targets."))
-                .addOption(required("administration", "ADDRESS", "Address of metrics."))
-                .addOption(optional("data-centre", "NAME", "Data centre of this host."))
-                .addOption(optional("rack", "NAME", "Rack of this host."));
-    }
-
-    private static Option required(String name, String argument, String description) {
-        return option(name, argument, description).required().get();
-    }
-
-    private static Option optional(String name, String argument, String description) {
-        return option(name, argument, description).get();
-    }
-
-    private static Option.Builder option(String name, String argument, String description) {
-        return Option.builder().longOpt(name).hasArg().argName(argument).desc(description);
+                .addOption(CommandOptions.value("settings", "FILE", "Settings of the agent."))
+                .addOption(CommandOptions.settings());
     }
 
     @Override
     public List<String> examples() {
         return List.of(
-                "yuccabank agent --host host-1 --control 127.0.0.1:7101 --worker 127.0.0.1:7301"
-                        + " --listen 127.0.0.1:7201 --announcements 127.0.0.1:7202"
-                        + " --administration 127.0.0.1:7203 --data-centre dc-1 --rack rack-1");
+                "yuccabank agent --settings /etc/yuccabank/agent.toml",
+                "yuccabank agent --settings agent.toml --set process_id=agent-7"
+                        + " --set host_id=host-7");
     }
 
     @Override
     public ExitCode run(CommandLine line, PrintStream output, PrintStream errors)
             throws ParseException {
-        AgentConfiguration configuration =
-                new AgentConfiguration(
-                        line.getOptionValue("host"),
-                        line.getOptionValue("data-centre", "dc-1"),
-                        line.getOptionValue("rack", "rack-1"),
-                        Addresses.parse(line.getOptionValue("listen")),
-                        Addresses.parse(line.getOptionValue("administration")),
-                        Addresses.parse(line.getOptionValue("announcements")),
-                        Addresses.parse(line.getOptionValue("worker")),
-                        Addresses.parseList(line.getOptionValue("control")),
-                        AgentConfiguration.Limits.standard());
-        AgentService service = AgentService.start(configuration, PeerSecurity.off());
+        String file = line.getOptionValue("settings");
+        if (file == null) {
+            throw new ParseException("--settings FILE is needed");
+        }
+        Result<AgentSettings> settings =
+                Settings.agent(Path.of(file), CommandOptions.overrides(line));
+        if (!settings.isSuccess()) {
+            errors.println(settings.findings());
+            return ExitCode.REFUSED;
+        }
+        AgentService service =
+                AgentService.start(configuration(settings.get()), PeerSecurity.off());
         return RoleProcess.runUntilStopped(service::stop);
     }
+
+    private static AgentConfiguration configuration(AgentSettings settings) {
+        ProcessSettings process = settings.process();
+        return new AgentConfiguration(
+                process.processId(),
+                process.hostId().value(),
+                process.dataCentre(),
+                process.rack(),
+                settings.protocolAddress(),
+                settings.administrationAddress(),
+                settings.httpAddress(),
+                settings.workerAddress(),
+                settings.controlAddresses(),
+                new AgentConfiguration.Limits(
+                        settings.reportInterval().toMillis(),
+                        settings.configurationLease().toMillis(),
+                        settings.clockDriftPercent(),
+                        true,
+                        process.drainTimeout().map(Duration::toMillis).orElse(0L)));
+    }
 }
--- a/src/main/java/org/yuccabank/command/WorkerCommand.java
+++ b/src/main/java/org/yuccabank/command/WorkerCommand.java
@@ -1,16 +1,17 @@
 package org.yuccabank.command;
 
 import java.io.PrintStream;
-import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.apache.commons.cli.CommandLine;
-import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.yuccabank.result.Result;
+import org.yuccabank.settings.Settings;
+import org.yuccabank.settings.WorkerSettings;
 import org.yuccabank.standin.CheckpointStore;
 import org.yuccabank.standin.StandInConfiguration;
 import org.yuccabank.standin.StandInServer;
@@ -36,43 +37,59 @@
     @Override
     public Options options() {
         return new Options()
-                .addOption(option("listen", "ADDRESS", "Worker interface.").required().get())
-                .addOption(option("announce", "ADDRESS", "Agent to announce the target to.").get())
-                .addOption(option("target", "ID", "Identifier of the target.").get())
-                .addOption(option("service", "NAME", "Service of the target.").get())
-                .addOption(option("kinds", "LIST", "Kinds that it serves, by commas.").get())
-                .addOption(option("serve-ms", "N", "Time of a request on an idle host.").get())
-                .addOption(
-                        option("slowdown", "LIST", "Such as preview:render=0.5, by commas.").get())
-                .addOption(option("seed", "N", "Seed of random times.").get())
-                .addOption(option("records", "FILE", "File for the records.").get());
-    }
-
-    private static Option.Builder option(String name, String argument, String description) {
-        return Option.builder().longOpt(name).hasArg().argName(argument).desc(description);
+                .addOption(CommandOptions.value("settings", "FILE", "Settings of the worker."))
+                .addOption(CommandOptions.settings())
+                .addOption(CommandOptions.value("kinds", "LIST", "Kinds that it serves."))
+                .addOption(CommandOptions.value("serve-ms", "N", "Time of a request when idle."))
+                .addOption(CommandOptions.value("slowdown", "LIST", "As preview:render=0.5."))
+                .addOption(CommandOptions.value("seed", "N", "Seed of random times."))
+                .addOption(CommandOptions.value("records", "FILE", "File for the records."));
     }
 
     @Override
     public List<String> examples() {
         return List.of(
-                "yuccabank worker --listen 127.0.0.1:7301 --announce 127.0.0.1:7202"
-                        + " --target preview-1 --service studio --kinds preview,charge");
+                "yuccabank worker --settings worker.toml --kinds preview,charge",
+                "yuccabank worker --settings worker.toml --slowdown preview:encode=1.5"
+                        + " --records records.jsonl");
     }
 
     @Override
     public ExitCode run(CommandLine line, PrintStream output, PrintStream errors)
             throws ParseException {
-        String announce = line.getOptionValue("announce");
-        Optional<InetSocketAddress> agent =
-                announce == null ? Optional.empty() : Optional.of(Addresses.parse(announce));
+        String file = line.getOptionValue("settings");
+        if (file == null) {
+            throw new ParseException("--settings FILE is needed");
+        }
+        Result<WorkerSettings> settings =
+                Settings.worker(Path.of(file), CommandOptions.overrides(line));
+        if (!settings.isSuccess()) {
+            errors.println(settings.findings());
+            return ExitCode.REFUSED;
+        }
+        StandInConfiguration configuration = configuration(settings.get(), line);
+        StandInServer server = StandInServer.start(configuration, CheckpointStore.empty());
+        output.println("worker listens on " + server.address());
+        return RoleProcess.runUntilStopped(
+                () -> {
+                    server.withdraw();
+                    server.stop();
+                    return true;
+                });
+    }
+
+    private static StandInConfiguration configuration(WorkerSettings settings, CommandLine line)
+            throws ParseException {
         String kinds = line.getOptionValue("kinds", "");
         StandInConfiguration configuration =
                 StandInConfiguration.standard(
-                                line.getOptionValue("target", "target-1"),
-                                line.getOptionValue("service", "service"),
+                                settings.process().processId(),
+                                settings.service(),
                                 kinds.isEmpty() ? List.of() : List.of(kinds.split(",", -1)),
-                                Addresses.parse(line.getOptionValue("listen")),
-                                agent)
+                                settings.httpAddress(),
+                                Optional.of(settings.agentAddress()))
+                        .withCapacity(
+                                settings.capacity(), StandInConfiguration.STANDARD_RESERVATION)
                         .withTimes(
                                 number(line, "serve-ms", 20),
                                 slowdowns(line),
@@ -81,14 +98,7 @@
         if (records != null) {
             configuration = configuration.withRecordFile(Path.of(records));
         }
-        StandInServer server = StandInServer.start(configuration, CheckpointStore.empty());
-        output.println("worker listens on " + server.address());
-        return RoleProcess.runUntilStopped(
-                () -> {
-                    server.withdraw();
-                    server.stop();
-                    return true;
-                });
+        return configuration;
     }
 
     private static long number(CommandLine line, String name, long otherwise)
--- a/src/main/java/org/yuccabank/control/ClusterState.java
+++ b/src/main/java/org/yuccabank/control/ClusterState.java
@@ -111,7 +111,7 @@
                             host.dataCentre(),
                             host.rack(),
                             HostStatus.READY,
-                            host.capacity(),
+                            host.capacity().minus(host.serviceReservation()),
                             Resources.none(),
                             List.copyOf(kinds.values()),
                             0,
@@ -123,7 +123,7 @@
 
     private static HostView view(
             HostEntry host, SystemState state, List<PendingGrant> pending, long nowMillis) {
-        Resources reserved = Resources.none();
+        Resources reserved = host.serviceReservation();
         Map<WorkKind, KindLoad> kinds = new LinkedHashMap<>();
         addTargets(host, kinds);
         int unproven = pending.size();
--- a/src/main/java/org/yuccabank/control/HostEntry.java
+++ b/src/main/java/org/yuccabank/control/HostEntry.java
@@ -29,6 +29,7 @@
     private PeerConnection connection;
     private AgentReport last = AgentReport.getDefaultInstance();
     private Resources capacity = Resources.none();
+    private Resources serviceReservation = Resources.none();
     private long lastReportMillis;
     private long configurationVersion;
     private boolean routingChanged;
@@ -66,6 +67,7 @@
         }
         if (report.hasCapacity()) {
             capacity = resources(report.getCapacity());
+            serviceReservation = resources(report.getServiceReservation());
         }
         if (report.hasUsage()) {
             last = last.toBuilder().setUsage(report.getUsage()).build();
@@ -140,6 +142,10 @@
         return incarnation;
     }
 
+    long lastSequence() {
+        return last.getSequence();
+    }
+
     String processId() {
         return connection().flatMap(PeerConnection::remote).map(Hello::getProcessId).orElse(hostId);
     }
@@ -164,6 +170,11 @@
         return capacity;
     }
 
+    /** Part of the capacity that the service instance holds whatever its load. */
+    Resources serviceReservation() {
+        return serviceReservation;
+    }
+
     Resources usage() {
         return resources(last.getUsage());
     }
--- a/src/main/java/org/yuccabank/control/QueryAnswers.java
+++ b/src/main/java/org/yuccabank/control/QueryAnswers.java
@@ -156,7 +156,7 @@
                     .put("rack", host.rack())
                     .put("state", condition)
                     .put("tasks", state.leasedTasksOfHost(host.hostId()).size());
-            Resources reserved = Resources.none();
+            Resources reserved = host.serviceReservation();
             for (TaskRecord task : state.leasedTasksOfHost(host.hostId())) {
                 reserved = reserved.plus(HostEntry.resources(task.getLease().getReservation()));
             }
--- a/src/main/java/org/yuccabank/local/LocalDeployment.java
+++ b/src/main/java/org/yuccabank/local/LocalDeployment.java
@@ -111,6 +111,7 @@
         InetSocketAddress workerAddress = freeAddress();
         AgentConfiguration configuration =
                 new AgentConfiguration(
+                        "agent-" + (index + 1),
                         "host-" + (index + 1),
                         dataCentre(index),
                         "rack-" + (index / profile.hostsPerRack() + 1),
--- a/src/test/java/org/yuccabank/agent/AgentServiceTest.java
+++ b/src/test/java/org/yuccabank/agent/AgentServiceTest.java
@@ -62,6 +62,7 @@
         agent =
                 AgentService.start(
                         new AgentConfiguration(
+                                "agent-1",
                                 "host-1",
                                 "dc-1",
                                 "rack-1",
