--- a/src/main/java/org/yuccabank/agent/AgentCore.java
+++ b/src/main/java/org/yuccabank/agent/AgentCore.java
@@ -361,7 +361,7 @@
             report.setUsage(Vectors.toMessage(worker.usage()))
                     .setUsageAgeMillis(worker.usageAgeMillis());
         }
-        report.setDraining(isDraining()).setConfigurationVersion(rules.version());
+        report.setDraining(isDraining());
         target.toMessage(desk.held(), isDraining()).ifPresent(report::addTargets);
     }
 
--- a/src/main/java/org/yuccabank/command/Commands.java
+++ b/src/main/java/org/yuccabank/command/Commands.java
@@ -7,8 +7,11 @@
 
     private static final List<Command> ALL =
             List.of(
+                    new ControlCommand(),
+                    new EntryCommand(),
                     new AgentCommand(),
                     new WorkerCommand(),
+                    new LocalCommand(),
                     new RulesCheckCommand(),
                     new RulesDiffCommand(),
                     new SettingsCheckCommand(),
--- a/src/main/java/org/yuccabank/control/HostRegistry.java
+++ b/src/main/java/org/yuccabank/control/HostRegistry.java
@@ -24,11 +24,13 @@
      * Takes up a report.
      *
      * @param report the report
+     * @param version configuration version in force at the agent
      * @param connection connection on which directives can be sent
      * @param nowMillis present time
      * @return the host, empty if a full report is needed first
      */
-    Optional<HostEntry> update(AgentReport report, PeerConnection connection, long nowMillis) {
+    Optional<HostEntry> update(
+            AgentReport report, long version, PeerConnection connection, long nowMillis) {
         HostEntry entry = hosts.get(report.getHostId());
         boolean known = entry != null && entry.incarnation() == report.getIncarnation();
         if (entry != null && report.getIncarnation() < entry.incarnation()) {
@@ -42,9 +44,7 @@
             hosts.put(report.getHostId(), entry);
         }
         boolean wasSuspect = entry.isSuspect(nowMillis);
-        if (!entry.apply(report, connection, nowMillis)) {
-            return Optional.empty();
-        }
+        entry.apply(report, version, connection, nowMillis);
         if (entry.takeRoutingChange() || wasSuspect) {
             revision++;
         }
--- a/src/main/java/org/yuccabank/control/LeaderLogic.java
+++ b/src/main/java/org/yuccabank/control/LeaderLogic.java
@@ -95,8 +95,9 @@
         }
     }
 
-    AgentDirectives report(AgentReport report, PeerConnection connection, long nowMillis) {
-        return reports.handle(report, connection, state.records(), nowMillis);
+    AgentDirectives report(
+            AgentReport report, long version, PeerConnection connection, long nowMillis) {
+        return reports.handle(report, version, connection, state.records(), nowMillis);
     }
 
     Directory directory(DirectoryRequest request, long nowMillis) {
--- a/src/main/java/org/yuccabank/control/ReportHandler.java
+++ b/src/main/java/org/yuccabank/control/ReportHandler.java
@@ -57,26 +57,31 @@
      * Handles one report.
      *
      * @param report the report
+     * @param version configuration version in force at the agent
      * @param connection connection on which it came
      * @param state the replicated records
      * @param nowMillis present time
      * @return the answer to the agent
      */
     AgentDirectives handle(
-            AgentReport report, PeerConnection connection, SystemState state, long nowMillis) {
+            AgentReport report,
+            long version,
+            PeerConnection connection,
+            SystemState state,
+            long nowMillis) {
         noticeIncarnation(report, state);
-        Optional<HostEntry> host = registry.update(report, connection, nowMillis);
+        Optional<HostEntry> host = registry.update(report, version, connection, nowMillis);
         AgentDirectives.Builder answer =
                 AgentDirectives.newBuilder()
+                        .setAcknowledgedSequence(report.getSequence())
                         .setLeaseMillis(leaseMillis)
                         .setDrain(isDraining(state, report.getHostId()));
         report.getTasksList().forEach(task -> takeUp(task, state));
         acknowledgeClaims(report, state, answer);
-        addRules(report, state, answer);
+        addRules(version, state, answer);
         if (host.isEmpty()) {
             return answer.setFullReportWanted(true).build();
         }
-        answer.setAcknowledgedSequence(report.getSequence());
         addDirectives(host.get(), state, nowMillis, answer);
         return answer.build();
     }
@@ -99,7 +104,7 @@
         }
     }
 
-    private static boolean isDraining(SystemState state, String hostId) {
+    static boolean isDraining(SystemState state, String hostId) {
         return state.host(hostId).map(HostRecord::getDraining).orElse(false);
     }
 
@@ -169,10 +174,9 @@
         return outcome == OutcomeKind.RAN || outcome == OutcomeKind.NOT_RUN;
     }
 
-    private static void addRules(
-            AgentReport report, SystemState state, AgentDirectives.Builder answer) {
+    private static void addRules(long version, SystemState state, AgentDirectives.Builder answer) {
         state.newestRules()
-                .filter(rules -> rules.getVersion() > report.getConfigurationVersion())
+                .filter(rules -> rules.getVersion() > version)
                 .ifPresent(answer::setRules);
     }
 
