--- /dev/null
+++ b/src/main/java/org/yuccabank/security/Credentials.java
@@ -0,0 +1,171 @@
+package org.yuccabank.security;
+
+import java.nio.file.Path;
+import java.security.MessageDigest;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.regex.Pattern;
+import org.tomlj.TomlArray;
+import org.tomlj.TomlTable;
+import org.yuccabank.model.AccountId;
+import org.yuccabank.result.Finding;
+import org.yuccabank.result.FindingCollector;
+import org.yuccabank.result.NearestName;
+import org.yuccabank.result.Place;
+import org.yuccabank.result.Result;
+import org.yuccabank.result.TextFile;
+import org.yuccabank.result.TomlDocument;
+
+/**
+ * The credentials file: digests of tokens and the account of each. It holds no token. Immutable and
+ * safe for use by several threads.
+ */
+public final class Credentials implements Authenticator {
+
+    /** Greatest length of a credentials file in bytes. */
+    public static final int GREATEST_LENGTH = 1 << 20;
+
+    private static final List<String> KEYS = List.of("digest", "account", "operator");
+    private static final Pattern DIGEST = Pattern.compile("[0-9a-f]{64}");
+    private static final Pattern ACCOUNT = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,63}");
+
+    private record Entry(byte[] digest, Principal principal) {}
+
+    private final List<Entry> entries;
+
+    private Credentials(List<Entry> entries) {
+        this.entries = List.copyOf(entries);
+    }
+
+    /**
+     * Reads a credentials file.
+     *
+     * @param file the file
+     * @return the credentials, or all faults of the file
+     */
+    public static Result<Credentials> read(Path file) {
+        Objects.requireNonNull(file, "file is null");
+        return TextFile.read(file, GREATEST_LENGTH).flatMap(text -> parse(text, file.toString()));
+    }
+
+    /**
+     * Reads credentials.
+     *
+     * @param text the text of the file, with one {@code [[credential]]} table for each token
+     * @param source name of the file for findings
+     * @return the credentials, or all faults
+     */
+    public static Result<Credentials> parse(String text, String source) {
+        Objects.requireNonNull(text, "text is null");
+        FindingCollector findings = FindingCollector.of(source);
+        TomlTable document = TomlDocument.parse(text, source, findings);
+        checkKeys(document, List.of("credential"), source, findings);
+        List<Entry> entries = entries(document.get(List.of("credential")), source, findings);
+        return findings.isEmpty()
+                ? Result.success(new Credentials(entries))
+                : Result.failure(findings.toFindings());
+    }
+
+    @Override
+    public Optional<Principal> authenticate(Secret token) {
+        byte[] digest = token.digest();
+        Optional<Principal> found = Optional.empty();
+        // Compares with every entry, so that the time does not tell which one is similar.
+        for (Entry entry : entries) {
+            if (MessageDigest.isEqual(entry.digest, digest)) {
+                found = Optional.of(entry.principal);
+            }
+        }
+        return found;
+    }
+
+    /**
+     * Number of tokens.
+     *
+     * @return the number
+     */
+    public int size() {
+        return entries.size();
+    }
+
+    private static List<Entry> entries(Object value, String source, FindingCollector findings) {
+        if (!(value instanceof TomlArray array) || array.isEmpty()) {
+            findings.add(1, 1, "no token is listed; add a [[credential]] table for each token");
+            return List.of();
+        }
+        List<Entry> entries = new ArrayList<>();
+        Set<String> digests = new HashSet<>();
+        for (int index = 0; index < array.size(); index++) {
+            Place place = TomlDocument.place(source, array.inputPositionOf(index));
+            if (array.get(index) instanceof TomlTable table) {
+                entry(table, place, digests, findings).ifPresent(entries::add);
+            } else {
+                findings.add(new Finding(place, "expected a [[credential]] table"));
+            }
+        }
+        return entries;
+    }
+
+    private static Optional<Entry> entry(
+            TomlTable table, Place place, Set<String> digests, FindingCollector findings) {
+        checkKeys(table, KEYS, place.source(), findings);
+        Optional<String> digest =
+                text(table, "digest", DIGEST, "64 lower-case hexadecimal digits", place, findings);
+        Optional<String> account =
+                text(table, "account", ACCOUNT, "the name of an account", place, findings);
+        Object operator = table.get(List.of("operator"));
+        if (operator != null && !(operator instanceof Boolean)) {
+            findings.add(new Finding(placeOf(table, "operator", place), "expected true or false"));
+        }
+        if (digest.isPresent() && !digests.add(digest.get())) {
+            findings.add(new Finding(place, "the digest stands twice; remove one of them"));
+        }
+        if (digest.isEmpty() || account.isEmpty()) {
+            return Optional.empty();
+        }
+        Principal principal =
+                new Principal(AccountId.of(account.get()), Boolean.TRUE.equals(operator));
+        return Optional.of(new Entry(HexFormat.of().parseHex(digest.get()), principal));
+    }
+
+    /** The value of a key; a faulty value is not repeated, as it may be a token. */
+    private static Optional<String> text(
+            TomlTable table,
+            String key,
+            Pattern pattern,
+            String expected,
+            Place place,
+            FindingCollector findings) {
+        Object value = table.get(List.of(key));
+        if (value instanceof String text && pattern.matcher(text).matches()) {
+            return Optional.of(text);
+        }
+        String fault = value == null ? "is missing" : "is not valid";
+        String message = "'" + key + "' " + fault + "; expected " + expected;
+        findings.add(new Finding(placeOf(table, key, place), message));
+        return Optional.empty();
+    }
+
+    private static Place placeOf(TomlTable table, String key, Place place) {
+        return table.contains(List.of(key))
+                ? TomlDocument.place(place.source(), table.inputPositionOf(List.of(key)))
+                : place;
+    }
+
+    private static void checkKeys(
+            TomlTable table, List<String> known, String source, FindingCollector findings) {
+        for (String key : table.keySet()) {
+            if (!known.contains(key)) {
+                Place place = TomlDocument.place(source, table.inputPositionOf(List.of(key)));
+                String shown = key.length() <= 32 ? key : key.substring(0, 32);
+                String message = "unknown key '" + shown + "'" + NearestName.hint(shown, known);
+                findings.add(new Finding(place, message));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/security/TlsContexts.java
@@ -0,0 +1,109 @@
+package org.yuccabank.security;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.handler.ssl.ClientAuth;
+import io.netty.handler.ssl.SslContext;
+import io.netty.handler.ssl.SslContextBuilder;
+import io.netty.handler.ssl.SslProvider;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import javax.net.ssl.SSLException;
+import org.yuccabank.protocol.PeerSecurity;
+import org.yuccabank.result.Place;
+import org.yuccabank.result.Result;
+import org.yuccabank.settings.TlsFiles;
+
+/**
+ * Mutual TLS between the processes of the system. A peer is trusted if the private authority of the
+ * installation signed its certificate; names and addresses in certificates are not compared,
+ * because processes move between addresses. New keys serve new connections without restart. Safe
+ * for use by several threads.
+ */
+public final class TlsContexts implements PeerSecurity {
+
+    private static final String[] PROTOCOLS = {"TLSv1.3", "TLSv1.2"};
+
+    private record Contexts(SslContext server, SslContext client) {}
+
+    private final ReloadingValue<Contexts> contexts;
+
+    private TlsContexts(ReloadingValue<Contexts> contexts) {
+        this.contexts = contexts;
+    }
+
+    /**
+     * Reads keys and certificates.
+     *
+     * @param files the PEM files
+     * @return the contexts, or why the files cannot be used
+     */
+    public static Result<TlsContexts> load(TlsFiles files) {
+        Objects.requireNonNull(files, "files is null");
+        return ReloadingValue.load(
+                        List.of(files.certificateFile(), files.keyFile(), files.trustFile()),
+                        () -> contexts(files))
+                .map(TlsContexts::new);
+    }
+
+    /**
+     * Follows changes of the files until {@link #stop}.
+     *
+     * @return these contexts
+     */
+    public TlsContexts start() {
+        contexts.start(ReloadingValue.INTERVAL);
+        return this;
+    }
+
+    /** Stops following changes. */
+    public void stop() {
+        contexts.stop();
+    }
+
+    /**
+     * Reads the files again if they have changed.
+     *
+     * @return true if new keys are in force
+     */
+    public boolean refresh() {
+        return contexts.refresh();
+    }
+
+    @Override
+    public Optional<ChannelHandler> serverHandler(Channel channel) {
+        return Optional.of(contexts.current().server().newHandler(channel.alloc()));
+    }
+
+    @Override
+    public Optional<ChannelHandler> clientHandler(Channel channel) {
+        return Optional.of(contexts.current().client().newHandler(channel.alloc()));
+    }
+
+    private static Result<Contexts> contexts(TlsFiles files) {
+        try {
+            SslContext server =
+                    SslContextBuilder.forServer(
+                                    files.certificateFile().toFile(), files.keyFile().toFile())
+                            .sslProvider(SslProvider.JDK)
+                            .trustManager(files.trustFile().toFile())
+                            .clientAuth(ClientAuth.REQUIRE)
+                            .protocols(PROTOCOLS)
+                            .build();
+            SslContext client =
+                    SslContextBuilder.forClient()
+                            .sslProvider(SslProvider.JDK)
+                            .keyManager(files.certificateFile().toFile(), files.keyFile().toFile())
+                            .trustManager(files.trustFile().toFile())
+                            .endpointIdentificationAlgorithm(null)
+                            .protocols(PROTOCOLS)
+                            .build();
+            return Result.success(new Contexts(server, client));
+        } catch (SSLException | IllegalArgumentException exception) {
+            // The message of the exception names the file or the fault, never the key.
+            String message = "the keys cannot be used: " + exception.getMessage();
+            return Result.failure(new Place(files.certificateFile().toString(), 1, 1), message);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/yuccabank/security/TlsContextsTest.java
@@ -0,0 +1,122 @@
+package org.yuccabank.security;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.ssl.SslHandler;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.security.cert.X509Certificate;
+import javax.net.ssl.SSLException;
+import org.testng.annotations.Test;
+import org.yuccabank.protocol.PeerSecurity;
+import org.yuccabank.settings.TlsFiles;
+
+/** Checks which peers are trusted and that new keys are used without restart. */
+public final class TlsContextsTest {
+
+    private static final Path FIXTURES =
+            Path.of(System.getProperty("yuccabank.directory"), "src/test/resources/tls");
+    private static final int GREATEST_ROUNDS = 100;
+
+    private static TlsFiles files(Path directory, String process, String authority) {
+        return new TlsFiles(
+                directory.resolve(process + ".pem"),
+                directory.resolve(process + ".key"),
+                directory.resolve(authority + ".pem"));
+    }
+
+    private static TlsContexts contexts(String process, String authority) {
+        return TlsContexts.load(files(FIXTURES, process, authority)).get();
+    }
+
+    /** Hands the output of each side to the other; returns the client's handler. */
+    private static SslHandler handshake(PeerSecurity server, PeerSecurity client) {
+        EmbeddedChannel channel = new EmbeddedChannel();
+        SslHandler accepting = (SslHandler) server.serverHandler(channel).orElseThrow();
+        SslHandler opening = (SslHandler) client.clientHandler(channel).orElseThrow();
+        EmbeddedChannel one = new EmbeddedChannel(accepting);
+        EmbeddedChannel other = new EmbeddedChannel(opening);
+        for (int round = 0; round < GREATEST_ROUNDS; round++) {
+            pass(other, one);
+            pass(one, other);
+        }
+        assertTrue(accepting.handshakeFuture().isSuccess());
+        assertTrue(opening.handshakeFuture().isSuccess());
+        return opening;
+    }
+
+    private static void pass(EmbeddedChannel from, EmbeddedChannel to) {
+        from.runPendingTasks();
+        ByteBuf wire = from.readOutbound();
+        while (wire != null) {
+            to.writeInbound(wire);
+            wire = from.readOutbound();
+        }
+    }
+
+    private static String peerName(SslHandler handler) throws SSLException {
+        X509Certificate peer =
+                (X509Certificate) handler.engine().getSession().getPeerCertificates()[0];
+        return peer.getSubjectX500Principal().getName();
+    }
+
+    /** Guards against peers that cannot connect although one authority signed both. */
+    @Test(timeOut = 20_000)
+    public void shouldTrustPeersOfTheSameAuthority() throws SSLException {
+        SslHandler client =
+                handshake(contexts("process-1", "authority"), contexts("process-2", "authority"));
+        assertEquals(peerName(client), "CN=process-1");
+    }
+
+    /** Guards against a client or a server of another authority that is trusted. */
+    @Test(timeOut = 20_000)
+    public void shouldRefuseStrangers() {
+        TlsContexts member = contexts("process-1", "authority");
+        TlsContexts deceiver = contexts("stranger", "authority");
+        assertThrows(DecoderException.class, () -> handshake(member, deceiver));
+        assertThrows(DecoderException.class, () -> handshake(deceiver, member));
+    }
+
+    /** Guards against keys that need a restart, and against a faulty file that ends service. */
+    @Test(timeOut = 20_000)
+    public void shouldUseNewKeysWithoutRestart() throws IOException {
+        Path directory = Files.createTempDirectory("tls");
+        copy("process-1.pem", directory, "mine.pem");
+        copy("process-1.key", directory, "mine.key");
+        copy("authority.pem", directory, "authority.pem");
+        TlsContexts server = TlsContexts.load(files(directory, "mine", "authority")).get();
+        TlsContexts client = contexts("process-2", "authority");
+        Files.writeString(directory.resolve("mine.key"), "damaged");
+        assertFalse(server.refresh());
+        assertEquals(peerName(handshake(server, client)), "CN=process-1");
+        copy("process-2.pem", directory, "mine.pem");
+        copy("process-2.key", directory, "mine.key");
+        assertTrue(server.refresh());
+        assertEquals(peerName(handshake(server, client)), "CN=process-2");
+    }
+
+    private static void copy(String fixture, Path directory, String name) throws IOException {
+        Files.copy(
+                FIXTURES.resolve(fixture),
+                directory.resolve(name),
+                StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    /** Guards against a key in a message and against an exception for a missing file. */
+    @Test(timeOut = 20_000)
+    public void shouldReportUnusableFiles() {
+        String findings =
+                TlsContexts.load(files(FIXTURES, "no-such-process", "authority"))
+                        .findings()
+                        .toString();
+        assertTrue(findings.contains("no-such-process"), findings);
+    }
+}
