--- a/src/main/java/org/yuccabank/control/HostEntry.java
+++ b/src/main/java/org/yuccabank/control/HostEntry.java
@@ -10,6 +10,7 @@
 import org.yuccabank.model.Resources;
 import org.yuccabank.protocol.PeerConnection;
 import org.yuccabank.protocol.generated.AgentReport;
+import org.yuccabank.protocol.generated.Hello;
 import org.yuccabank.protocol.generated.ResourceVector;
 import org.yuccabank.protocol.generated.TargetState;
 import org.yuccabank.protocol.generated.TaskPhase;
@@ -43,20 +44,17 @@
     }
 
     /**
-     * Merges a report.
-     *
-     * @return false if the report is a delta whose predecessor was lost
+     * Merges a report. A delta holds every change since the newest report that was acknowledged, so
+     * a gap between two reports loses nothing; an older report that arrives late is ignored.
      */
-    boolean apply(AgentReport report, PeerConnection reportedOn, long nowMillis) {
-        if (!report.getFull() && report.getSequence() > last.getSequence() + 1) {
-            return false;
-        }
-        if (!report.getFull() && report.getSequence() <= last.getSequence()) {
-            return true;
+    void apply(
+            AgentReport report, long reportedVersion, PeerConnection reportedOn, long nowMillis) {
+        if (report.getSequence() <= last.getSequence()) {
+            return;
         }
         connection = reportedOn;
         lastReportMillis = nowMillis;
-        configurationVersion = report.getConfigurationVersion();
+        configurationVersion = reportedVersion;
         if (report.getFull()) {
             applyFull(report);
         }
@@ -67,6 +65,10 @@
         for (TaskState task : report.getTasksList()) {
             applyTask(task);
         }
+        if (report.hasCapacity()) {
+            capacity = resources(report.getCapacity());
+            serviceReservation = resources(report.getServiceReservation());
+        }
         if (report.hasUsage()) {
             last = last.toBuilder().setUsage(report.getUsage()).build();
         }
@@ -77,7 +79,6 @@
                         .setDraining(report.getDraining())
                         .setUsageAgeMillis(report.getUsageAgeMillis())
                         .build();
-        return true;
     }
 
     private void applyFull(AgentReport report) {
@@ -91,8 +92,6 @@
         targets.clear();
         tasks.clear();
         last = report.toBuilder().clearTargets().clearTasks().clearClaimOutcomes().build();
-        capacity = resources(report.getCapacity());
-        serviceReservation = resources(report.getServiceReservation());
     }
 
     private void applyTask(TaskState task) {
@@ -121,6 +120,10 @@
                 .build();
     }
 
+    long sequence() {
+        return last.getSequence();
+    }
+
     boolean takeRoutingChange() {
         boolean changed = routingChanged;
         routingChanged = false;
@@ -139,8 +142,12 @@
         return incarnation;
     }
 
+    long lastSequence() {
+        return last.getSequence();
+    }
+
     String processId() {
-        return last.getProcessId().isEmpty() ? hostId : last.getProcessId();
+        return connection().flatMap(PeerConnection::remote).map(Hello::getProcessId).orElse(hostId);
     }
 
     String dataCentre() {
@@ -163,6 +170,7 @@
         return capacity;
     }
 
+    /** Part of the capacity that the service instance holds whatever its load. */
     Resources serviceReservation() {
         return serviceReservation;
     }
