Use credentials and TLS settings in every role

Cause: the roles ignored the tls and credentials settings. Change: entries identify callers by token when a credentials file is set; control, entry and agent load TLS keys and reload them when the files change; one type for an identified caller.

--- a/src/main/java/org/yuccabank/command/AgentCommand.java
+++ b/src/main/java/org/yuccabank/command/AgentCommand.java
@@ -9,7 +9,6 @@
 import org.apache.commons.cli.ParseException;
 import org.yuccabank.agent.AgentConfiguration;
 import org.yuccabank.agent.AgentService;
-import org.yuccabank.protocol.PeerSecurity;
 import org.yuccabank.result.Result;
 import org.yuccabank.settings.AgentSettings;
 import org.yuccabank.settings.ProcessSettings;
@@ -57,13 +56,17 @@
         }
         Result<AgentSettings> settings =
                 Settings.agent(Path.of(file), CommandOptions.overrides(line));
-        if (!settings.isSuccess()) {
-            errors.println(settings.findings());
-            return ExitCode.REFUSED;
-        }
-        AgentService service =
-                AgentService.start(configuration(settings.get()), PeerSecurity.off());
-        return RoleProcess.runUntilStopped(service::stop);
+        Result<AgentService> service =
+                settings.flatMap(
+                        valid ->
+                                RoleConfigurations.security(valid.process())
+                                        .map(
+                                                security ->
+                                                        AgentService.start(
+                                                                configuration(valid), security)));
+        return service.fold(
+                findings -> RoleProcess.refuse(findings, errors),
+                started -> RoleProcess.runUntilStopped(started::stop));
     }
 
     private static AgentConfiguration configuration(AgentSettings settings) {
--- a/src/main/java/org/yuccabank/command/ControlCommand.java
+++ b/src/main/java/org/yuccabank/command/ControlCommand.java
@@ -6,6 +6,7 @@
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
 import org.yuccabank.control.ControlService;
+import org.yuccabank.protocol.PeerSecurity;
 import org.yuccabank.result.Result;
 import org.yuccabank.settings.ControlSettings;
 import org.yuccabank.settings.Settings;
@@ -65,10 +66,15 @@
         Result<ControlSettings> settings = Settings.control(file, overrides);
         return settings.flatMap(
                 valid ->
-                        ControlService.of(
-                                        RoleConfigurations.control(valid),
-                                        RoleConfigurations.placement(),
-                                        RoleConfigurations.security(valid.process()))
-                                .start());
+                        RoleConfigurations.security(valid.process())
+                                .flatMap(security -> start(valid, security)));
+    }
+
+    private static Result<ControlService> start(ControlSettings settings, PeerSecurity security) {
+        return ControlService.of(
+                        RoleConfigurations.control(settings),
+                        RoleConfigurations.placement(),
+                        security)
+                .start();
     }
 }
--- a/src/main/java/org/yuccabank/command/EntryCommand.java
+++ b/src/main/java/org/yuccabank/command/EntryCommand.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
-import org.yuccabank.entry.CallerIdentification;
 import org.yuccabank.entry.EntryService;
 import org.yuccabank.result.Result;
 import org.yuccabank.settings.EntrySettings;
@@ -48,20 +47,25 @@
                 line,
                 errors,
                 file -> {
-                    Result<EntrySettings> settings =
-                            Settings.entry(file, CommandOptions.overrides(line));
-                    return settings.fold(
-                            findings -> RoleProcess.refuse(findings, errors), EntryCommand::run);
+                    Result<EntryService> service =
+                            Settings.entry(file, CommandOptions.overrides(line))
+                                    .flatMap(EntryCommand::create);
+                    return service.fold(
+                            findings -> RoleProcess.refuse(findings, errors),
+                            created -> RoleProcess.runUntilStopped(created.start()::stop));
                 });
     }
 
-    private static ExitCode run(EntrySettings settings) {
-        EntryService service =
-                EntryService.of(
-                                RoleConfigurations.entry(settings),
-                                CallerIdentification.off(),
-                                RoleConfigurations.security(settings.process()))
-                        .start();
-        return RoleProcess.runUntilStopped(service::stop);
+    private static Result<EntryService> create(EntrySettings settings) {
+        return RoleConfigurations.security(settings.process())
+                .flatMap(
+                        security ->
+                                RoleConfigurations.identification(settings)
+                                        .map(
+                                                identification ->
+                                                        EntryService.of(
+                                                                RoleConfigurations.entry(settings),
+                                                                identification,
+                                                                security)));
     }
 }
--- a/src/main/java/org/yuccabank/command/RoleConfigurations.java
+++ b/src/main/java/org/yuccabank/command/RoleConfigurations.java
@@ -4,12 +4,18 @@
 import java.time.Duration;
 import java.util.List;
 import org.yuccabank.control.ControlConfiguration;
+import org.yuccabank.entry.CallerIdentification;
 import org.yuccabank.entry.EntryConfiguration;
+import org.yuccabank.event.Event;
+import org.yuccabank.event.EventLog;
 import org.yuccabank.policy.placement.PlacementPolicy;
 import org.yuccabank.policy.placement.ScanningPlacement;
 import org.yuccabank.protocol.PeerSecurity;
 import org.yuccabank.replication.ReplicaMember;
 import org.yuccabank.replication.ReplicaTiming;
+import org.yuccabank.result.Result;
+import org.yuccabank.security.ReloadingCredentials;
+import org.yuccabank.security.TlsContexts;
 import org.yuccabank.settings.ControlSettings;
 import org.yuccabank.settings.EntrySettings;
 import org.yuccabank.settings.ProcessSettings;
@@ -73,8 +79,33 @@
         return ScanningPlacement.bestFit();
     }
 
-    static PeerSecurity security(ProcessSettings settings) {
-        return PeerSecurity.off();
+    /**
+     * TLS between the processes, reloaded when its files change.
+     *
+     * @param settings settings of the process
+     * @return the security, or what is wrong with the files
+     */
+    static Result<PeerSecurity> security(ProcessSettings settings) {
+        if (settings.tls().isEmpty()) {
+            EventLog.warning(Event.SECURITY_OFF, "process", settings.processId());
+            return Result.success(PeerSecurity.off());
+        }
+        return TlsContexts.load(settings.tls().get()).map(TlsContexts::start);
+    }
+
+    /**
+     * Identification of callers, by the credentials file if there is one.
+     *
+     * @param settings settings of the entry
+     * @return the identification, or what is wrong with the file
+     */
+    static Result<CallerIdentification> identification(EntrySettings settings) {
+        if (settings.credentialsFile().isEmpty()) {
+            return Result.success(CallerIdentification.off());
+        }
+        return ReloadingCredentials.load(settings.credentialsFile().get())
+                .map(ReloadingCredentials::start)
+                .map(CallerIdentification::byToken);
     }
 
     static String text(InetSocketAddress address) {
--- a/src/main/java/org/yuccabank/entry/CallerIdentification.java
+++ b/src/main/java/org/yuccabank/entry/CallerIdentification.java
@@ -1,8 +1,12 @@
 package org.yuccabank.entry;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
 import org.yuccabank.model.AccountId;
+import org.yuccabank.security.Authenticator;
+import org.yuccabank.security.Principal;
+import org.yuccabank.security.Secret;
 
 /** Tells who sent a request. Implementations are safe for use by several threads. */
 @FunctionalInterface
@@ -11,13 +15,32 @@
     /** Names the account while security is off. */
     String ACCOUNT_HEADER = "Yuccabank-Account";
 
+    /** Begins the value of the {@code Authorization} header. */
+    String BEARER = "Bearer ";
+
     /**
      * Identifies the sender of a request.
      *
      * @param headers headers of the request
      * @return the caller, empty if the credentials are missing or wrong
      */
-    Optional<Caller> identify(HttpHeaders headers);
+    Optional<Principal> identify(HttpHeaders headers);
+
+    /**
+     * Takes the bearer token of the {@code Authorization} header.
+     *
+     * @param authenticator knows the tokens
+     * @return the identification by token
+     */
+    static CallerIdentification byToken(Authenticator authenticator) {
+        return headers -> {
+            String value = headers.get(HttpHeaderNames.AUTHORIZATION, "");
+            if (!value.regionMatches(true, 0, BEARER, 0, BEARER.length())) {
+                return Optional.empty();
+            }
+            return authenticator.authenticate(Secret.of(value.substring(BEARER.length()).trim()));
+        };
+    }
 
     /**
      * Trusts the {@value #ACCOUNT_HEADER} header and lets everybody operate; for loopback only.
@@ -27,7 +50,7 @@
     static CallerIdentification off() {
         return headers -> {
             String account = headers.get(ACCOUNT_HEADER, "anonymous");
-            return Optional.of(new Caller(AccountId.of(account), true));
+            return Optional.of(new Principal(AccountId.of(account), true));
         };
     }
 }
--- a/src/main/java/org/yuccabank/entry/CommandRoutes.java
+++ b/src/main/java/org/yuccabank/entry/CommandRoutes.java
@@ -23,6 +23,7 @@
 import org.yuccabank.protocol.generated.SubmitJob;
 import org.yuccabank.result.Findings;
 import org.yuccabank.rules.RulesParser;
+import org.yuccabank.security.Principal;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
@@ -49,7 +50,7 @@
     Mono<Void> submitJob(
             HttpServerRequest request,
             HttpServerResponse response,
-            Caller caller,
+            Principal caller,
             ByteString body) {
         SubmitJob job;
         try {
@@ -95,7 +96,7 @@
                 .build();
     }
 
-    Mono<Void> cancelJob(HttpServerRequest request, HttpServerResponse response, Caller caller) {
+    Mono<Void> cancelJob(HttpServerRequest request, HttpServerResponse response, Principal caller) {
         CommandRequest command =
                 command(request, caller)
                         .setCancelJob(CancelJob.newBuilder().setJobId(request.param("id")))
@@ -107,7 +108,7 @@
     Mono<Void> applyRules(
             HttpServerRequest request,
             HttpServerResponse response,
-            Caller caller,
+            Principal caller,
             ByteString body) {
         String expected = request.requestHeaders().get("If-Match", "").replace("\"", "").trim();
         if (!expected.matches("\\d{1,18}")) {
@@ -150,7 +151,10 @@
     }
 
     Mono<Void> drain(
-            HttpServerRequest request, HttpServerResponse response, Caller caller, boolean undo) {
+            HttpServerRequest request,
+            HttpServerResponse response,
+            Principal caller,
+            boolean undo) {
         DrainHost drain =
                 DrainHost.newBuilder().setHostId(request.param("host")).setUndo(undo).build();
         CommandRequest command = command(request, caller).setDrainHost(drain).build();
@@ -161,7 +165,7 @@
     Mono<Void> query(
             HttpServerRequest request,
             HttpServerResponse response,
-            Caller caller,
+            Principal caller,
             Query.Builder query) {
         CommandRequest command = command(request, caller).clearCommandId().setQuery(query).build();
         return run(
@@ -179,7 +183,7 @@
     /**
      * Says what is known about an at-most-once request; the remembered answer is returned whole.
      */
-    Mono<Void> outcome(HttpServerRequest request, HttpServerResponse response, Caller caller) {
+    Mono<Void> outcome(HttpServerRequest request, HttpServerResponse response, Principal caller) {
         Query.Builder query =
                 Query.newBuilder()
                         .setSubject(Query.Subject.REQUEST)
@@ -212,7 +216,7 @@
         return HttpReplies.json(response, OK, node.toString());
     }
 
-    private static CommandRequest.Builder command(HttpServerRequest request, Caller caller) {
+    private static CommandRequest.Builder command(HttpServerRequest request, Principal caller) {
         String key = request.requestHeaders().get(KEY_HEADER, UUID.randomUUID().toString());
         return CommandRequest.newBuilder()
                 .setCommandId(caller.account() + "/" + key)
--- a/src/main/java/org/yuccabank/entry/EntryRoutes.java
+++ b/src/main/java/org/yuccabank/entry/EntryRoutes.java
@@ -19,6 +19,7 @@
 import org.yuccabank.policy.routing.Deadline;
 import org.yuccabank.protocol.generated.Query;
 import org.yuccabank.rules.RuleSet;
+import org.yuccabank.security.Principal;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 import reactor.netty.http.server.HttpServerRequest;
@@ -87,7 +88,7 @@
         Mono<Void> handle(
                 HttpServerRequest request,
                 HttpServerResponse response,
-                Caller caller,
+                Principal caller,
                 ByteString body);
     }
 
@@ -159,7 +160,7 @@
     private BiFunction<HttpServerRequest, HttpServerResponse, org.reactivestreams.Publisher<Void>>
             handler(Route route) {
         return (request, response) -> {
-            Optional<Caller> caller = identification.identify(request.requestHeaders());
+            Optional<Principal> caller = identification.identify(request.requestHeaders());
             if (caller.isEmpty()) {
                 EventLog.warning(Event.CREDENTIAL_REFUSED, "path", request.fullPath());
                 response.header("WWW-Authenticate", "Bearer");
@@ -231,7 +232,7 @@
     private Mono<Void> submitJob(
             HttpServerRequest request,
             HttpServerResponse response,
-            Caller caller,
+            Principal caller,
             ByteString body) {
         if (draining) {
             return CommandRoutes.unavailable(request, response, "the entry is stopping");
@@ -242,7 +243,7 @@
     private Mono<Void> serve(
             HttpServerRequest request,
             HttpServerResponse response,
-            Caller caller,
+            Principal caller,
             ByteString body) {
         long startNanos = System.nanoTime();
         long nowMillis = System.currentTimeMillis();
@@ -275,7 +276,7 @@
     }
 
     private Parsed serviceRequest(
-            HttpServerRequest request, Caller caller, ByteString body, long nowMillis) {
+            HttpServerRequest request, Principal caller, ByteString body, long nowMillis) {
         HttpHeaders headers = request.requestHeaders();
         WorkKind kind = WorkKind.of(request.param("kind"));
         RuleSet rules = directory.rules();
