Push rules to agents at once and measure the cost of control at several sizes

Cause: an agent took new rules only with the answer to its next report, up to 1 s later; no slope of the cost of control was known.

--- /dev/null
+++ b/src/main/java/org/yuccabank/bench/scale/ScaleBench.java
@@ -0,0 +1,266 @@
+package org.yuccabank.bench.scale;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.yuccabank.control.ControlConfiguration;
+import org.yuccabank.control.ControlService;
+import org.yuccabank.policy.placement.PlacementPolicy;
+import org.yuccabank.protocol.LeaderClient;
+import org.yuccabank.protocol.PeerHandler;
+import org.yuccabank.protocol.PeerSecurity;
+import org.yuccabank.protocol.PeerTimings;
+import org.yuccabank.protocol.PeerTransport;
+import org.yuccabank.protocol.generated.ApplyRules;
+import org.yuccabank.protocol.generated.CommandRequest;
+import org.yuccabank.protocol.generated.CommandResult;
+import org.yuccabank.protocol.generated.Envelope;
+import org.yuccabank.protocol.generated.Hello;
+import org.yuccabank.protocol.generated.ResourceVector;
+import org.yuccabank.protocol.generated.Role;
+import org.yuccabank.protocol.generated.SubmitJob;
+import org.yuccabank.replication.ReplicaMember;
+import org.yuccabank.replication.ReplicaTiming;
+import reactor.core.publisher.Mono;
+
+/**
+ * Measures three real control processes in this process with a number of fake agents, each with a
+ * connection of its own. Not thread-safe: one measurement at a time.
+ */
+public final class ScaleBench {
+
+    private static final int CONTROLS = 3;
+    private static final int AGENT_NETWORK_THREADS = 2;
+    private static final int TASKS_PER_AGENT = 8;
+    private static final int TASKS_PER_JOB = 8;
+    private static final long REPORT_MILLIS = 1_000;
+    private static final Duration LIMIT = Duration.ofSeconds(60);
+    private static final Duration SETTLE = Duration.ofSeconds(3);
+    private static final double NANOS_PER_MILLI = 1e6;
+    private static final int PERCENT = 100;
+    private static final String RULES = "batch render checkpoint=60s # asked by the benchmark\n";
+
+    private final Path directory;
+    private final PlacementPolicy placement;
+    private final Duration duration;
+    private final List<ControlService> controls = new ArrayList<>();
+    private final List<InetSocketAddress> addresses = new ArrayList<>();
+    private final List<FakeAgent> agents = new ArrayList<>();
+    private final PeerTransport transport;
+    private final LeaderClient operator;
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+
+    private ScaleBench(Path directory, PlacementPolicy placement, Duration duration)
+            throws IOException {
+        this.directory = directory;
+        this.placement = placement;
+        this.duration = duration;
+        startControls();
+        Hello greeting = Hello.newBuilder().setProcessId("bench").setRole(Role.AGENT).build();
+        transport =
+                PeerTransport.start(
+                        greeting,
+                        () -> 0,
+                        PeerTimings.standard(),
+                        PeerSecurity.off(),
+                        AGENT_NETWORK_THREADS);
+        operator = LeaderClient.of(transport, addresses, PeerHandler.none());
+    }
+
+    /**
+     * Measures one size.
+     *
+     * @param directory empty directory for the state
+     * @param placement policy that places tasks
+     * @param agentCount number of agents
+     * @param duration time of the measurement after the start
+     * @return the measured point
+     * @throws IOException if no port is free
+     */
+    public static ScalePoint measure(
+            Path directory, PlacementPolicy placement, int agentCount, Duration duration)
+            throws IOException {
+        ScaleBench bench = new ScaleBench(directory, placement, duration);
+        try {
+            return bench.run(agentCount);
+        } finally {
+            bench.stop();
+        }
+    }
+
+    private void startControls() throws IOException {
+        List<ReplicaMember> members = new ArrayList<>();
+        for (int index = 1; index <= CONTROLS; index++) {
+            InetSocketAddress address = freeAddress();
+            addresses.add(address);
+            members.add(ReplicaMember.voter("control-" + index, "127.0.0.1:" + address.getPort()));
+        }
+        for (int index = 1; index <= CONTROLS; index++) {
+            String name = "control-" + index;
+            ControlConfiguration configuration =
+                    new ControlConfiguration(
+                            name,
+                            "dc-" + index,
+                            "cell",
+                            name,
+                            members,
+                            directory.resolve(name),
+                            addresses.get(index - 1),
+                            new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                            10_000,
+                            0.1,
+                            ReplicaTiming.standard());
+            controls.add(
+                    ControlService.of(configuration, placement, PeerSecurity.off()).start().get());
+        }
+    }
+
+    private static InetSocketAddress freeAddress() throws IOException {
+        InetAddress loopback = InetAddress.getLoopbackAddress();
+        try (ServerSocket socket = new ServerSocket(0, 1, loopback)) {
+            return new InetSocketAddress(loopback, socket.getLocalPort());
+        }
+    }
+
+    private ScalePoint run(int agentCount) {
+        long incarnation = System.currentTimeMillis();
+        for (int number = 1; number <= agentCount; number++) {
+            FakeAgent agent = new FakeAgent(number, transport, addresses, incarnation);
+            agents.add(agent);
+            long offset = REPORT_MILLIS * number / agentCount;
+            timer.scheduleAtFixedRate(agent::report, offset, REPORT_MILLIS, TimeUnit.MILLISECONDS);
+        }
+        applyRules(0);
+        await(() -> agents.stream().allMatch(agent -> agent.version() == 1));
+        submitJobs(agentCount * TASKS_PER_AGENT / TASKS_PER_JOB);
+        await(() -> taskCount() >= agentCount * TASKS_PER_AGENT);
+        Mono.delay(SETTLE).block();
+        return measure(agentCount);
+    }
+
+    private ScalePoint measure(int agentCount) {
+        Map<String, Long> before = times();
+        long bytesBefore = agents.stream().mapToLong(FakeAgent::bytes).sum();
+        long startNanos = System.nanoTime();
+        Mono.delay(duration).block();
+        double elapsedNanos = System.nanoTime() - startNanos;
+        Map<String, Long> after = times();
+        double bytes = agents.stream().mapToLong(FakeAgent::bytes).sum() - bytesBefore;
+        String leader = leader();
+        double leaderShare = 0;
+        double followerShare = 0;
+        for (String name : after.keySet()) {
+            double share = PERCENT * (after.get(name) - before.get(name)) / elapsedNanos;
+            if (name.equals(leader)) {
+                leaderShare = share;
+            } else {
+                followerShare = Math.max(followerShare, share);
+            }
+        }
+        long acceptedNanos = applyRules(1);
+        await(() -> agents.stream().allMatch(agent -> agent.version() == 2));
+        double inForceMillis = (System.nanoTime() - acceptedNanos) / NANOS_PER_MILLI;
+        return new ScalePoint(
+                agentCount,
+                taskCount(),
+                leaderShare,
+                followerShare,
+                bytes / agentCount / (elapsedNanos / 1e9),
+                inForceMillis,
+                controls.get(0).snapshotBytes());
+    }
+
+    private Map<String, Long> times() {
+        Map<String, Long> times = new HashMap<>();
+        for (int index = 1; index <= CONTROLS; index++) {
+            times.put("control-" + index, ThreadTimes.ofControl("control-" + index));
+        }
+        return times;
+    }
+
+    private String leader() {
+        for (int index = 1; index <= CONTROLS; index++) {
+            if (controls.get(index - 1).isLeader()) {
+                return "control-" + index;
+            }
+        }
+        return "";
+    }
+
+    private int taskCount() {
+        return agents.stream().mapToInt(FakeAgent::taskCount).sum();
+    }
+
+    private long applyRules(long expected) {
+        CommandRequest.Builder request =
+                command()
+                        .setOperator(true)
+                        .setApplyRules(
+                                ApplyRules.newBuilder()
+                                        .setExpectedVersion(expected)
+                                        .setText(RULES));
+        send(request);
+        return System.nanoTime();
+    }
+
+    private void submitJobs(int count) {
+        for (int number = 0; number < count; number++) {
+            send(
+                    command()
+                            .setSubmitJob(
+                                    SubmitJob.newBuilder()
+                                            .setKind("render")
+                                            .setTaskCount(TASKS_PER_JOB)
+                                            .setDeclared(
+                                                    ResourceVector.newBuilder()
+                                                            .setProcessorMillis(1_000)
+                                                            .setMemoryMebibytes(2_048))
+                                            .setDeclaredRunMillis(LIMIT.toMillis())));
+        }
+    }
+
+    private static CommandRequest.Builder command() {
+        return CommandRequest.newBuilder()
+                .setCommandId(UUID.randomUUID().toString())
+                .setAccount("team");
+    }
+
+    private void send(CommandRequest.Builder request) {
+        Envelope message = Envelope.newBuilder().setCommandRequest(request).build();
+        CommandResult result =
+                operator.request(message, LIMIT).map(Envelope::getCommandResult).block();
+        if (result.getVerdict() != CommandResult.Verdict.ACCEPTED) {
+            throw new IllegalStateException("control refused: " + result.getMessage());
+        }
+    }
+
+    private static void await(BooleanSupplier condition) {
+        long deadlineNanos = System.nanoTime() + LIMIT.toNanos();
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > deadlineNanos) {
+                throw new IllegalStateException("the measured size was not reached in time");
+            }
+            Mono.delay(Duration.ofMillis(1)).block();
+        }
+    }
+
+    private void stop() {
+        timer.shutdownNow();
+        agents.forEach(FakeAgent::stop);
+        operator.stop();
+        controls.forEach(ControlService::stop);
+        transport.stop();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/bench/scale/ThreadTimes.java
@@ -0,0 +1,36 @@
+package org.yuccabank.bench.scale;
+
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadInfo;
+import java.lang.management.ThreadMXBean;
+
+/** Reads processor time of threads by the process that their name belongs to. Thread-safe. */
+final class ThreadTimes {
+
+    private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
+
+    private ThreadTimes() {}
+
+    /**
+     * Processor time used so far by the replica and network threads of a control process.
+     *
+     * @param processId identifier of the control process
+     * @return the time in nanoseconds
+     */
+    static long ofControl(String processId) {
+        long sum = 0;
+        for (long identifier : THREADS.getAllThreadIds()) {
+            ThreadInfo thread = THREADS.getThreadInfo(identifier);
+            if (thread == null) {
+                continue;
+            }
+            boolean own =
+                    thread.getThreadName().startsWith("network-" + processId + "-")
+                            || thread.getThreadName().startsWith("replica-" + processId);
+            if (own) {
+                sum += Math.max(0, THREADS.getThreadCpuTime(identifier));
+            }
+        }
+        return sum;
+    }
+}
--- a/src/main/java/org/yuccabank/command/Commands.java
+++ b/src/main/java/org/yuccabank/command/Commands.java
@@ -12,6 +12,7 @@
                     new AgentCommand(),
                     new WorkerCommand(),
                     new LocalCommand(),
+                    new BenchScaleCommand(),
                     new RulesCheckCommand(),
                     new RulesDiffCommand(),
                     new SettingsCheckCommand(),
--- a/src/main/java/org/yuccabank/control/ControlService.java
+++ b/src/main/java/org/yuccabank/control/ControlService.java
@@ -208,6 +208,15 @@
         return replica.isLeader();
     }
 
+    /**
+     * Size of the replicated state.
+     *
+     * @return bytes of a snapshot
+     */
+    public long snapshotBytes() {
+        return replica.call(() -> (long) state.snapshot().length).toCompletableFuture().join();
+    }
+
     /** Hands leadership over, finishes what is in progress and stops. */
     public void stop() {
         EventLog.information(Event.ROLE_DRAINING, "role", "control");
--- a/src/main/java/org/yuccabank/control/LeaderLogic.java
+++ b/src/main/java/org/yuccabank/control/LeaderLogic.java
@@ -18,6 +18,7 @@
 import org.yuccabank.protocol.generated.Directory;
 import org.yuccabank.protocol.generated.DirectoryRequest;
 import org.yuccabank.protocol.generated.Envelope;
+import org.yuccabank.protocol.generated.RulesVersion;
 import org.yuccabank.protocol.generated.StateCommand;
 import org.yuccabank.protocol.generated.SubmitJob;
 import org.yuccabank.protocol.generated.TaskDirective;
@@ -44,6 +45,7 @@
     private final Scheduler scheduler;
     private final ReportHandler reports;
     private final QueryAnswers queries;
+    private long pushedVersion;
 
     private LeaderLogic(
             ControlConfiguration configuration,
@@ -91,10 +93,32 @@
 
     void runRound(long nowMillis) {
         if (replica.isLeader()) {
+            state.records().newestRules().ifPresent(this::pushRules);
             scheduler.runRound(state.records(), nowMillis);
         }
     }
 
+    /**
+     * Sends new rules to every agent at once. An agent that misses the message gets them with the
+     * answer to its next report.
+     */
+    private void pushRules(RulesVersion rules) {
+        if (rules.getVersion() <= pushedVersion) {
+            return;
+        }
+        pushedVersion = rules.getVersion();
+        for (HostEntry host : registry.hosts()) {
+            AgentDirectives directives =
+                    AgentDirectives.newBuilder()
+                            .setAcknowledgedSequence(host.sequence())
+                            .setDrain(ReportHandler.isDraining(state.records(), host.hostId()))
+                            .setRules(rules)
+                            .build();
+            Envelope message = Envelope.newBuilder().setAgentDirectives(directives).build();
+            host.connection().ifPresent(connection -> connection.send(message));
+        }
+    }
+
     AgentDirectives report(
             AgentReport report, long version, PeerConnection connection, long nowMillis) {
         return reports.handle(report, version, connection, state.records(), nowMillis);
--- a/src/main/java/org/yuccabank/protocol/PeerTransport.java
+++ b/src/main/java/org/yuccabank/protocol/PeerTransport.java
@@ -12,10 +12,12 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
 import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.yuccabank.protocol.generated.Envelope;
@@ -56,7 +58,9 @@
         this.configurationVersion = configurationVersion;
         this.timings = timings;
         this.security = security;
-        this.threads = new MultiThreadIoEventLoopGroup(threadCount, NioIoHandler.newFactory());
+        ThreadFactory names = new DefaultThreadFactory("network-" + greeting.getProcessId());
+        this.threads =
+                new MultiThreadIoEventLoopGroup(threadCount, names, NioIoHandler.newFactory());
     }
 
     /**
