--- a/src/main/java/org/yuccabank/agent/AgentCore.java
+++ b/src/main/java/org/yuccabank/agent/AgentCore.java
@@ -116,7 +116,7 @@
             table.setCapacity(state.capacity(), state.serviceReservation());
             reporter.markHostChanged();
         }
-        if (first && options.readWorkerFirst()) {
+        if (first) {
             adoptAll(state, nowMillis);
         } else {
             runner.reconcile(state, readId, nowMillis);
@@ -124,6 +124,9 @@
     }
 
     private void adoptAll(WorkerState state, long nowMillis) {
+        if (!options.adoptTasks()) {
+            return;
+        }
         table.raiseWatermark(state.newestToken());
         for (WorkerTask listed : state.tasks()) {
             markChanged(table.adopt(listed, nowMillis));
@@ -263,8 +266,7 @@
 
     /** Takes a request of an entry; it is answered by an {@link AgentAction.Answer}. */
     void invoke(long ticket, Invoke request, long entryVersion, long nowMillis) {
-        boolean ready = worker != null || !options.readWorkerFirst();
-        desk.invoke(ticket, request, entryVersion, ready, nowMillis);
+        desk.invoke(ticket, request, entryVersion, worker != null, nowMillis);
     }
 
     /** Takes the answer of the target to a request. */
--- a/src/main/java/org/yuccabank/agent/AgentOptions.java
+++ b/src/main/java/org/yuccabank/agent/AgentOptions.java
@@ -12,7 +12,7 @@
  * @param rememberKeys remember keys of at-most-once requests
  * @param recordRefusals remember the refusal of an at-most-once request
  * @param checkIncarnation refuse claims for another incarnation
- * @param readWorkerFirst admit nothing before the worker's state is known
+ * @param adoptTasks count the tasks that run when the agent starts
  */
 record AgentOptions(
         boolean checkCapacity,
@@ -23,7 +23,7 @@
         boolean rememberKeys,
         boolean recordRefusals,
         boolean checkIncarnation,
-        boolean readWorkerFirst) {
+        boolean adoptTasks) {
 
     private static final AgentOptions STANDARD =
             new AgentOptions(true, true, true, true, true, true, true, true, true);
@@ -43,6 +43,6 @@
                 !mechanism.equals("rememberKeys"),
                 !mechanism.equals("recordRefusals"),
                 !mechanism.equals("checkIncarnation"),
-                !mechanism.equals("readWorkerFirst"));
+                !mechanism.equals("adoptTasks"));
     }
 }
--- /dev/null
+++ b/src/test/java/org/yuccabank/agent/AgentCoreScheduleTest.java
@@ -0,0 +1,163 @@
+package org.yuccabank.agent;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.testng.Reporter;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.yuccabank.standin.WorkerRecord;
+
+/**
+ * Seeded schedules of agents with faulty messages, pauses and restarts. The checks read what the
+ * workers and targets recorded. Each mechanism is switched off once to show that a check fails
+ * without it.
+ */
+public class AgentCoreScheduleTest {
+
+    private static final int SCHEDULES = 1_500;
+    private static final int LONG_SCHEDULES = 50;
+    private static final long SHORT_MILLIS = 40_000;
+    private static final long LONG_MILLIS = 200_000;
+
+    /** What a set of schedules showed. */
+    private static final class Tally {
+        private final Map<String, Integer> violations = new TreeMap<>();
+        private long tasksStarted;
+        private long requestsRun;
+        private long toldNotRun;
+
+        private void violate(String property) {
+            violations.merge(property, 1, Integer::sum);
+        }
+
+        private void add(AgentWorld world) {
+            List<WorkerRecord> records = new ArrayList<>();
+            for (AgentWorld.Host host : world.hosts) {
+                records.addAll(host.worker.records().all());
+                if (host.worker.overCapacity()) {
+                    violate("over capacity");
+                }
+            }
+            records.sort(java.util.Comparator.comparingLong(WorkerRecord::atMillis));
+            checkTasks(records);
+            checkRequests(world);
+        }
+
+        private void checkTasks(List<WorkerRecord> records) {
+            Map<String, Set<Long>> running = new HashMap<>();
+            // An end at the same time as a start counts first.
+            records.sort(
+                    java.util.Comparator.comparingLong(WorkerRecord::atMillis)
+                            .thenComparing(entry -> isStart(entry) ? 1 : 0));
+            for (WorkerRecord entry : records) {
+                Set<Long> tokens = running.computeIfAbsent(entry.id(), id -> new HashSet<>());
+                if (isStart(entry)) {
+                    tasksStarted++;
+                    tokens.add(entry.token());
+                    if (tokens.size() > 1) {
+                        violate("task under two tokens at once");
+                    }
+                } else if (isEnd(entry)) {
+                    tokens.remove(entry.token());
+                }
+            }
+        }
+
+        private static boolean isStart(WorkerRecord entry) {
+            return entry.event() == WorkerRecord.Event.TASK_STARTED
+                    || entry.event() == WorkerRecord.Event.TASK_RESUMED;
+        }
+
+        private static boolean isEnd(WorkerRecord entry) {
+            return switch (entry.event()) {
+                case TASK_STOPPED, TASK_LEASE_EXPIRED, TASK_FINISHED, TASK_FAILED -> true;
+                default -> false;
+            };
+        }
+
+        private void checkRequests(AgentWorld world) {
+            Set<String> keys = new HashSet<>();
+            for (String run : world.runs) {
+                requestsRun++;
+                if (!keys.add(run.substring(0, run.indexOf('@')))) {
+                    violate("at-most-once key run twice");
+                }
+                if (world.toldNotRun.contains(run)) {
+                    violate("told not run, but ran");
+                }
+            }
+            toldNotRun += world.toldNotRun.size();
+        }
+    }
+
+    private static Tally run(AgentOptions options, int schedules, long firstSeed, long millis) {
+        Tally tally = new Tally();
+        for (int index = 0; index < schedules; index++) {
+            AgentWorld world = new AgentWorld(firstSeed + index, options);
+            world.run(millis);
+            tally.add(world);
+        }
+        return tally;
+    }
+
+    private static void assertHolds(Tally tally, int schedules) {
+        assertEquals(tally.violations, Map.of());
+        // Guards against schedules in which nothing happens.
+        assertTrue(tally.tasksStarted > schedules, "tasks started: " + tally.tasksStarted);
+        assertTrue(tally.requestsRun > schedules, "requests run: " + tally.requestsRun);
+        assertTrue(tally.toldNotRun > schedules, "told not run: " + tally.toldNotRun);
+        Reporter.log(
+                schedules
+                        + " schedules: tasks started "
+                        + tally.tasksStarted
+                        + ", requests run "
+                        + tally.requestsRun
+                        + ", told not run "
+                        + tally.toldNotRun
+                        + ", violations 0",
+                true);
+    }
+
+    @Test
+    public void invariantsHoldInSeededSchedules() {
+        assertHolds(run(AgentOptions.standard(), SCHEDULES, 1, SHORT_MILLIS), SCHEDULES);
+    }
+
+    @Test
+    public void invariantsHoldWhenKeysAndTokensAreForgotten() {
+        Tally tally = run(AgentOptions.standard(), LONG_SCHEDULES, 1_000_000, LONG_MILLIS);
+        assertHolds(tally, LONG_SCHEDULES);
+    }
+
+    @DataProvider
+    public Object[][] mechanisms() {
+        return new Object[][] {
+            {"checkCapacity", "over capacity", 50},
+            {"countStopping", "over capacity", 50},
+            {"adoptTasks", "over capacity", 100},
+            {"checkTokens", "task under two tokens at once", 50},
+            {"leaseFromReport", "task under two tokens at once", 400},
+            {"rememberKeys", "at-most-once key run twice", 50},
+            {"recordRefusals", "told not run, but ran", 50},
+            {"checkIncarnation", "at-most-once key run twice", 200},
+        };
+    }
+
+    @Test(dataProvider = "mechanisms")
+    public void checkFailsWithoutItsMechanism(String mechanism, String property, int schedules) {
+        AgentOptions options = AgentOptions.without(mechanism);
+        Tally tally = run(options, schedules, 1, SHORT_MILLIS);
+        Reporter.log(schedules + " schedules without " + mechanism + ": " + tally.violations, true);
+        assertTrue(
+                tally.violations.getOrDefault(property, 0) > 0,
+                "no schedule shows what " + mechanism + " prevents: " + tally.violations);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/yuccabank/agent/AgentWorld.java
@@ -0,0 +1,347 @@
+package org.yuccabank.agent;
+
+import com.google.protobuf.ByteString;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import org.yuccabank.model.Resources;
+import org.yuccabank.protocol.generated.Invoke;
+import org.yuccabank.protocol.generated.InvokeResult;
+import org.yuccabank.protocol.generated.OutcomeKind;
+import org.yuccabank.protocol.generated.OutcomeQuery;
+import org.yuccabank.standin.CheckpointStore;
+import org.yuccabank.standin.StandInConfiguration;
+import org.yuccabank.standin.StandInWorker;
+
+/**
+ * Two hosts with agents and stand-in workers, a fake control and a fake entry on one fake clock.
+ * Messages are lost, duplicated, reordered and delayed; agents pause and restart. What happened is
+ * read from the workers' records and from {@link #runs}.
+ */
+final class AgentWorld {
+
+    static final Resources CAPACITY = Resources.of(4_000, 8_000, 0);
+
+    private static final int HOSTS = 2;
+    private static final long TICK_MILLIS = 250;
+    private static final long CALL_TIMEOUT_MILLIS = 2_000;
+
+    final RandomGenerator random;
+    final List<Host> hosts = new ArrayList<>();
+
+    /** Requests that the targets ran: key and fencing token. */
+    final List<String> runs = new ArrayList<>();
+
+    final Set<String> toldNotRun = new HashSet<>();
+    private final AgentOptions options;
+    private final FakeControl control;
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(
+                    Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::order));
+    private final Map<Long, Invoke> tickets = new HashMap<>();
+    private long now = 1_000_000;
+    private long order;
+    private long lastTicket;
+    private int lastKey;
+
+    /** Something that happens at a time. */
+    private record Event(long atMillis, long order, Runnable body) {}
+
+    /** One host. */
+    final class Host {
+        final String id;
+        final StandInWorker worker;
+        AgentCore core;
+        long incarnation;
+        long pausedUntil;
+
+        private Host(String id, StandInWorker worker) {
+            this.id = id;
+            this.worker = worker;
+            restart();
+        }
+
+        private void restart() {
+            incarnation = now;
+            core = AgentCore.of(configuration(id), incarnation, options);
+            core.announce(new Announcement("t-" + id, "studio", List.of(), 2, 6), now);
+        }
+    }
+
+    AgentWorld(long seed, AgentOptions options) {
+        this.options = options;
+        random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+        control = new FakeControl(this);
+        CheckpointStore checkpoints = CheckpointStore.empty();
+        for (int index = 0; index < HOSTS; index++) {
+            StandInConfiguration worker =
+                    StandInConfiguration.standard(
+                                    "t", "studio", List.of(), address(), Optional.empty())
+                            .withCapacity(CAPACITY, Resources.of(1_000, 1_000, 0));
+            hosts.add(new Host("h" + index, StandInWorker.of(worker, checkpoints)));
+        }
+    }
+
+    static InetSocketAddress address() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
+    }
+
+    static AgentConfiguration configuration(String id) {
+        return new AgentConfiguration(
+                id,
+                id,
+                "dc-1",
+                "rack-1",
+                address(),
+                address(),
+                address(),
+                address(),
+                List.of(address()),
+                AgentConfiguration.Limits.standard());
+    }
+
+    long now() {
+        return now;
+    }
+
+    boolean chance(double probability) {
+        return random.nextDouble() < probability;
+    }
+
+    void after(long millis, Runnable body) {
+        events.add(new Event(now + millis, order++, body));
+    }
+
+    /** Runs the schedule. */
+    void run(long millis) {
+        long end = now + millis;
+        for (Host host : hosts) {
+            tick(host);
+        }
+        after(500, this::act);
+        while (!events.isEmpty() && events.peek().atMillis() <= end) {
+            Event event = events.remove();
+            now = event.atMillis();
+            event.body().run();
+        }
+        now = end;
+        hosts.forEach(host -> host.worker.advance(end));
+    }
+
+    private void tick(Host host) {
+        host.worker.advance(now);
+        input(host, () -> host.core.tick(now));
+        after(TICK_MILLIS, () -> tick(host));
+    }
+
+    /** Gives an input to an agent, after its pause if it is paused. */
+    private void input(Host host, Runnable body) {
+        if (host.pausedUntil > now) {
+            after(host.pausedUntil - now, () -> input(host, body));
+            return;
+        }
+        if (chance(0.002)) {
+            host.pausedUntil = now + random.nextLong(15_000);
+            after(host.pausedUntil - now, () -> input(host, body));
+            return;
+        }
+        body.run();
+        host.core.take().forEach(action -> perform(host, action));
+        host.core.announce(new Announcement("t-" + host.id, "studio", List.of(), 2, 6), now);
+    }
+
+    /** One round of control and entry, with faults. */
+    private void act() {
+        control.act();
+        if (chance(0.4)) {
+            startRequest("key-" + lastKey++);
+        }
+        if (chance(0.01)) {
+            Host host = hosts.get(random.nextInt(HOSTS));
+            host.restart();
+        }
+        after(100 + random.nextLong(400), this::act);
+    }
+
+    private long delay() {
+        double kind = random.nextDouble();
+        if (kind < 0.9) {
+            return 1 + random.nextLong(50);
+        }
+        return kind < 0.98 ? random.nextLong(3_000) : random.nextLong(25_000);
+    }
+
+    /** Carries a message: lost, duplicated, late and out of order. */
+    void carry(Runnable delivery) {
+        if (chance(0.05)) {
+            return;
+        }
+        after(delay(), delivery);
+        if (chance(0.1)) {
+            after(delay(), delivery);
+        }
+    }
+
+    private void perform(Host host, AgentAction action) {
+        AgentCore sender = host.core;
+        if (action instanceof AgentAction.SendReport send) {
+            carry(() -> control.report(host, send.report()));
+        } else if (action instanceof AgentAction.ReadWorker read) {
+            readWorker(host, sender, read.readId());
+        } else if (action instanceof AgentAction.CallWorker call) {
+            callWorker(host, sender, call.call());
+        } else if (action instanceof AgentAction.Dispatch dispatch) {
+            dispatch(host, sender, dispatch.ticket(), dispatch.request());
+        } else if (action instanceof AgentAction.Answer answer) {
+            Invoke request = tickets.get(answer.ticket());
+            carry(() -> answered(host, request, answer.result()));
+        }
+    }
+
+    /** Gives an input to the incarnation that asked for it; a later one never sees it. */
+    private void inputTo(Host host, AgentCore receiver, Runnable body) {
+        input(
+                host,
+                () -> {
+                    if (host.core == receiver) {
+                        body.run();
+                    }
+                });
+    }
+
+    private void readWorker(Host host, AgentCore reader, long readId) {
+        after(
+                1 + random.nextLong(30),
+                () -> {
+                    WorkerState state = WorkerStates.of(host.worker.state(now));
+                    boolean lost = chance(0.05);
+                    after(
+                            lost ? CALL_TIMEOUT_MILLIS : 1 + random.nextLong(30),
+                            () ->
+                                    inputTo(
+                                            host,
+                                            reader,
+                                            () -> {
+                                                if (lost) {
+                                                    reader.workerReadFailed(now);
+                                                } else {
+                                                    reader.workerRead(readId, state, now);
+                                                }
+                                            }));
+                });
+    }
+
+    private void callWorker(Host host, AgentCore caller, WorkerCall call) {
+        if (chance(0.03)) {
+            WorkerAnswer answer = WorkerAnswer.of(WorkerAnswer.Kind.NOT_SENT, "refused");
+            after(1, () -> inputTo(host, caller, () -> caller.workerAnswered(call, answer, now)));
+            return;
+        }
+        boolean late = chance(0.05);
+        boolean lost = late || chance(0.05);
+        after(
+                late ? delay() : 1 + random.nextLong(20),
+                () -> {
+                    WorkerAnswer answer = WorkerStates.perform(host.worker, call, now);
+                    if (!lost) {
+                        after(
+                                1 + random.nextLong(20),
+                                () ->
+                                        inputTo(
+                                                host,
+                                                caller,
+                                                () -> caller.workerAnswered(call, answer, now)));
+                    }
+                });
+        if (lost) {
+            WorkerAnswer unknown = WorkerAnswer.of(WorkerAnswer.Kind.UNCERTAIN, "timeout");
+            after(
+                    CALL_TIMEOUT_MILLIS,
+                    () -> inputTo(host, caller, () -> caller.workerAnswered(call, unknown, now)));
+        }
+    }
+
+    private void dispatch(Host host, AgentCore sender, long ticket, Invoke request) {
+        if (chance(0.05)) {
+            ServeAnswer refused = ServeAnswer.failed(ServeAnswer.Kind.NOT_SENT, "refused");
+            after(1, () -> inputTo(host, sender, () -> sender.served(ticket, refused, now)));
+            return;
+        }
+        runs.add(request.getRequestId() + "@" + request.getFencingToken());
+        ServeAnswer answer =
+                chance(0.05)
+                        ? ServeAnswer.failed(ServeAnswer.Kind.UNCERTAIN, "lost")
+                        : ServeAnswer.answered(200, ByteString.copyFromUtf8("ok"), "text");
+        long millis = 50 + random.nextLong(1_500);
+        after(millis, () -> inputTo(host, sender, () -> sender.served(ticket, answer, now)));
+    }
+
+    /** Claims a key and sends the request; the fake control knows the incarnations. */
+    void startRequest(String key) {
+        Host host = hosts.get(random.nextInt(HOSTS));
+        Optional<Long> token = control.claim(key, host);
+        if (token.isEmpty()) {
+            return;
+        }
+        Invoke request =
+                Invoke.newBuilder()
+                        .setRequestId(key)
+                        .setAccount("account")
+                        .setKind("charge")
+                        .setDeadlineMillis(1 + random.nextLong(3_000))
+                        .setAtMostOnce(true)
+                        .setFencingToken(token.get())
+                        .setIncarnation(control.incarnation(host))
+                        .build();
+        carry(() -> input(host, () -> invoke(host, request)));
+        if (chance(0.2)) {
+            OutcomeQuery query =
+                    OutcomeQuery.newBuilder()
+                            .setRequestId(key)
+                            .setAccount("account")
+                            .setFencingToken(token.get())
+                            .build();
+            carry(() -> input(host, () -> query(host, query, request)));
+        }
+    }
+
+    private void invoke(Host host, Invoke request) {
+        long ticket = ++lastTicket;
+        tickets.put(ticket, request);
+        host.core.invoke(ticket, request, 0, now);
+    }
+
+    private void query(Host host, OutcomeQuery query, Invoke request) {
+        if (host.incarnation != request.getIncarnation()) {
+            // The entry sees another incarnation in the greeting and leaves it to control.
+            return;
+        }
+        var answer = host.core.query(query, now);
+        if (answer.getOutcome().getOutcome() == OutcomeKind.NOT_RUN) {
+            notRun(request);
+        }
+    }
+
+    private void answered(Host host, Invoke request, InvokeResult result) {
+        if (result.getOutcome() == OutcomeKind.NOT_RUN) {
+            notRun(request);
+        }
+    }
+
+    private void notRun(Invoke request) {
+        toldNotRun.add(request.getRequestId() + "@" + request.getFencingToken());
+        if (control.releaseClaim(request.getRequestId(), request.getFencingToken())) {
+            startRequest(request.getRequestId());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/yuccabank/agent/FakeControl.java
@@ -0,0 +1,209 @@
+package org.yuccabank.agent;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.yuccabank.protocol.generated.AgentDirectives;
+import org.yuccabank.protocol.generated.AgentReport;
+import org.yuccabank.protocol.generated.ClaimOutcome;
+import org.yuccabank.protocol.generated.OutcomeKind;
+import org.yuccabank.protocol.generated.TaskDirective;
+import org.yuccabank.protocol.generated.TaskState;
+
+/**
+ * Control that knows nothing of capacity and is sometimes impatient: it gives a second lease of a
+ * pinned task to the same host while the first may run. Other tasks move to another host, only
+ * after the end of the lease was confirmed or the lease ended with its margin.
+ */
+final class FakeControl {
+
+    private static final long LEASE_MILLIS = 10_000;
+    private static final long EXPIRY_MILLIS = LEASE_MILLIS * 11 / 10 + 1_000;
+    private static final int TASKS = 6;
+
+    // Tasks that get a second lease too early, which would be a fault of control on another host.
+    private static final int PINNED_TASKS = 2;
+
+    private final AgentWorld world;
+    private final Map<String, Lease> leases = new LinkedHashMap<>();
+    private final Map<String, Long> incarnations = new HashMap<>();
+    private final Map<String, Long> sequences = new HashMap<>();
+    private final Map<String, Long> generations = new HashMap<>();
+    private final Map<String, Claim> claims = new HashMap<>();
+    private long lastToken;
+
+    /** A lease as control sees it. */
+    private static final class Lease {
+        private final AgentWorld.Host host;
+        private final long token;
+        private long renewedAt;
+        private boolean stopWanted;
+
+        private Lease(AgentWorld.Host host, long token, long now) {
+            this.host = host;
+            this.token = token;
+            this.renewedAt = now;
+        }
+    }
+
+    /** A claim of a key. */
+    private record Claim(long token, long incarnation, AgentWorld.Host host, OutcomeKind outcome) {}
+
+    FakeControl(AgentWorld world) {
+        this.world = world;
+    }
+
+    void act() {
+        leases.values().removeIf(lease -> world.now() - lease.renewedAt > EXPIRY_MILLIS);
+        int number = world.random.nextInt(TASKS);
+        boolean pinned = number < PINNED_TASKS;
+        String task = "task-" + number;
+        Lease held = leases.get(task);
+        if (held == null) {
+            int host = pinned ? number : world.random.nextInt(world.hosts.size());
+            grant(task, world.hosts.get(host % world.hosts.size()));
+        } else if (world.chance(0.2)) {
+            held.stopWanted = true;
+        } else if (pinned && world.chance(0.2)) {
+            grant(task, held.host);
+        }
+    }
+
+    private void grant(String task, AgentWorld.Host host) {
+        Lease lease = new Lease(host, ++lastToken, world.now());
+        leases.put(task, lease);
+        long sequence = sequences.getOrDefault(host.id, 0L);
+        AgentDirectives push =
+                AgentDirectives.newBuilder()
+                        .setAcknowledgedSequence(sequence)
+                        .addDirectives(start(task, lease))
+                        .build();
+        deliver(host, core -> core.pushed(push, world.now()));
+    }
+
+    private TaskDirective start(String task, Lease lease) {
+        return TaskDirective.newBuilder()
+                .setAction(TaskDirective.Action.START)
+                .setTaskId(task)
+                .setKind("render")
+                .setFencingToken(lease.token)
+                .setLeaseMillis(LEASE_MILLIS)
+                .setRunTimeMillis(20_000)
+                .setCheckpointIntervalMillis(3_000)
+                .setCheckpointGeneration(generations.getOrDefault(task, 0L))
+                .setReservation(Vectors.toMessage(org.yuccabank.model.Resources.of(1_300, 10, 0)))
+                .build();
+    }
+
+    private void deliver(AgentWorld.Host host, java.util.function.Consumer<AgentCore> delivery) {
+        world.carry(
+                () -> {
+                    if (host.pausedUntil > world.now()) {
+                        world.after(
+                                host.pausedUntil - world.now(), () -> delivery.accept(host.core));
+                    } else {
+                        delivery.accept(host.core);
+                    }
+                });
+    }
+
+    void report(AgentWorld.Host host, AgentReport report) {
+        long known = incarnations.getOrDefault(host.id, 0L);
+        if (report.getIncarnation() < known) {
+            return;
+        }
+        if (report.getIncarnation() > known) {
+            incarnations.put(host.id, report.getIncarnation());
+            sequences.put(host.id, 0L);
+        }
+        if (report.getSequence() <= sequences.get(host.id)) {
+            return;
+        }
+        sequences.put(host.id, report.getSequence());
+        AgentDirectives.Builder answer =
+                AgentDirectives.newBuilder()
+                        .setAcknowledgedSequence(report.getSequence())
+                        .setLeaseMillis(LEASE_MILLIS);
+        report.getTasksList().forEach(this::takeUp);
+        for (ClaimOutcome outcome : report.getClaimOutcomesList()) {
+            takeUp(outcome);
+            answer.addAcknowledgedClaims(outcome.getKey());
+        }
+        for (Map.Entry<String, Lease> entry : leases.entrySet()) {
+            Lease lease = entry.getValue();
+            if (lease.host == host) {
+                lease.renewedAt = world.now();
+                answer.addRenewedTokens(lease.token);
+                answer.addDirectives(
+                        lease.stopWanted
+                                ? start(entry.getKey(), lease).toBuilder()
+                                        .setAction(TaskDirective.Action.STOP)
+                                        .build()
+                                : start(entry.getKey(), lease));
+            }
+        }
+        AgentDirectives directives = answer.build();
+        deliver(host, core -> core.directives(directives, 0, world.now()));
+    }
+
+    private void takeUp(TaskState task) {
+        Lease lease = leases.get(task.getTaskId());
+        if (lease == null || lease.token != task.getFencingToken()) {
+            return;
+        }
+        generations.merge(task.getTaskId(), task.getConfirmedCheckpoint(), Math::max);
+        switch (task.getPhase()) {
+            case TASK_STOPPED, TASK_FINISHED, TASK_FAILED, TASK_REFUSED ->
+                    leases.remove(task.getTaskId());
+            default -> {}
+        }
+    }
+
+    private void takeUp(ClaimOutcome outcome) {
+        if (outcome.getOutcome() == OutcomeKind.NOT_RUN) {
+            world.toldNotRun.add(outcome.getKey() + "@" + outcome.getFencingToken());
+            if (releaseClaim(outcome.getKey(), outcome.getFencingToken())) {
+                world.startRequest(outcome.getKey());
+            }
+        } else {
+            claims.computeIfPresent(
+                    outcome.getKey(),
+                    (key, claim) ->
+                            claim.token() == outcome.getFencingToken()
+                                    ? new Claim(
+                                            claim.token(),
+                                            claim.incarnation(),
+                                            claim.host(),
+                                            outcome.getOutcome())
+                                    : claim);
+        }
+    }
+
+    long incarnation(AgentWorld.Host host) {
+        return incarnations.getOrDefault(host.id, 0L);
+    }
+
+    Optional<Long> claim(String key, AgentWorld.Host host) {
+        if (claims.containsKey(key) || incarnation(host) == 0) {
+            return Optional.empty();
+        }
+        long token = ++lastToken;
+        claims.put(key, new Claim(token, incarnation(host), host, OutcomeKind.IN_PROGRESS));
+        return Optional.of(token);
+    }
+
+    /** Releases a claim that did not run; false if another claim or an outcome is recorded. */
+    boolean releaseClaim(String key, long token) {
+        Claim claim = claims.get(key);
+        boolean open =
+                claim != null
+                        && claim.token() == token
+                        && claim.outcome() == OutcomeKind.IN_PROGRESS
+                        && incarnation(claim.host()) == claim.incarnation();
+        if (open) {
+            claims.remove(key);
+        }
+        return open;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/yuccabank/agent/WorkerStates.java
@@ -0,0 +1,69 @@
+package org.yuccabank.agent;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Map;
+import org.yuccabank.protocol.generated.TaskPhase;
+import org.yuccabank.standin.StandInWorker;
+import org.yuccabank.standin.StartOrder;
+import org.yuccabank.standin.TaskOrder;
+import org.yuccabank.standin.TaskReply;
+
+/** Connects the stand-in worker to the core without HTTP, through the same JSON. */
+final class WorkerStates {
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private WorkerStates() {}
+
+    static WorkerState of(Map<String, Object> state) {
+        try {
+            return WorkerJson.readState(JSON.writeValueAsBytes(state), 0);
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
+    static WorkerAnswer perform(StandInWorker worker, WorkerCall call, long now) {
+        TaskOrder order =
+                new TaskOrder(
+                        call.token(),
+                        call.leaseEndMillis(),
+                        call.generation(),
+                        call.action() == WorkerCall.Action.THROTTLE);
+        return answer(
+                switch (call.action()) {
+                    case START ->
+                            worker.start(
+                                    call.taskId(),
+                                    new StartOrder(
+                                            call.token(),
+                                            call.kind(),
+                                            call.account(),
+                                            call.reservation(),
+                                            call.leaseEndMillis(),
+                                            call.generation(),
+                                            call.runTimeMillis()),
+                                    now);
+                    case RENEW -> worker.renew(call.taskId(), order, now);
+                    case CHECKPOINT -> worker.checkpoint(call.taskId(), order, now);
+                    case THROTTLE, UNTHROTTLE -> worker.throttle(call.taskId(), order, now);
+                    case STOP -> worker.stop(call.taskId(), order, now);
+                });
+    }
+
+    private static WorkerAnswer answer(TaskReply reply) {
+        if (!reply.accepted()) {
+            return WorkerAnswer.of(WorkerAnswer.Kind.REFUSED, reply.reason());
+        }
+        TaskPhase phase =
+                switch (reply.phase()) {
+                    case "running" -> TaskPhase.TASK_RUNNING;
+                    case "finished" -> TaskPhase.TASK_FINISHED;
+                    case "failed" -> TaskPhase.TASK_FAILED;
+                    default -> TaskPhase.TASK_STOPPED;
+                };
+        return WorkerAnswer.done(phase, reply.generation());
+    }
+}
