Keep the time of requests on the event loop of their connection

Cause: Mono.timeout starts one timer thread for each core; the agent had 24 threads. Change: the event loop of the connection ends a request without a reply.

--- a/src/main/java/org/yuccabank/protocol/PeerConnection.java
+++ b/src/main/java/org/yuccabank/protocol/PeerConnection.java
@@ -11,7 +11,6 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
 import org.yuccabank.event.Event;
 import org.yuccabank.event.EventLog;
@@ -66,23 +65,34 @@
             // A peer that does not read must not make the queue of this process grow.
             return Mono.error(PeerException.notSent("connection is congested"));
         }
-        long correlation = lastCorrelation.incrementAndGet();
-        Mono<Envelope> reply =
-                Mono.create(
-                        sink -> {
-                            pending.put(correlation, sink);
-                            sink.onDispose(() -> pending.remove(correlation));
-                            write(current, request, correlation, false);
-                            if (!current.isActive()) {
-                                sink.error(PeerException.inDoubt("connection was closed"));
-                            }
-                        });
-        return reply.timeout(timeout)
-                .onErrorMap(
-                        TimeoutException.class,
-                        error ->
-                                PeerException.inDoubt(
-                                        "no reply within " + timeout.toMillis() + " ms"));
+        return Mono.create(
+                sink -> {
+                    long correlation = lastCorrelation.incrementAndGet();
+                    pending.put(correlation, sink);
+                    ScheduledFuture<?> expiry = expireAfter(timeout, sink, current);
+                    sink.onDispose(
+                            () -> {
+                                expiry.cancel(false);
+                                pending.remove(correlation);
+                            });
+                    write(current, request, correlation, false);
+                    if (!current.isActive()) {
+                        sink.error(PeerException.inDoubt("connection was closed"));
+                    }
+                });
+    }
+
+    /** The event loop of the connection keeps the time, so that no timer threads are needed. */
+    private static ScheduledFuture<?> expireAfter(
+            Duration timeout, MonoSink<Envelope> sink, Channel current) {
+        long millis = timeout.toMillis();
+        return current.eventLoop()
+                .schedule(
+                        () ->
+                                sink.error(
+                                        PeerException.inDoubt("no reply within " + millis + " ms")),
+                        millis,
+                        TimeUnit.MILLISECONDS);
     }
 
     /**
