--- a/scripts/measure-agent.sh
+++ b/scripts/measure-agent.sh
@@ -12,7 +12,8 @@
 warm_up=${5:-20}
 base=${YUCCABANK_MEASURE_PORT:-27100}
 directory=$(mktemp -d)
-results=docs/measurements/agent.csv
+touch "$directory/driver.log"
+results=${YUCCABANK_MEASURE_RESULTS:-docs/measurements/agent.csv}
 classpath=target/test-classes:target/yuccabank-0.1.0-all.jar
 
 cat > "$directory/agent.toml" <<TOML
@@ -41,7 +42,7 @@
 target/yuccabank worker --settings "$directory/worker.toml" --kinds preview,charge \
   > "$directory/worker.log" 2>&1 &
 worker=$!
-target/yuccabank agent --settings "$directory/agent.toml" > "$directory/agent.log" 2>&1 &
+YUCCABANK_JAVA_OPTIONS=${YUCCABANK_AGENT_OPTIONS:-} target/yuccabank agent --settings "$directory/agent.toml" > "$directory/agent.log" 2>&1 &
 agent=$!
 java -Xmx256m -cp "$classpath" org.yuccabank.agent.AgentDriver \
   "$base" "$((base + 1))" "$tasks" "$rate" "$warm_up" "$seconds" > "$directory/driver.log" 2>&1 &
@@ -70,9 +71,11 @@
   'BEGIN {printf "%.3f", 100 * t / hz / s}')
 sent=$(( $(driver_field bytes_sent) / seconds ))
 received=$(( $(driver_field bytes_received) / seconds ))
-[ -f "$results" ] || echo "label,commit,tasks,requests_per_second,seconds,rss_kib,private_kib,shared_kib,anonymous_kib,cpu_percent,bytes_sent_per_second,bytes_received_per_second,reports,ran,threads" > "$results"
+[ -e "$results" ] || echo "label,commit,tasks,requests_per_second,seconds,rss_kib,private_kib,shared_kib,anonymous_kib,cpu_percent,bytes_sent_per_second,bytes_received_per_second,reports,ran,threads" > "$results"
 row="$label,$(git rev-parse --short HEAD),$tasks,$rate,$seconds,$rss,$private,$shared,$anonymous,$cpu,$sent,$received,$(driver_field reports),$(driver_field ran),$threads"
 echo "$row" >> "$results"
 head -1 "$results"
 echo "$row"
 grep -E "WARN|ERROR" "$directory/agent.log" || true
+kill "$agent" 2> /dev/null || true
+wait "$agent" || echo "agent ended with code $?"
--- a/src/main/java/org/yuccabank/protocol/EnvelopeDecoder.java
+++ b/src/main/java/org/yuccabank/protocol/EnvelopeDecoder.java
@@ -37,6 +37,11 @@
         }
     }
 
+    /** Bytes that wait for the rest of their frame. */
+    int bufferedBytes() {
+        return actualReadableBytes();
+    }
+
     @Override
     protected ByteBuf extractFrame(
             ChannelHandlerContext context, ByteBuf buffer, int index, int length) {
--- a/src/main/java/org/yuccabank/protocol/PeerConnection.java
+++ b/src/main/java/org/yuccabank/protocol/PeerConnection.java
@@ -65,6 +65,9 @@
             // A peer that does not read must not make the queue of this process grow.
             return Mono.error(PeerException.notSent("connection is congested"));
         }
+        if (request.getSerializedSize() > PeerTransport.MAXIMUM_REQUEST_BYTES) {
+            return Mono.error(PeerException.notSent("request is too long"));
+        }
         return Mono.create(
                 sink -> {
                     long correlation = lastCorrelation.incrementAndGet();
@@ -225,6 +228,16 @@
                 .build();
     }
 
+    /**
+     * Reads nothing from a peer that does not read its replies, so that they do not fill the
+     * memory. If it does not read until the silence limit, the connection is closed.
+     */
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        context.channel().config().setAutoRead(context.channel().isWritable());
+        context.fireChannelWritabilityChanged();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         if (heartbeats != null) {
--- a/src/main/java/org/yuccabank/protocol/PeerTransport.java
+++ b/src/main/java/org/yuccabank/protocol/PeerTransport.java
@@ -31,6 +31,9 @@
     /** Greatest frame: a 4 MiB body and 64 KiB for the rest of the envelope. */
     public static final int MAXIMUM_FRAME_BYTES = (4 << 20) + (64 << 10);
 
+    /** Greatest request: room is left for the correlation and the configuration version. */
+    static final int MAXIMUM_REQUEST_BYTES = MAXIMUM_FRAME_BYTES - 64;
+
     /** Version of the inner protocol, sent in {@link Hello}. */
     public static final int PROTOCOL_VERSION = 1;
 
--- a/src/main/launcher/launcher.sh
+++ b/src/main/launcher/launcher.sh
@@ -7,6 +7,11 @@
     # The process beside a target has to stay under 64 MB resident.
     export MALLOC_ARENA_MAX=1
     options="-Xmx10m -Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:CICompilerCount=1 -XX:ReservedCodeCacheSize=8m -XX:MaxDirectMemorySize=8m -XX:-UsePerfData -Dio.netty.allocator.type=unpooled -Dio.netty.eventLoopThreads=1 -Dreactor.netty.ioWorkerCount=1"
+    # Classes from a mapped archive need less memory than loaded ones; see docs/notes-agent.md.
+    archive="$0.agent.jsa"
+    if [ -r "$archive" ]; then
+      options="$options -XX:SharedArchiveFile=$archive -Xshare:auto"
+    fi
     ;;
   entry)
     options="-Xmx256m -XX:+UseSerialGC"
