--- a/src/main/java/org/yuccabank/agent/Reporter.java
+++ b/src/main/java/org/yuccabank/agent/Reporter.java
@@ -97,7 +97,6 @@
         AgentReport.Builder report =
                 AgentReport.newBuilder()
                         .setHostId(configuration.hostId())
-                        .setProcessId(configuration.processId())
                         .setIncarnation(incarnation)
                         .setSequence(sequence)
                         .setFull(full);
--- a/src/main/java/org/yuccabank/control/ClusterState.java
+++ b/src/main/java/org/yuccabank/control/ClusterState.java
@@ -105,14 +105,13 @@
         for (HostEntry host : registry.hosts()) {
             Map<WorkKind, KindLoad> kinds = new LinkedHashMap<>();
             addTargets(host, kinds);
-            Resources available = host.capacity().minus(host.serviceReservation());
             views.add(
                     new HostView(
                             HostId.of(host.hostId()),
                             host.dataCentre(),
                             host.rack(),
                             HostStatus.READY,
-                            available,
+                            host.capacity().minus(host.serviceReservation()),
                             Resources.none(),
                             List.copyOf(kinds.values()),
                             0,
--- a/src/main/java/org/yuccabank/control/ControlHandler.java
+++ b/src/main/java/org/yuccabank/control/ControlHandler.java
@@ -51,7 +51,11 @@
     private Envelope report(PeerConnection from, Envelope request) {
         return Envelope.newBuilder()
                 .setAgentDirectives(
-                        leader.report(request.getAgentReport(), from, System.currentTimeMillis()))
+                        leader.report(
+                                request.getAgentReport(),
+                                request.getConfigurationVersion(),
+                                from,
+                                System.currentTimeMillis()))
                 .build();
     }
 
