Order waiting tasks by the fair share of their accounts

Cause: the scheduler took tasks in the order of submission, so one account could fill the queue. Change: each round takes the next task of the account with the least dominant share by weight.

--- a/src/main/java/org/yuccabank/control/ClusterState.java
+++ b/src/main/java/org/yuccabank/control/ClusterState.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.yuccabank.model.HostId;
 import org.yuccabank.model.Resources;
 import org.yuccabank.model.WorkKind;
@@ -53,8 +54,14 @@
         pendingGrants.remove(taskId);
     }
 
-    boolean isPending(String taskId) {
-        return pendingGrants.containsKey(taskId);
+    /**
+     * What a task holds whose grant is in progress.
+     *
+     * @param taskId the task
+     * @return its reservation, empty if no grant is in progress
+     */
+    Optional<Resources> pendingReservation(String taskId) {
+        return Optional.ofNullable(pendingGrants.get(taskId)).map(PendingGrant::reservation);
     }
 
     /**
--- a/src/main/java/org/yuccabank/control/Scheduler.java
+++ b/src/main/java/org/yuccabank/control/Scheduler.java
@@ -1,9 +1,7 @@
 package org.yuccabank.control;
 
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -23,6 +21,8 @@
 import org.yuccabank.policy.placement.PlacementDecision;
 import org.yuccabank.policy.placement.PlacementPolicy;
 import org.yuccabank.policy.placement.TaskRequest;
+import org.yuccabank.policy.quota.FairShareQueue;
+import org.yuccabank.policy.quota.QueuedTask;
 import org.yuccabank.protocol.generated.CommandResult;
 import org.yuccabank.protocol.generated.CommandResult.Verdict;
 import org.yuccabank.protocol.generated.LeaseGranted;
@@ -32,7 +32,6 @@
 import org.yuccabank.protocol.generated.TaskPhase;
 import org.yuccabank.replication.ReplicaService;
 import org.yuccabank.rules.ParsedRules;
-import org.yuccabank.rules.Quota;
 import org.yuccabank.rules.RuleSet;
 import org.yuccabank.state.SystemState;
 import org.yuccabank.state.generated.JobRecord;
@@ -51,6 +50,9 @@
     /** Bounds the time that one round holds the thread of the replica. */
     private static final int MAXIMUM_GRANTS_PER_ROUND = 100;
 
+    /** Room may appear without a command, for example when a host is no longer suspect. */
+    private static final long IDLE_ROUND_MILLIS = 500;
+
     private final ReplicaService replica;
     private final Proposer proposer;
     private final HostRegistry registry;
@@ -61,6 +63,8 @@
     private final long leaseMillis;
     private final Set<Long> endingTokens = new HashSet<>();
     private final Set<String> suspects = new HashSet<>();
+    private long placedIndex;
+    private long placedMillis;
     private Consumer<String> leaseCommitted = taskId -> {};
 
     Scheduler(
@@ -159,53 +163,43 @@
     }
 
     private void placeQueuedTasks(SystemState state, long nowMillis) {
-        if (state.queuedTasks().isEmpty()) {
+        boolean unchanged = state.appliedIndex() == placedIndex;
+        if (state.queuedTasks().isEmpty()
+                || (unchanged && nowMillis - placedMillis < IDLE_ROUND_MILLIS)) {
             return;
         }
+        placedIndex = state.appliedIndex();
+        placedMillis = nowMillis;
         List<HostView> views = cluster.views(state, nowMillis);
         ClusterView view = ClusterView.of(views);
         RuleSet rules = state.parsedRules().map(ParsedRules::ruleSet).orElse(RuleSet.empty());
-        Map<String, Resources> held = heldByAccount(state);
+        FairShareQueue queue = WaitingTasks.queue(state, cluster, capacity(views), rules);
         int grants = 0;
-        for (String taskId : List.copyOf(state.queuedTasks())) {
-            if (cluster.isPending(taskId)) {
-                continue;
-            }
-            TaskRecord task = state.task(taskId).orElseThrow();
-            JobRecord job = state.job(task.getJobId()).orElseThrow();
-            TaskRequest request = request(task, job, rules);
-            Resources after =
-                    held.getOrDefault(job.getAccount(), Resources.none())
-                            .plus(request.reservation());
-            if (!withinQuota(rules, job.getAccount(), after)) {
-                continue;
-            }
+        Optional<QueuedTask> next = queue.next();
+        while (next.isPresent() && grants < MAXIMUM_GRANTS_PER_ROUND) {
+            QueuedTask waiting = next.get();
+            TaskRecord task = state.task(waiting.id().value()).orElseThrow();
+            TaskRequest request = request(task, state.job(task.getJobId()).orElseThrow());
             PlacementDecision decision = placement.place(request, view, rules, nowMillis, random);
             if (decision instanceof PlacementDecision.Placed placed) {
-                held.put(job.getAccount(), after);
                 grant(task, request, placed);
+                queue.start(waiting.id());
                 views.set(placed.index(), cluster.view(placed.host().value(), state, nowMillis));
-                if (++grants >= MAXIMUM_GRANTS_PER_ROUND) {
-                    return;
-                }
+                grants++;
+            } else {
+                // Later tasks of the account would overtake this one for ever.
+                queue.setAside(waiting.account());
             }
+            next = queue.next();
         }
     }
 
-    private static boolean withinQuota(RuleSet rules, String account, Resources held) {
-        Optional<Quota> quota = rules.quota(AccountId.of(account));
-        return quota.isEmpty() || held.fitsWithin(quota.get().limit());
-    }
-
-    private Map<String, Resources> heldByAccount(SystemState state) {
-        Map<String, Resources> held = new HashMap<>();
-        for (String taskId : state.leasedTasks()) {
-            TaskRecord task = state.task(taskId).orElseThrow();
-            String account = state.job(task.getJobId()).orElseThrow().getAccount();
-            Resources reservation = HostEntry.resources(task.getLease().getReservation());
-            held.merge(account, reservation, Resources::plus);
+    private static Resources capacity(List<HostView> views) {
+        Resources sum = Resources.none();
+        for (HostView host : views) {
+            sum = sum.plus(host.capacity());
         }
-        return held;
+        return sum;
     }
 
     private void grant(TaskRecord task, TaskRequest request, PlacementDecision.Placed placed) {
@@ -272,7 +266,7 @@
         return Feasibility.whyNever(request, ClusterView.of(hosts), rules);
     }
 
-    private static TaskRequest request(TaskRecord task, JobRecord job, RuleSet rules) {
+    private static TaskRequest request(TaskRecord task, JobRecord job) {
         SubmitJob specification = job.getSpecification();
         return new TaskRequest(
                 TaskId.of(task.getTaskId()),
--- /dev/null
+++ b/src/main/java/org/yuccabank/control/WaitingTasks.java
@@ -0,0 +1,69 @@
+package org.yuccabank.control;
+
+import java.util.Map;
+import java.util.Optional;
+import org.yuccabank.model.AccountId;
+import org.yuccabank.model.Resources;
+import org.yuccabank.model.TaskId;
+import org.yuccabank.policy.quota.FairShareQueue;
+import org.yuccabank.policy.quota.QueuedTask;
+import org.yuccabank.rules.Quota;
+import org.yuccabank.rules.RuleSet;
+import org.yuccabank.state.SystemState;
+import org.yuccabank.state.generated.JobRecord;
+import org.yuccabank.state.generated.TaskRecord;
+
+/** Builds the fair order of the tasks that wait for a lease. Has no state. */
+final class WaitingTasks {
+
+    /** Bounds the time to build the order when a wave of jobs waits; older tasks come first. */
+    private static final int MAXIMUM_WAITING = 5_000;
+
+    private WaitingTasks() {}
+
+    /**
+     * The waiting tasks by the fair share of their accounts.
+     *
+     * @param state the replicated records
+     * @param cluster tells which tasks have a grant in progress
+     * @param capacity capacity of all hosts
+     * @param rules the rules in force
+     * @return the queue, with what each account holds
+     */
+    static FairShareQueue queue(
+            SystemState state, ClusterState cluster, Resources capacity, RuleSet rules) {
+        Map<AccountId, Quota> quotas = rules.quotas();
+        FairShareQueue queue = FairShareQueue.of(capacity, quotas);
+        for (String taskId : state.leasedTasks()) {
+            TaskRecord task = state.task(taskId).orElseThrow();
+            Resources reservation = HostEntry.resources(task.getLease().getReservation());
+            queue.hold(account(state, task), reservation);
+        }
+        int waiting = 0;
+        for (String taskId : state.queuedTasks()) {
+            TaskRecord task = state.task(taskId).orElseThrow();
+            Optional<Resources> pending = cluster.pendingReservation(taskId);
+            if (pending.isPresent()) {
+                queue.hold(account(state, task), pending.get());
+            } else if (waiting < MAXIMUM_WAITING) {
+                waiting++;
+                queue.submit(queued(state, task));
+            }
+        }
+        return queue;
+    }
+
+    private static QueuedTask queued(SystemState state, TaskRecord task) {
+        JobRecord job = state.job(task.getJobId()).orElseThrow();
+        return new QueuedTask(
+                TaskId.of(task.getTaskId()),
+                AccountId.of(job.getAccount()),
+                HostEntry.resources(job.getSpecification().getDeclared()),
+                Math.max(1, job.getSpecification().getPriority()),
+                job.getSubmittedAtMillis());
+    }
+
+    private static AccountId account(SystemState state, TaskRecord task) {
+        return AccountId.of(state.job(task.getJobId()).orElseThrow().getAccount());
+    }
+}
