Add routing bench, retry and hedge policies, baseline routers

Mechanisms of routing need figures. The bench drives the decision code of several entries in simulated time against small fakes of targets.

--- /dev/null
+++ b/src/main/java/org/yuccabank/bench/routing/Attempt.java
@@ -0,0 +1,47 @@
+package org.yuccabank.bench.routing;
+
+/** One attempt of a request on its way from an entry to a target and back. Mutable. */
+final class Attempt {
+
+    private final Request request;
+    private final EntryDriver entry;
+    private final FakeTarget target;
+    private final long sentMicros;
+    private final boolean hedge;
+    private boolean ended;
+
+    Attempt(Request request, EntryDriver entry, FakeTarget target, long sentMicros, boolean hedge) {
+        this.request = request;
+        this.entry = entry;
+        this.target = target;
+        this.sentMicros = sentMicros;
+        this.hedge = hedge;
+    }
+
+    Request request() {
+        return request;
+    }
+
+    EntryDriver entry() {
+        return entry;
+    }
+
+    FakeTarget target() {
+        return target;
+    }
+
+    long sentMicros() {
+        return sentMicros;
+    }
+
+    boolean isHedge() {
+        return hedge;
+    }
+
+    /** Ends the attempt for its entry; false if it had ended before. */
+    boolean end() {
+        boolean first = !ended;
+        ended = true;
+        return first;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/bench/routing/EntryDriver.java
@@ -0,0 +1,227 @@
+package org.yuccabank.bench.routing;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.yuccabank.model.AccountId;
+import org.yuccabank.model.Outcome;
+import org.yuccabank.model.TargetId;
+import org.yuccabank.policy.routing.Admission;
+import org.yuccabank.policy.routing.AdmissionRequest;
+import org.yuccabank.policy.routing.Candidate;
+import org.yuccabank.policy.routing.Deadline;
+import org.yuccabank.policy.routing.Response;
+import org.yuccabank.policy.routing.Route;
+import org.yuccabank.policy.routing.RouteRequest;
+
+/** An entry process: drives the decision code as the entry role does. Mutable. */
+final class EntryDriver {
+
+    /** Time after which opening a connection to a silent host fails. */
+    private static final long CONNECT_TIMEOUT_MICROS = 200_000;
+
+    private final RoutingScenario scenario;
+    private final EventQueue events;
+    private final Recorder recorder;
+    private final RandomGenerator random;
+    private final int dataCentre;
+    private final EntryPolicies policies;
+    private final Map<TargetId, FakeTarget> targets = new HashMap<>();
+    private final Set<TargetId> disconnected = new HashSet<>();
+    private final Set<Attempt> inProgress = new LinkedHashSet<>();
+    private final List<AccountId> accounts;
+    private boolean lost;
+
+    EntryDriver(
+            RoutingScenario scenario,
+            EventQueue events,
+            Recorder recorder,
+            RandomGenerator random,
+            int dataCentre,
+            List<FakeTarget> targets,
+            List<AccountId> accounts) {
+        this.scenario = scenario;
+        this.events = events;
+        this.recorder = recorder;
+        this.random = random;
+        this.dataCentre = dataCentre;
+        this.accounts = accounts;
+        this.policies = EntryPolicies.of(scenario, targets);
+        for (FakeTarget target : targets) {
+            this.targets.put(target.id(), target);
+            announce(target, Candidate.State.READY);
+        }
+    }
+
+    long delayMicros(FakeTarget target) {
+        return scenario.example().delayMicros(dataCentre, target.dataCentre());
+    }
+
+    /** The directory's entry for a target changes. */
+    void announce(FakeTarget target, Candidate.State state) {
+        Candidate candidate =
+                new Candidate(
+                        target.id(),
+                        delayMicros(target),
+                        RoutingScenario.SLOTS,
+                        RoutingScenario.CONNECTIONS,
+                        state);
+        policies.router().update(candidate, events.nowMillis());
+    }
+
+    boolean isLost() {
+        return lost;
+    }
+
+    /** A request arrives from a caller. */
+    void receive(Request request) {
+        long now = events.nowMillis();
+        request.deadline(Deadline.after(now, request.kind().deadlineMillis()));
+        Optional<Route> route =
+                policies.router().choose(RouteRequest.of(request.deadline()), now, random);
+        if (route.isEmpty() || !isAdmitted(request, route.get(), now)) {
+            recorder.refused(request);
+            return;
+        }
+        recorder.admitted(request);
+        policies.admission().started(account(request), now);
+        policies.retries().requestStarted(now);
+        send(request, route.get().target(), false, false);
+        policies.hedges()
+                .delayMillis(request.kind().idempotent(), now)
+                .ifPresent(delay -> events.after(delay * 1000, () -> hedge(request)));
+    }
+
+    private boolean isAdmitted(Request request, Route route, long nowMillis) {
+        AdmissionRequest admission =
+                new AdmissionRequest(
+                        account(request), request.kind().priority(), request.deadline(), route);
+        return policies.admission().decide(admission, nowMillis) instanceof Admission.Admitted;
+    }
+
+    private AccountId account(Request request) {
+        return accounts.get(request.account());
+    }
+
+    private void send(Request request, TargetId id, boolean isRetry, boolean isHedge) {
+        FakeTarget target = targets.get(id);
+        Attempt attempt = new Attempt(request, this, target, events.nowMicros(), isHedge);
+        policies.router().dispatched(id, events.nowMillis());
+        recorder.sent(request, isRetry, isHedge);
+        request.changeInProgress(1);
+        inProgress.add(attempt);
+        if (disconnected.contains(id)) {
+            Response unreachable = Response.without(Response.Kind.UNREACHABLE);
+            events.after(CONNECT_TIMEOUT_MICROS, () -> ended(attempt, unreachable));
+        } else {
+            target.send(attempt, delayMicros(target));
+        }
+    }
+
+    private void hedge(Request request) {
+        if (lost || request.told() != null || request.inProgress() != 1 || request.isHedged()) {
+            return;
+        }
+        long now = events.nowMillis();
+        Set<TargetId> used = new HashSet<>(request.attempts().tried());
+        inProgress.stream()
+                .filter(attempt -> attempt.request() == request)
+                .forEach(attempt -> used.add(attempt.target().id()));
+        RouteRequest second = new RouteRequest(request.deadline(), used);
+        Optional<Route> route = policies.router().choose(second, now, random);
+        if (route.isPresent() && policies.hedges().tryHedge(route.get(), request.deadline(), now)) {
+            request.markHedged();
+            send(request, route.get().target(), false, true);
+        }
+    }
+
+    /** An attempt ends by an answer, a refusal or the loss of its connection. */
+    void ended(Attempt attempt, Response response) {
+        if (lost || !attempt.end()) {
+            return;
+        }
+        Request request = attempt.request();
+        inProgress.remove(attempt);
+        request.changeInProgress(-1);
+        policies.router().completed(attempt.target().id(), response, events.nowMillis());
+        if (request.told() != null) {
+            return;
+        }
+        if (response.kind() == Response.Kind.RAN) {
+            answer(attempt, response);
+            return;
+        }
+        request.attempts(request.attempts().plus(attempt.target().id(), response));
+        if (request.inProgress() == 0) {
+            retryOrGiveUp(request, response);
+        }
+    }
+
+    private void answer(Attempt attempt, Response response) {
+        Request request = attempt.request();
+        long now = events.nowMillis();
+        long latency =
+                events.nowMicros()
+                        + scenario.example().clientDelayMicros()
+                        - request.sentByClientMicros();
+        recorder.answered(request, request.deadline().isLate(now), latency);
+        policies.admission().finished(account(request), response, now);
+        long elapsed = events.nowMicros() - attempt.sentMicros();
+        policies.hedges().answered(elapsed, request.isHedged(), attempt.isHedge(), now);
+    }
+
+    private void retryOrGiveUp(Request request, Response response) {
+        long now = events.nowMillis();
+        Optional<Route> route =
+                policies.retries()
+                        .retry(
+                                request.attempts(),
+                                request.kind().idempotent(),
+                                request.deadline(),
+                                now)
+                        .flatMap(retry -> policies.router().choose(retry, now, random));
+        if (route.isPresent()) {
+            send(request, route.get().target(), true, false);
+        } else {
+            policies.admission().finished(account(request), response, now);
+            recorder.gaveUp(request, request.attempts().outcome());
+        }
+    }
+
+    /** The heartbeat finds that a connection is silent. */
+    void disconnect(FakeTarget target) {
+        disconnected.add(target.id());
+        List<Attempt> affected = new ArrayList<>(inProgress);
+        affected.removeIf(attempt -> attempt.target() != target);
+        Response none = Response.without(Response.Kind.NO_RESPONSE);
+        affected.forEach(attempt -> ended(attempt, none));
+    }
+
+    /** New connections to a target work again. */
+    void reconnect(FakeTarget target) {
+        disconnected.remove(target.id());
+    }
+
+    /** The process dies; returns the requests that callers will send again. */
+    List<Request> lose() {
+        lost = true;
+        List<Request> again = new ArrayList<>();
+        Set<Request> waiting = new LinkedHashSet<>();
+        inProgress.forEach(attempt -> waiting.add(attempt.request()));
+        for (Request request : waiting) {
+            request.changeInProgress(-request.inProgress());
+            if (request.told() == null && request.kind().idempotent()) {
+                again.add(request);
+            } else if (request.told() == null) {
+                recorder.gaveUp(request, Outcome.UNKNOWN);
+            }
+        }
+        return again;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/bench/routing/Fairness.java
@@ -0,0 +1,44 @@
+package org.yuccabank.bench.routing;
+
+import java.util.Arrays;
+
+/** Compares what accounts were served with the max-min fair division of the same total. */
+final class Fairness {
+
+    private Fairness() {}
+
+    /**
+     * Part of the work that went to other accounts than the fair division says.
+     *
+     * @param offered work that each account asked for
+     * @param served work that each account was served in time
+     * @return 0 if fair, towards 1 the more work went to the wrong accounts
+     */
+    static double error(long[] offered, long[] served) {
+        long total = Arrays.stream(served).sum();
+        if (total == 0) {
+            return 0;
+        }
+        double level = level(offered, total);
+        double misplaced = 0;
+        for (int account = 0; account < offered.length; account++) {
+            misplaced += Math.max(0, served[account] - Math.min(offered[account], level));
+        }
+        return misplaced / total;
+    }
+
+    /** The most that any account gets when the total is divided with equal weights. */
+    private static double level(long[] offered, long total) {
+        long[] ascending = offered.clone();
+        Arrays.sort(ascending);
+        double left = total;
+        for (int position = 0; position < ascending.length; position++) {
+            double equalPart = left / (ascending.length - position);
+            if (ascending[position] >= equalPart) {
+                return equalPart;
+            }
+            left -= ascending[position];
+        }
+        return Double.MAX_VALUE;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/bench/routing/Load.java
@@ -0,0 +1,59 @@
+package org.yuccabank.bench.routing;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+
+/**
+ * Offered load and what goes wrong. Faults start after one third of the run and end after two
+ * thirds.
+ */
+enum Load {
+    /** Constant load. */
+    STEADY(0.70, "constant load of 70 % of capacity"),
+    /** Demand grows without notice. */
+    SHIFT(0.50, "from 50 % to 90 % of capacity without notice, then back"),
+    /** One target serves five times slower. */
+    SLOW_TARGET(0.65, "the first target serves five times slower for a third of the run"),
+    /** One target and its connections go silent. */
+    SILENT_TARGET(0.65, "the first target answers nothing for a third of the run"),
+    /** One target answers every request with an error at once. */
+    FAILING_TARGET(0.65, "the first target answers every request with an error at once"),
+    /** More demand than capacity. */
+    OVERLOAD(1.50, "1.5 times capacity, one account sends 40 % of it"),
+    /** One target announces that it leaves. */
+    TARGET_LEAVING(0.65, "the first target announces that it leaves"),
+    /** One entry process dies. */
+    ENTRY_LOST(0.65, "the first entry dies; its callers go to the others");
+
+    /** Factor by which the slow target's service times grow. */
+    static final double SLOWDOWN = 5;
+
+    /** Factor on the load of {@link #SHIFT} during the middle third. */
+    static final double SHIFT_FACTOR = 1.8;
+
+    private final double share;
+    private final String description;
+
+    Load(double share, String description) {
+        this.share = share;
+        this.description = description;
+    }
+
+    static Optional<Load> named(String name) {
+        return List.of(values()).stream().filter(load -> load.label().equals(name)).findFirst();
+    }
+
+    String label() {
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    String description() {
+        return description;
+    }
+
+    /** Offered work as a part of the capacity of all targets. */
+    double share() {
+        return share;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/bench/routing/RequestKind.java
@@ -0,0 +1,30 @@
+package org.yuccabank.bench.routing;
+
+import java.util.random.RandomGenerator;
+
+/**
+ * A kind of urgent request with its service time, which is log-normally distributed. Immutable.
+ *
+ * @param name name of the kind
+ * @param share part of all requests, 0 to 1
+ * @param meanMicros mean service time
+ * @param spread standard deviation of the logarithm of the service time
+ * @param deadlineMillis time within which an answer is of use
+ * @param priority 1 (lowest) to 9 (highest)
+ * @param idempotent whether it may run more than once
+ */
+record RequestKind(
+        String name,
+        double share,
+        double meanMicros,
+        double spread,
+        long deadlineMillis,
+        int priority,
+        boolean idempotent) {
+
+    /** Draws a service time. */
+    long serviceMicros(RandomGenerator random) {
+        double logMean = StrictMath.log(meanMicros) - spread * spread / 2;
+        return Math.max(1, (long) StrictMath.exp(logMean + spread * random.nextGaussian()));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/bench/routing/RoutingBench.java
@@ -0,0 +1,115 @@
+package org.yuccabank.bench.routing;
+
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/** Measures routing decisions in simulated time. Thread-safe, as it has no state. */
+public final class RoutingBench {
+
+    /** Name of the load that stands for every load in turn. */
+    public static final String ALL_LOADS = "all";
+
+    private RoutingBench() {}
+
+    /**
+     * What to measure, by names as on the command line. Immutable.
+     *
+     * @param example name of the user
+     * @param targets number of targets
+     * @param entries number of entry processes
+     * @param load name of the load or {@link #ALL_LOADS}
+     * @param router name of the router
+     * @param without names of mechanisms to switch off
+     * @param seconds simulated seconds, 0 for a length that suits the size
+     * @param seed seed of all random numbers
+     */
+    public record Request(
+            String example,
+            int targets,
+            int entries,
+            String load,
+            String router,
+            List<String> without,
+            int seconds,
+            long seed) {}
+
+    /**
+     * Runs a measurement and prints a line for each load.
+     *
+     * @param request what to measure
+     * @param json whether to print JSON
+     * @param output where to print
+     * @return the name that is not known, empty if the measurement ran
+     */
+    public static Optional<String> run(Request request, boolean json, PrintStream output) {
+        Optional<Example> example = Example.named(request.example());
+        Optional<RouterKind> router = RouterKind.named(request.router());
+        List<Load> loads = loads(request.load());
+        Set<Mechanism> without = EnumSet.noneOf(Mechanism.class);
+        for (String name : request.without()) {
+            Optional<Mechanism> mechanism = Mechanism.named(name);
+            if (mechanism.isEmpty()) {
+                return Optional.of(name);
+            }
+            without.add(mechanism.get());
+        }
+        if (example.isEmpty()) {
+            return Optional.of(request.example());
+        }
+        if (router.isEmpty()) {
+            return Optional.of(request.router());
+        }
+        if (loads.isEmpty()) {
+            return Optional.of(request.load());
+        }
+        int seconds =
+                request.seconds() > 0
+                        ? request.seconds()
+                        : RoutingScenario.defaultSeconds(request.targets());
+        for (Load load : loads) {
+            RoutingScenario scenario =
+                    new RoutingScenario(
+                            example.get(),
+                            request.targets(),
+                            request.entries(),
+                            load,
+                            router.get(),
+                            without,
+                            seconds,
+                            request.seed());
+            RoutingReport report = RoutingSimulation.run(scenario);
+            output.println(json ? report.toJson().toString() : report.toText());
+        }
+        return Optional.empty();
+    }
+
+    private static List<Load> loads(String name) {
+        return name.equals(ALL_LOADS)
+                ? List.of(Load.values())
+                : Load.named(name).map(List::of).orElse(List.of());
+    }
+
+    /**
+     * Names of loads, routers and mechanisms with a description.
+     *
+     * @return one line each
+     */
+    public static List<String> list() {
+        List<String> lines = new ArrayList<>();
+        for (Load load : Load.values()) {
+            lines.add(String.format("load %-16s %s", load.label(), load.description()));
+        }
+        lines.add(String.format("load %-16s %s", ALL_LOADS, "every load in turn"));
+        for (RouterKind router : RouterKind.values()) {
+            lines.add(String.format("router %-14s %s", router.label(), router.description()));
+        }
+        for (Mechanism mechanism : Mechanism.values()) {
+            lines.add("mechanism " + mechanism.label());
+        }
+        return lines;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/bench/routing/RoutingSimulation.java
@@ -0,0 +1,170 @@
+package org.yuccabank.bench.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
+import org.yuccabank.model.AccountId;
+import org.yuccabank.model.TargetId;
+import org.yuccabank.policy.routing.Candidate;
+
+/** One run: callers, entries, targets and the faults of the load. Mutable; runs once. */
+final class RoutingSimulation {
+
+    /** Time until an entry's heartbeats find that a connection is silent. */
+    private static final long SILENCE_MICROS = 2_000_000;
+
+    /** Longest time until an entry has a change of the directory. */
+    private static final long DIRECTORY_DELAY_MICROS = 1_000_000;
+
+    /** Time after which callers of a lost entry send their request again. */
+    private static final long CALLER_RETRY_MICROS = 500_000;
+
+    private final RoutingScenario scenario;
+    private final EventQueue events = new EventQueue();
+    private final Recorder recorder;
+    private final RandomGenerator arrivals;
+    private final RandomGenerator services;
+    private final RandomGenerator balancer;
+    private final List<FakeTarget> targets = new ArrayList<>();
+    private final List<EntryDriver> entries = new ArrayList<>();
+    private double fraction;
+
+    private RoutingSimulation(RoutingScenario scenario) {
+        this.scenario = scenario;
+        this.recorder = new Recorder(scenario);
+        SplittableRandom root = new SplittableRandom(scenario.seed());
+        this.arrivals = root.split();
+        this.services = root.split();
+        this.balancer = root.split();
+        List<AccountId> accounts = new ArrayList<>();
+        for (int number = 0; number < RoutingScenario.ACCOUNTS; number++) {
+            accounts.add(AccountId.of("account-" + number));
+        }
+        for (int number = 0; number < scenario.targets(); number++) {
+            TargetId id = TargetId.of("target-" + number);
+            int dataCentre = number % Example.DATA_CENTRES;
+            targets.add(new FakeTarget(id, dataCentre, events, recorder));
+        }
+        for (int number = 0; number < scenario.entries(); number++) {
+            int dataCentre = number % Example.DATA_CENTRES;
+            entries.add(
+                    new EntryDriver(
+                            scenario,
+                            events,
+                            recorder,
+                            root.split(),
+                            dataCentre,
+                            targets,
+                            accounts));
+        }
+    }
+
+    /**
+     * Runs a scenario to its end.
+     *
+     * @param scenario what to run
+     * @return the figures
+     */
+    static RoutingReport run(RoutingScenario scenario) {
+        RoutingSimulation simulation = new RoutingSimulation(scenario);
+        simulation.scheduleFaults();
+        simulation.events.at(0, simulation::arrive);
+        simulation.events.runAll();
+        return simulation.recorder.report();
+    }
+
+    private void arrive() {
+        if (events.nowMicros() >= scenario.endMicros()) {
+            return;
+        }
+        Request request = newRequest();
+        recorder.offered(request);
+        events.after(scenario.example().clientDelayMicros(), () -> balance(request));
+        double perSecond = scenario.capacityPerSecond() * scenario.load().share() * demand();
+        double gapMicros = arrivals.nextExponential() * 1e6 / perSecond;
+        scheduleNext(gapMicros);
+    }
+
+    /** Gaps are shorter than a microsecond at large sizes, so fractions are kept. */
+    private void scheduleNext(double gapMicros) {
+        double exact = gapMicros + fraction;
+        long whole = (long) exact;
+        fraction = exact - whole;
+        events.after(whole, this::arrive);
+    }
+
+    private double demand() {
+        boolean isShifted =
+                scenario.load() == Load.SHIFT
+                        && events.nowMicros() >= scenario.faultStartMicros()
+                        && events.nowMicros() < scenario.faultEndMicros();
+        return isShifted ? Load.SHIFT_FACTOR : 1;
+    }
+
+    private Request newRequest() {
+        RequestKind kind = drawKind();
+        boolean isGreedy = arrivals.nextDouble() < RoutingScenario.GREEDY_SHARE;
+        int account = isGreedy ? 0 : 1 + arrivals.nextInt(RoutingScenario.ACCOUNTS - 1);
+        return new Request(kind, account, kind.serviceMicros(services), events.nowMicros());
+    }
+
+    private RequestKind drawKind() {
+        double draw = arrivals.nextDouble();
+        List<RequestKind> kinds = scenario.example().kinds();
+        for (RequestKind kind : kinds) {
+            draw -= kind.share();
+            if (draw < 0) {
+                return kind;
+            }
+        }
+        return kinds.get(0);
+    }
+
+    private void balance(Request request) {
+        List<EntryDriver> alive = entries.stream().filter(entry -> !entry.isLost()).toList();
+        if (alive.isEmpty()) {
+            recorder.refused(request);
+        } else {
+            alive.get(balancer.nextInt(alive.size())).receive(request);
+        }
+    }
+
+    private void scheduleFaults() {
+        FakeTarget first = targets.get(0);
+        long start = scenario.faultStartMicros();
+        long end = scenario.faultEndMicros();
+        switch (scenario.load()) {
+            case SLOW_TARGET -> during(first, FakeTarget.Behaviour.SLOW, start, end);
+            case FAILING_TARGET -> during(first, FakeTarget.Behaviour.FAILING, start, end);
+            case SILENT_TARGET -> {
+                during(first, FakeTarget.Behaviour.SILENT, start, end);
+                for (EntryDriver entry : entries) {
+                    events.at(start + SILENCE_MICROS, () -> entry.disconnect(first));
+                    events.at(end, () -> entry.reconnect(first));
+                }
+            }
+            case TARGET_LEAVING -> {
+                events.at(start, () -> first.behaviour(FakeTarget.Behaviour.LEAVING));
+                for (EntryDriver entry : entries) {
+                    long delay = balancer.nextLong(DIRECTORY_DELAY_MICROS);
+                    events.at(start + delay, () -> entry.announce(first, Candidate.State.LEAVING));
+                }
+            }
+            case ENTRY_LOST -> events.at(start, this::loseEntry);
+            default -> {
+                // Only the demand differs.
+            }
+        }
+    }
+
+    private void during(FakeTarget target, FakeTarget.Behaviour behaviour, long start, long end) {
+        events.at(start, () -> target.behaviour(behaviour));
+        events.at(end, () -> target.behaviour(FakeTarget.Behaviour.NORMAL));
+    }
+
+    private void loseEntry() {
+        List<Request> again = entries.get(0).lose();
+        events.after(CALLER_RETRY_MICROS, () -> again.forEach(this::balance));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/policy/routing/BudgetedRetry.java
@@ -0,0 +1,49 @@
+package org.yuccabank.policy.routing;
+
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * Retries within a {@link RetryBudget}: idempotent requests after any failure, others only if there
+ * is evidence that no attempt ran. Nothing is retried after its deadline. Mutable; confined to one
+ * thread.
+ */
+public final class BudgetedRetry implements RetryPolicy {
+
+    /** Greatest number of attempts per request. */
+    public static final int MOST_ATTEMPTS = 3;
+
+    private final RetryBudget budget;
+
+    private BudgetedRetry(RetryBudget budget) {
+        this.budget = budget;
+    }
+
+    /**
+     * Creates a policy.
+     *
+     * @param budget the bound on retries of this entry
+     * @return the policy
+     */
+    public static BudgetedRetry of(RetryBudget budget) {
+        return new BudgetedRetry(Objects.requireNonNull(budget, "budget is null"));
+    }
+
+    @Override
+    public void requestStarted(long nowMillis) {
+        budget.requestStarted(nowMillis);
+    }
+
+    @Override
+    public Optional<RouteRequest> retry(
+            Attempts attempts, boolean idempotent, Deadline deadline, long nowMillis) {
+        boolean isSafe = idempotent || !attempts.mayHaveRun();
+        if (!isSafe
+                || attempts.count() >= MOST_ATTEMPTS
+                || deadline.isLate(nowMillis)
+                || !budget.tryAcquire(nowMillis)) {
+            return Optional.empty();
+        }
+        return Optional.of(new RouteRequest(deadline, attempts.tried()));
+    }
+}
--- a/src/main/java/org/yuccabank/policy/routing/DeadlineAdmission.java
+++ b/src/main/java/org/yuccabank/policy/routing/DeadlineAdmission.java
@@ -30,8 +30,11 @@
     private final AccountShares shares;
     private final ServiceTimes serviceTimes = new ServiceTimes(SERVICE_PERCENTILE);
 
-    private DeadlineAdmission(ToIntFunction<AccountId> weights) {
+    private final boolean limitsAccounts;
+
+    private DeadlineAdmission(ToIntFunction<AccountId> weights, boolean limitsAccounts) {
         this.shares = new AccountShares(weights);
+        this.limitsAccounts = limitsAccounts;
     }
 
     /**
@@ -41,7 +44,17 @@
      * @return the controller
      */
     public static DeadlineAdmission of(ToIntFunction<AccountId> weights) {
-        return new DeadlineAdmission(Objects.requireNonNull(weights, "weights is null"));
+        return new DeadlineAdmission(Objects.requireNonNull(weights, "weights is null"), true);
+    }
+
+    /**
+     * Creates a controller that treats all accounts alike whatever they have in progress, to
+     * measure what fair shares are worth.
+     *
+     * @return the controller
+     */
+    public static DeadlineAdmission withoutFairShare() {
+        return new DeadlineAdmission(account -> 1, false);
     }
 
     @Override
@@ -62,7 +75,7 @@
         if (route.waitMicros() > possibleWait * priorityPart(request.priority())) {
             return refused(Admission.Reason.PRIORITY, route);
         }
-        boolean overShare = shares.isOverShare(request.account());
+        boolean overShare = limitsAccounts && shares.isOverShare(request.account());
         if (overShare && route.waitMicros() > possibleWait * OVER_SHARE_PART) {
             return refused(Admission.Reason.FAIR_SHARE, route);
         }
--- /dev/null
+++ b/src/main/java/org/yuccabank/policy/routing/NoHedge.java
@@ -0,0 +1,27 @@
+package org.yuccabank.policy.routing;
+
+import java.util.OptionalLong;
+
+/** Never sends a second attempt. Thread-safe, as it has no state. */
+final class NoHedge implements HedgePolicy {
+
+    static final NoHedge INSTANCE = new NoHedge();
+
+    private NoHedge() {}
+
+    @Override
+    public OptionalLong delayMillis(boolean idempotent, long nowMillis) {
+        return OptionalLong.empty();
+    }
+
+    @Override
+    public boolean tryHedge(Route route, Deadline deadline, long nowMillis) {
+        return false;
+    }
+
+    @Override
+    public void answered(
+            long elapsedMicros, boolean hedged, boolean bySecondAttempt, long nowMillis) {
+        // Nothing to learn.
+    }
+}
--- a/src/main/java/org/yuccabank/policy/routing/RetryBudget.java
+++ b/src/main/java/org/yuccabank/policy/routing/RetryBudget.java
@@ -41,6 +41,15 @@
         return new RetryBudget(percent);
     }
 
+    /**
+     * Creates a budget without a bound, to measure what the bound is worth.
+     *
+     * @return the budget
+     */
+    public static RetryBudget unbounded() {
+        return new RetryBudget(Integer.MAX_VALUE);
+    }
+
     /**
      * Counts a request that was admitted; extra attempts are not counted here.
      *
--- /dev/null
+++ b/src/main/java/org/yuccabank/policy/routing/RoundRobinRouter.java
@@ -0,0 +1,27 @@
+package org.yuccabank.policy.routing;
+
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+/** Baseline: the ready targets in turn. */
+public final class RoundRobinRouter extends ScanningRouter {
+
+    private int turn;
+
+    private RoundRobinRouter() {}
+
+    /**
+     * Creates a router without targets.
+     *
+     * @return the router
+     */
+    public static RoundRobinRouter create() {
+        return new RoundRobinRouter();
+    }
+
+    @Override
+    Candidate choose(List<Candidate> usable, RandomGenerator random) {
+        turn = (turn + 1) % usable.size();
+        return usable.get(turn);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/policy/routing/ScanningRouter.java
@@ -0,0 +1,80 @@
+package org.yuccabank.policy.routing;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.yuccabank.model.TargetId;
+
+/**
+ * Base of the routers that {@link TwoChoicesRouter} is measured against. They look at all ready
+ * targets and keep no more than the latest reported load. Mutable; confined to one thread.
+ */
+abstract class ScanningRouter implements Router {
+
+    private final Map<TargetId, Candidate> candidates = new LinkedHashMap<>();
+    private final Map<TargetId, Integer> reported = new LinkedHashMap<>();
+    private List<Candidate> ready = List.of();
+
+    /**
+     * Chooses among the targets that may be used.
+     *
+     * @param usable ready targets that were not tried, not empty
+     * @param random source of random numbers
+     * @return the chosen one
+     */
+    abstract Candidate choose(List<Candidate> usable, RandomGenerator random);
+
+    final int reportedLoad(Candidate candidate) {
+        return reported.getOrDefault(candidate.target(), 0);
+    }
+
+    @Override
+    public final void update(Candidate candidate, long nowMillis) {
+        candidates.put(candidate.target(), candidate);
+        refresh();
+    }
+
+    @Override
+    public final void remove(TargetId target) {
+        candidates.remove(target);
+        reported.remove(target);
+        refresh();
+    }
+
+    private void refresh() {
+        ready =
+                candidates.values().stream()
+                        .filter(candidate -> candidate.state() == Candidate.State.READY)
+                        .toList();
+    }
+
+    @Override
+    public final Optional<Route> choose(
+            RouteRequest request, long nowMillis, RandomGenerator random) {
+        List<Candidate> usable = ready;
+        if (!request.tried().isEmpty()) {
+            usable = new ArrayList<>(ready);
+            usable.removeIf(candidate -> request.tried().contains(candidate.target()));
+        }
+        if (usable.isEmpty()) {
+            return Optional.empty();
+        }
+        Candidate chosen = choose(usable, random);
+        return Optional.of(new Route(chosen.target(), 0, 0, 2 * chosen.oneWayMicros()));
+    }
+
+    @Override
+    public final void dispatched(TargetId target, long nowMillis) {
+        // Own requests in progress are not used.
+    }
+
+    @Override
+    public final void completed(TargetId target, Response response, long nowMillis) {
+        if (response.carriesLoad()) {
+            reported.put(target, response.occupancy());
+        }
+    }
+}
