Take small differences in service time as chance

Cause: the router followed the noise of each target's service time estimate and left the near data centre for it; round robin had a lower steady p99. Change: a target's estimate counts only if it differs by a factor of 1.5 from that of all targets.

--- a/src/main/java/org/yuccabank/policy/routing/TargetView.java
+++ b/src/main/java/org/yuccabank/policy/routing/TargetView.java
@@ -18,6 +18,12 @@
     /** Weight of one service time; lower ones follow a slowdown too slowly. */
     private static final double SERVICE_WEIGHT = 1.0 / 16;
 
+    /**
+     * Factor by which a target's service time must differ from that of all to count. Smaller
+     * differences are mostly chance, and following them costs more than a way to a far target.
+     */
+    private static final double CLEAR_DIFFERENCE = 1.5;
+
     /** A target is silent when nothing was heard for this multiple of the expected time. */
     private static final double SILENCE_FACTOR = 4;
 
@@ -74,7 +80,7 @@
     }
 
     private void learnService(double sample, FleetAverages fleet, boolean ageing, long nowMillis) {
-        double base = serviceMicros(fleet, ageing, nowMillis);
+        double base = ownServiceMicros(fleet, ageing, nowMillis);
         serviceMicros = base == 0 ? sample : base + SERVICE_WEIGHT * (sample - base);
     }
 
@@ -87,7 +93,15 @@
         return inFlight + fresh * othersLoad + (1 - fresh) * fleet.othersLoad();
     }
 
+    /** Expected service time: that of all targets, unless this one clearly differs. */
     double serviceMicros(FleetAverages fleet, boolean ageing, long nowMillis) {
+        double own = ownServiceMicros(fleet, ageing, nowMillis);
+        double all = fleet.serviceMicros();
+        boolean isOrdinary = own < all * CLEAR_DIFFERENCE && own * CLEAR_DIFFERENCE > all;
+        return isOrdinary ? all : own;
+    }
+
+    private double ownServiceMicros(FleetAverages fleet, boolean ageing, long nowMillis) {
         if (serviceMicros == 0) {
             return fleet.serviceMicros();
         }
