Probe a target whose measured service time is old

Cause: estimates of service times faded to the average within 5 s, so a slow target got many requests again before it was avoided anew. Change: the estimate stays; after 5 s without an answer the target gets one request, and the answer replaces the estimate.

--- a/src/main/java/org/yuccabank/policy/routing/TargetView.java
+++ b/src/main/java/org/yuccabank/policy/routing/TargetView.java
@@ -12,7 +12,10 @@
     /** Age at which a reported load says no more than the average of all targets. */
     private static final long LOAD_MEMORY_MILLIS = 200;
 
-    /** Age at which a measured service time says no more than the average of all targets. */
+    /**
+     * Age after which a measured service time no longer keeps a target from getting a request; it
+     * gets one, and its answer replaces the old estimate.
+     */
     private static final long SERVICE_MEMORY_MILLIS = 5000;
 
     /** Weight of one service time; lower ones follow a slowdown too slowly. */
@@ -72,16 +75,17 @@
         }
         othersLoad = Math.max(0, response.occupancy() - inFlight);
         if (response.kind() == Response.Kind.RAN) {
-            learnService((double) response.serviceMicros(), fleet, ageing, nowMillis);
+            learnService((double) response.serviceMicros(), ageing, nowMillis);
             fleet.add((double) response.serviceMicros(), othersLoad);
         }
         heardMillis = nowMillis;
         awaitedSinceMillis = nowMillis;
     }
 
-    private void learnService(double sample, FleetAverages fleet, boolean ageing, long nowMillis) {
-        double base = ownServiceMicros(fleet, ageing, nowMillis);
-        serviceMicros = base == 0 ? sample : base + SERVICE_WEIGHT * (sample - base);
+    private void learnService(double sample, boolean ageing, long nowMillis) {
+        boolean isOld = ageing && nowMillis - heardMillis > SERVICE_MEMORY_MILLIS;
+        double weight = serviceMicros == 0 || isOld ? 1 : SERVICE_WEIGHT;
+        serviceMicros += weight * (sample - serviceMicros);
     }
 
     /** Expected requests at the target, running or waiting. */
@@ -89,7 +93,7 @@
         if (!ageing) {
             return inFlight + othersLoad;
         }
-        double fresh = freshness(LOAD_MEMORY_MILLIS, nowMillis);
+        double fresh = Math.max(0, 1 - (double) (nowMillis - heardMillis) / LOAD_MEMORY_MILLIS);
         return inFlight + fresh * othersLoad + (1 - fresh) * fleet.othersLoad();
     }
 
@@ -102,18 +106,9 @@
     }
 
     private double ownServiceMicros(FleetAverages fleet, boolean ageing, long nowMillis) {
-        if (serviceMicros == 0) {
-            return fleet.serviceMicros();
-        }
-        if (!ageing) {
-            return serviceMicros;
-        }
-        double fresh = freshness(SERVICE_MEMORY_MILLIS, nowMillis);
-        return fresh * serviceMicros + (1 - fresh) * fleet.serviceMicros();
-    }
-
-    private double freshness(long memoryMillis, long nowMillis) {
-        return Math.max(0, 1 - (double) (nowMillis - heardMillis) / memoryMillis);
+        boolean isProbe =
+                ageing && inFlight == 0 && nowMillis - heardMillis > SERVICE_MEMORY_MILLIS;
+        return serviceMicros == 0 || isProbe ? fleet.serviceMicros() : serviceMicros;
     }
 
     /** Time for which answers are overdue, 0 while the target is not silent. */
