Compare averages for the fair share of accounts

Cause: momentary numbers in progress put small accounts above their share half of the time, so they were refused like the greedy one. Change: requests in progress are averaged over a second, and the wait that an account may use falls with its excess over the share.

--- a/src/main/java/org/yuccabank/policy/routing/AccountShares.java
+++ b/src/main/java/org/yuccabank/policy/routing/AccountShares.java
@@ -6,22 +6,57 @@
 import org.yuccabank.model.AccountId;
 
 /**
- * Requests in progress of each account and its weighted share of all. Only accounts with requests
- * in progress are kept. Mutable; not thread-safe.
+ * Average requests in progress of each account over the last second or so, and its weighted share
+ * of all. An average is compared, because the momentary number of a small account is often above
+ * its share by chance. Accounts that were idle for some time are forgotten. Mutable; not
+ * thread-safe.
  */
 final class AccountShares {
 
+    /** Time over which requests in progress are averaged. */
+    private static final double MEMORY_MILLIS = 1000;
+
+    /** Idle accounts and new weights are looked for once in this time, as that costs a pass. */
+    private static final long SWEEP_MILLIS = 1000;
+
+    /** An account whose average has fallen below this has no part in the division. */
+    private static final double IDLE_AVERAGE = 0.05;
+
     private final ToIntFunction<AccountId> weights;
-    private final Map<AccountId, Active> active = new HashMap<>();
-    private long totalInProgress;
+    private final Map<AccountId, Account> accounts = new HashMap<>();
+    private final Average total = new Average();
     private long totalWeight;
+    private long nextSweepMillis;
 
-    private static final class Active {
-        private final int weight;
+    /** Requests in progress, now and on average. */
+    private static final class Average {
         private int inProgress;
+        private double value;
+        private long changedMillis;
+
+        private void advance(long nowMillis) {
+            double passed = Math.max(0, nowMillis - changedMillis);
+            value += (inProgress - value) * (passed / (passed + MEMORY_MILLIS));
+            changedMillis = nowMillis;
+        }
+
+        private boolean isIdle() {
+            return inProgress == 0 && value < IDLE_AVERAGE;
+        }
+
+        private void change(int difference, long nowMillis) {
+            advance(nowMillis);
+            inProgress += difference;
+        }
+    }
+
+    private static final class Account {
+        private int weight;
+        private final Average average = new Average();
 
-        private Active(int weight) {
+        private Account(int weight, long nowMillis) {
             this.weight = weight;
+            this.average.changedMillis = nowMillis;
         }
     }
 
@@ -29,37 +64,50 @@
         this.weights = weights;
     }
 
-    void started(AccountId account) {
-        Active entry = active.get(account);
+    void started(AccountId account, long nowMillis) {
+        sweep(nowMillis);
+        Account entry = accounts.get(account);
         if (entry == null) {
-            entry = new Active(Math.max(1, weights.applyAsInt(account)));
-            active.put(account, entry);
+            entry = new Account(Math.max(1, weights.applyAsInt(account)), nowMillis);
+            accounts.put(account, entry);
             totalWeight += entry.weight;
         }
-        entry.inProgress++;
-        totalInProgress++;
+        entry.average.change(1, nowMillis);
+        total.change(1, nowMillis);
     }
 
-    void finished(AccountId account) {
-        Active entry = active.get(account);
-        if (entry == null) {
-            return;
-        }
-        entry.inProgress--;
-        totalInProgress--;
-        if (entry.inProgress == 0) {
-            active.remove(account);
-            totalWeight -= entry.weight;
+    void finished(AccountId account, long nowMillis) {
+        Account entry = accounts.get(account);
+        if (entry != null) {
+            entry.average.change(-1, nowMillis);
+            total.change(-1, nowMillis);
         }
     }
 
-    /** Tells whether one more request would exceed the account's share of those in progress. */
-    boolean isOverShare(AccountId account) {
-        Active entry = active.get(account);
+    /** Requests in progress as a multiple of the account's fair share; 0 for a new account. */
+    double multipleOfShare(AccountId account, long nowMillis) {
+        Account entry = accounts.get(account);
         if (entry == null) {
-            return false;
+            return 0;
+        }
+        entry.average.advance(nowMillis);
+        total.advance(nowMillis);
+        double share = Math.max(1, total.value * entry.weight / totalWeight);
+        return entry.average.value / share;
+    }
+
+    private void sweep(long nowMillis) {
+        if (nowMillis < nextSweepMillis) {
+            return;
         }
-        double share = (double) totalInProgress * entry.weight / totalWeight;
-        return entry.inProgress + 1 > Math.max(1, share);
+        nextSweepMillis = nowMillis + SWEEP_MILLIS;
+        accounts.values().forEach(entry -> entry.average.advance(nowMillis));
+        accounts.values().removeIf(entry -> entry.average.isIdle());
+        totalWeight = 0;
+        accounts.forEach(
+                (account, entry) -> {
+                    entry.weight = Math.max(1, weights.applyAsInt(account));
+                    totalWeight += entry.weight;
+                });
     }
 }
--- a/src/main/java/org/yuccabank/policy/routing/DeadlineAdmission.java
+++ b/src/main/java/org/yuccabank/policy/routing/DeadlineAdmission.java
@@ -22,8 +22,11 @@
     /** Part of the possible wait that the lowest priority may use. */
     private static final double LOWEST_PRIORITY_PART = 0.5;
 
-    /** Part of the possible wait that accounts over their share may use. */
-    private static final double OVER_SHARE_PART = 0.3;
+    /** Part of the possible wait that accounts far over their share may use. */
+    private static final double OVER_SHARE_PART = 0.1;
+
+    /** Excess over the fair share, as a part of it, from which an account is far over it. */
+    private static final double OVER_SHARE_RANGE = 0.25;
 
     private static final long LEAST_RETRY_AFTER_MILLIS = 50;
 
@@ -75,8 +78,7 @@
         if (route.waitMicros() > possibleWait * priorityPart(request.priority())) {
             return refused(Admission.Reason.PRIORITY, route);
         }
-        boolean overShare = limitsAccounts && shares.isOverShare(request.account());
-        if (overShare && route.waitMicros() > possibleWait * OVER_SHARE_PART) {
+        if (route.waitMicros() > possibleWait * sharePart(request.account(), nowMillis)) {
             return refused(Admission.Reason.FAIR_SHARE, route);
         }
         return Admission.admitted();
@@ -84,12 +86,12 @@
 
     @Override
     public void started(AccountId account, long nowMillis) {
-        shares.started(account);
+        shares.started(account, nowMillis);
     }
 
     @Override
     public void finished(AccountId account, Response response, long nowMillis) {
-        shares.finished(account);
+        shares.finished(account, nowMillis);
         if (response.kind() == Response.Kind.RAN) {
             serviceTimes.add(response.serviceMicros(), nowMillis);
         }
@@ -100,6 +102,14 @@
         return millis > Long.MAX_VALUE / 1000 ? Long.MAX_VALUE : millis * 1000;
     }
 
+    private double sharePart(AccountId account, long nowMillis) {
+        if (!limitsAccounts) {
+            return 1;
+        }
+        double excess = shares.multipleOfShare(account, nowMillis) - 1;
+        return Math.max(OVER_SHARE_PART, Math.min(1, 1 - excess / OVER_SHARE_RANGE));
+    }
+
     private static double priorityPart(int priority) {
         double rank =
                 (double) (priority - AdmissionRequest.LOWEST_PRIORITY)
