--- a/src/main/java/org/yuccabank/policy/routing/DeadlineAdmission.java
+++ b/src/main/java/org/yuccabank/policy/routing/DeadlineAdmission.java
@@ -23,7 +23,7 @@
     private static final double LOWEST_PRIORITY_PART = 0.5;
 
     /** Part of the possible wait that accounts far over their share may use. */
-    private static final double OVER_SHARE_PART = 0.1;
+    private static final double OVER_SHARE_PART = 0.25;
 
     /** Excess over the fair share, as a part of it, from which an account is far over it. */
     private static final double OVER_SHARE_RANGE = 0.25;
