Hedge after the 99th percentile without probing

Change: hedges start after the 99th percentile, where they are rare enough to need no probing; the budget of 5 % and the free slot elsewhere remain.

--- a/src/main/java/org/yuccabank/bench/routing/Attempt.java
+++ b/src/main/java/org/yuccabank/bench/routing/Attempt.java
@@ -7,15 +7,13 @@
     private final EntryDriver entry;
     private final FakeTarget target;
     private final long sentMicros;
-    private final boolean hedge;
     private boolean ended;
 
-    Attempt(Request request, EntryDriver entry, FakeTarget target, long sentMicros, boolean hedge) {
+    Attempt(Request request, EntryDriver entry, FakeTarget target, long sentMicros) {
         this.request = request;
         this.entry = entry;
         this.target = target;
         this.sentMicros = sentMicros;
-        this.hedge = hedge;
     }
 
     Request request() {
@@ -34,10 +32,6 @@
         return sentMicros;
     }
 
-    boolean isHedge() {
-        return hedge;
-    }
-
     /** Ends the attempt for its entry; false if it had ended before. */
     boolean end() {
         boolean first = !ended;
--- a/src/main/java/org/yuccabank/bench/routing/EntryDriver.java
+++ b/src/main/java/org/yuccabank/bench/routing/EntryDriver.java
@@ -111,7 +111,7 @@
 
     private void send(Request request, TargetId id, boolean isRetry, boolean isHedge) {
         FakeTarget target = targets.get(id);
-        Attempt attempt = new Attempt(request, this, target, events.nowMicros(), isHedge);
+        Attempt attempt = new Attempt(request, this, target, events.nowMicros());
         policies.router().dispatched(id, events.nowMillis());
         recorder.sent(request, isRetry, isHedge);
         request.changeInProgress(1);
@@ -173,7 +173,7 @@
         recorder.answered(request, request.deadline().isLate(now), latency);
         policies.admission().finished(account(request), response, now);
         long elapsed = events.nowMicros() - attempt.sentMicros();
-        policies.hedges().answered(elapsed, request.isHedged(), attempt.isHedge(), now);
+        policies.hedges().answered(elapsed, now);
     }
 
     private void retryOrGiveUp(Request request, Response response) {
--- a/src/main/java/org/yuccabank/policy/routing/HedgePolicy.java
+++ b/src/main/java/org/yuccabank/policy/routing/HedgePolicy.java
@@ -34,11 +34,9 @@
      * Reports an answer that was the first of its request.
      *
      * @param elapsedMicros time since the first attempt was sent
-     * @param hedged whether a second attempt had been sent
-     * @param bySecondAttempt whether the second attempt answered
      * @param nowMillis the present time
      */
-    void answered(long elapsedMicros, boolean hedged, boolean bySecondAttempt, long nowMillis);
+    void answered(long elapsedMicros, long nowMillis);
 
     /**
      * A policy that never sends a second attempt.
--- a/src/main/java/org/yuccabank/policy/routing/NoHedge.java
+++ b/src/main/java/org/yuccabank/policy/routing/NoHedge.java
@@ -20,8 +20,7 @@
     }
 
     @Override
-    public void answered(
-            long elapsedMicros, boolean hedged, boolean bySecondAttempt, long nowMillis) {
+    public void answered(long elapsedMicros, long nowMillis) {
         // Nothing to learn.
     }
 }
--- a/src/main/java/org/yuccabank/policy/routing/QuantileHedge.java
+++ b/src/main/java/org/yuccabank/policy/routing/QuantileHedge.java
@@ -6,34 +6,25 @@
  * Sends a second attempt of an idempotent request when the first is slower than most recent
  * requests, if a free slot is expected elsewhere, within a budget of its own.
  *
- * <p>While second attempts rarely answer first, they cost capacity without benefit, so only a small
- * probing budget remains until they pay again. Mutable; confined to one thread.
+ * <p>Only the slowest percent of requests qualifies in quiet times, and no second attempt is sent
+ * when requests wait everywhere, so hedging never feeds an overload. Mutable; confined to one
+ * thread.
  */
 public final class QuantileHedge implements HedgePolicy {
 
-    /** Second attempts are sent after this percentile of recent answer times. */
-    private static final double PERCENTILE = 95;
+    /** Second attempts are sent after this percentile of recent answer times; 95 cost more. */
+    private static final double PERCENTILE = 99;
 
-    /** Second attempts allowed per 100 requests while they pay. */
+    /** Second attempts allowed per 100 requests; reached only while a target is in trouble. */
     private static final int BUDGET_PERCENT = 5;
 
-    /** Second attempts allowed per 100 requests to find out whether they pay. */
-    private static final int PROBE_PERCENT = 1;
-
-    /** Second attempts pay if at least this part of them answers first. */
-    private static final double PAYING_WIN_SHARE = 0.5;
-
-    private static final double WIN_WEIGHT = 1.0 / 32;
-
     private final ServiceTimes answerTimes = new ServiceTimes(PERCENTILE);
     private final RetryBudget budget = RetryBudget.ofPercent(BUDGET_PERCENT);
-    private final RetryBudget probes = RetryBudget.ofPercent(PROBE_PERCENT);
-    private double winShare;
 
     private QuantileHedge() {}
 
     /**
-     * Creates a policy that starts with probing.
+     * Creates a policy that has seen no answers.
      *
      * @return the policy
      */
@@ -44,7 +35,6 @@
     @Override
     public OptionalLong delayMillis(boolean idempotent, long nowMillis) {
         budget.requestStarted(nowMillis);
-        probes.requestStarted(nowMillis);
         long quantile = answerTimes.quantileMicros();
         return idempotent && quantile > 0
                 ? OptionalLong.of((quantile + 999) / 1000)
@@ -56,19 +46,11 @@
         boolean isUseful =
                 route.waitMicros() == 0
                         && route.totalMicros() <= deadline.millisLeft(nowMillis) * 1000;
-        if (!isUseful) {
-            return false;
-        }
-        RetryBudget applicable = winShare >= PAYING_WIN_SHARE ? budget : probes;
-        return applicable.tryAcquire(nowMillis);
+        return isUseful && budget.tryAcquire(nowMillis);
     }
 
     @Override
-    public void answered(
-            long elapsedMicros, boolean hedged, boolean bySecondAttempt, long nowMillis) {
+    public void answered(long elapsedMicros, long nowMillis) {
         answerTimes.add(elapsedMicros, nowMillis);
-        if (hedged) {
-            winShare += WIN_WEIGHT * ((bySecondAttempt ? 1 : 0) - winShare);
-        }
     }
 }
