Avoid a target for a moment after its agent refused

Cause: refusals free a target, so a leaving one looked idle and attracted requests until the directory changed. Change: a target whose agent refused is avoided for 200 ms.

--- a/src/main/java/org/yuccabank/policy/routing/TargetView.java
+++ b/src/main/java/org/yuccabank/policy/routing/TargetView.java
@@ -27,6 +27,9 @@
      */
     private static final double CLEAR_DIFFERENCE = 1.5;
 
+    /** Time for which a target is avoided after its agent refused a request, in milliseconds. */
+    private static final long REFUSAL_MEMORY_MILLIS = 200;
+
     /** A target is silent when nothing was heard for this multiple of the expected time. */
     private static final double SILENCE_FACTOR = 4;
 
@@ -39,6 +42,7 @@
     private double serviceMicros;
     private long heardMillis;
     private long awaitedSinceMillis;
+    private long refusedUntilMillis;
     private int failuresInRow;
     private int exclusions;
     private long excludedUntilMillis;
@@ -78,10 +82,21 @@
             learnService((double) response.serviceMicros(), ageing, nowMillis);
             fleet.add((double) response.serviceMicros(), othersLoad);
         }
+        if (response.kind() == Response.Kind.REFUSED) {
+            refusedUntilMillis = nowMillis + REFUSAL_MEMORY_MILLIS;
+        }
         heardMillis = nowMillis;
         awaitedSinceMillis = nowMillis;
     }
 
+    /**
+     * Tells whether the agent refused a request a short time ago. Such a target looks idle, because
+     * refusals free it, and would attract requests.
+     */
+    boolean refusedLately(long nowMillis) {
+        return nowMillis < refusedUntilMillis;
+    }
+
     private void learnService(double sample, boolean ageing, long nowMillis) {
         boolean isOld = ageing && nowMillis - heardMillis > SERVICE_MEMORY_MILLIS;
         double weight = serviceMicros == 0 || isOld ? 1 : SERVICE_WEIGHT;
--- a/src/main/java/org/yuccabank/policy/routing/TwoChoicesRouter.java
+++ b/src/main/java/org/yuccabank/policy/routing/TwoChoicesRouter.java
@@ -42,8 +42,8 @@
     /** Cost of a full target in units of its service time, to spread load while slots are free. */
     private static final double SPREAD_COST = 0.05;
 
-    /** Added to the expected time of a target whose connections are all used. */
-    private static final double FULL_COST_MICROS = 1e9;
+    /** Added to the expected time of a target that would refuse the request. */
+    private static final double AVOIDED_COST_MICROS = 1e9;
 
     private final RouterOptions options;
     private final Map<TargetId, TargetView> views = new HashMap<>();
@@ -185,8 +185,10 @@
         double service = view.serviceMicros(fleet, options.ageing(), nowMillis);
         Candidate candidate = view.candidate();
         double spread = SPREAD_COST * service * load / candidate.slots();
-        double full = load >= candidate.connections() ? FULL_COST_MICROS : 0;
-        return expectedMicros(view, nowMillis) + spread + full;
+        boolean isAvoided =
+                load >= candidate.connections()
+                        || options.outlierHandling() && view.refusedLately(nowMillis);
+        return expectedMicros(view, nowMillis) + spread + (isAvoided ? AVOIDED_COST_MICROS : 0);
     }
 
     private double expectedMicros(TargetView view, long nowMillis) {
