--- a/src/main/java/org/yuccabank/bench/routing/Example.java
+++ b/src/main/java/org/yuccabank/bench/routing/Example.java
@@ -30,6 +30,9 @@
 
     private final long clientDelayMicros;
     private final long betweenDataCentresMicros;
+
+    // List.of gives an immutable list, which the type does not show.
+    @SuppressWarnings("ImmutableEnumChecker")
     private final List<RequestKind> kinds;
 
     Example(long clientDelayMicros, long betweenDataCentresMicros, List<RequestKind> kinds) {
--- a/src/main/java/org/yuccabank/bench/routing/Fairness.java
+++ b/src/main/java/org/yuccabank/bench/routing/Fairness.java
@@ -22,7 +22,8 @@
         double level = level(offered, total);
         double misplaced = 0;
         for (int account = 0; account < offered.length; account++) {
-            misplaced += Math.max(0, served[account] - Math.min(offered[account], level));
+            double fair = Math.min((double) offered[account], level);
+            misplaced += Math.max(0, served[account] - fair);
         }
         return misplaced / total;
     }
--- /dev/null
+++ b/src/main/java/org/yuccabank/bench/routing/QuotaSimulation.java
@@ -0,0 +1,233 @@
+package org.yuccabank.bench.routing;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
+import org.yuccabank.model.AccountId;
+import org.yuccabank.model.Resources;
+import org.yuccabank.model.TaskId;
+import org.yuccabank.policy.quota.BoundedPreemption;
+import org.yuccabank.policy.quota.FairShareQueue;
+import org.yuccabank.policy.quota.PreemptionPolicy;
+import org.yuccabank.policy.quota.QueuedTask;
+import org.yuccabank.policy.quota.RunningTask;
+import org.yuccabank.rules.Quota;
+
+/**
+ * Batch tasks of many accounts on a few hosts, in simulated time. Half of the accounts have work
+ * from the start and borrow the share of the others, which come back after one third of the run.
+ * Mutable; runs once.
+ */
+final class QuotaSimulation {
+
+    private static final Resources HOST = Resources.of(16_000, 60_000, 1);
+    private static final int HOST_PROBES = 8;
+    private static final int TASKS_PER_ACCOUNT = 400;
+    private static final double MEAN_RUN_MICROS = 900e6;
+    private static final long CHECKPOINT_MICROS = 60_000_000;
+    private static final long END_MICROS = 3_600_000_000L;
+    private static final long RETURN_MICROS = END_MICROS / 3;
+    private static final long SAMPLE_MICROS = 10_000_000;
+
+    private final EventQueue events = new EventQueue();
+    private final RandomGenerator random;
+    private final List<AccountId> accounts = new ArrayList<>();
+    private final Map<AccountId, Quota> quotas = new HashMap<>();
+    private final List<Host> hosts = new ArrayList<>();
+    private final Map<TaskId, Long> runMicros = new HashMap<>();
+    private final FairShareQueue queue;
+    private final Optional<PreemptionPolicy> preemption;
+    private int steadySamples;
+    private double steadyError;
+    private int returnSamples;
+    private double returnError;
+    private int preemptions;
+    private long lostMicros;
+
+    /**
+     * Figures of a run.
+     *
+     * @param steadyError part of the fair shares that accounts lack, before others return
+     * @param returnError the same in the ten minutes after the others return
+     * @param preemptions tasks that were stopped for another account
+     * @param lostSeconds run time that these lost
+     */
+    record Figures(double steadyError, double returnError, int preemptions, long lostSeconds) {}
+
+    /** A host with its running tasks. */
+    private static final class Host {
+        private Resources free = HOST;
+        private final Map<TaskId, Running> running = new LinkedHashMap<>();
+    }
+
+    private record Running(QueuedTask task, long startedMicros) {}
+
+    private QuotaSimulation(int accountCount, int hostCount, boolean preempts, long seed) {
+        random = new SplittableRandom(seed);
+        for (int number = 0; number < accountCount; number++) {
+            AccountId account = AccountId.of("account-" + number);
+            accounts.add(account);
+            quotas.put(account, new Quota(HOST.scaled(hostCount), 1 + number % 4));
+        }
+        for (int number = 0; number < hostCount; number++) {
+            hosts.add(new Host());
+        }
+        queue = FairShareQueue.of(HOST.scaled(hostCount), quotas);
+        preemption =
+                preempts
+                        ? Optional.of(
+                                BoundedPreemption.of(
+                                        queue,
+                                        BoundedPreemption.DEFAULT_TASKS_PER_INTERVAL,
+                                        BoundedPreemption.DEFAULT_INTERVAL_MILLIS))
+                        : Optional.empty();
+    }
+
+    static Figures run(int accountCount, int hostCount, boolean preempts, long seed) {
+        QuotaSimulation simulation = new QuotaSimulation(accountCount, hostCount, preempts, seed);
+        simulation.events.at(0, () -> simulation.submitAll(0));
+        simulation.events.at(RETURN_MICROS, () -> simulation.submitAll(1));
+        simulation.events.at(SAMPLE_MICROS, simulation::sample);
+        simulation.events.runAll();
+        return new Figures(
+                simulation.steadyError / simulation.steadySamples,
+                simulation.returnError / simulation.returnSamples,
+                simulation.preemptions,
+                simulation.lostMicros / 1_000_000);
+    }
+
+    private void submitAll(int half) {
+        for (int number = half; number < accounts.size(); number += 2) {
+            for (int task = 0; task < TASKS_PER_ACCOUNT; task++) {
+                submit(accounts.get(number), task);
+            }
+        }
+        place();
+    }
+
+    private void submit(AccountId account, int number) {
+        boolean byMemory = random.nextInt(3) == 0;
+        Resources request = byMemory ? Resources.of(500, 6_000, 0) : Resources.of(2_000, 2_000, 0);
+        TaskId id = TaskId.of(account + "/" + number);
+        runMicros.put(id, (long) (random.nextExponential() * MEAN_RUN_MICROS));
+        queue.submit(new QueuedTask(id, account, request, 0, events.nowMillis()));
+    }
+
+    private void place() {
+        queue.restore();
+        for (Optional<QueuedTask> next = queue.next(); next.isPresent(); next = queue.next()) {
+            QueuedTask task = next.get();
+            Host host = findHost(task);
+            if (host == null) {
+                queue.setAside(task.account());
+            } else {
+                start(task, host);
+            }
+        }
+    }
+
+    private Host findHost(QueuedTask task) {
+        Host last = null;
+        for (int probe = 0; probe < HOST_PROBES; probe++) {
+            last = hosts.get(random.nextInt(hosts.size()));
+            if (task.request().fitsWithin(last.free)) {
+                return last;
+            }
+        }
+        return preempt(task, last) ? last : null;
+    }
+
+    private boolean preempt(QueuedTask task, Host host) {
+        if (preemption.isEmpty()) {
+            return false;
+        }
+        Collection<RunningTask> candidates = new ArrayList<>();
+        for (Running running : host.running.values()) {
+            candidates.add(candidate(running));
+        }
+        Resources missing = task.request().minus(host.free);
+        List<RunningTask> chosen =
+                preemption.get().choose(task, missing, candidates, events.nowMillis());
+        for (RunningTask victim : chosen) {
+            stop(host, victim);
+        }
+        return !chosen.isEmpty();
+    }
+
+    private RunningTask candidate(Running running) {
+        long sinceCheckpoint = (events.nowMicros() - running.startedMicros()) % CHECKPOINT_MICROS;
+        QueuedTask task = running.task();
+        return new RunningTask(task.id(), task.account(), task.request(), sinceCheckpoint / 1000);
+    }
+
+    private void stop(Host host, RunningTask victim) {
+        Running running = host.running.remove(victim.id());
+        host.free = host.free.plus(victim.held());
+        queue.release(victim.account(), victim.held());
+        long lost = victim.lostWorkMillis() * 1000;
+        long kept = events.nowMicros() - running.startedMicros() - lost;
+        runMicros.merge(victim.id(), -kept, Long::sum);
+        queue.submit(running.task());
+        preemptions++;
+        lostMicros += lost;
+    }
+
+    private void start(QueuedTask task, Host host) {
+        queue.start(task.id());
+        Running running = new Running(task, events.nowMicros());
+        host.running.put(task.id(), running);
+        host.free = host.free.minus(task.request());
+        events.after(runMicros.get(task.id()), () -> finish(host, running));
+    }
+
+    private void finish(Host host, Running running) {
+        if (events.nowMicros() >= END_MICROS
+                || !host.running.remove(running.task().id(), running)) {
+            return;
+        }
+        host.free = host.free.plus(running.task().request());
+        queue.release(running.task().account(), running.task().request());
+        place();
+    }
+
+    private void sample() {
+        long now = events.nowMicros();
+        if (now >= END_MICROS) {
+            return;
+        }
+        if (now >= RETURN_MICROS / 2 && now < RETURN_MICROS) {
+            steadyError += error();
+            steadySamples++;
+        } else if (now >= RETURN_MICROS && now < RETURN_MICROS + 600_000_000L) {
+            returnError += error();
+            returnSamples++;
+        }
+        events.after(SAMPLE_MICROS, this::sample);
+    }
+
+    /** Part of the weighted shares that accounts with waiting tasks lack. */
+    private double error() {
+        double shares = 0;
+        double weights = 0;
+        for (AccountId account : accounts) {
+            if (queue.waiting(account) > 0) {
+                shares += queue.dominantShare(account);
+                weights += quotas.get(account).weight();
+            }
+        }
+        double lacking = 0;
+        for (AccountId account : accounts) {
+            if (queue.waiting(account) > 0) {
+                double fair = shares * quotas.get(account).weight() / weights;
+                lacking += Math.max(0, fair - queue.dominantShare(account));
+            }
+        }
+        return shares == 0 ? 0 : lacking / shares;
+    }
+}
--- a/src/main/java/org/yuccabank/policy/routing/TwoChoicesRouter.java
+++ b/src/main/java/org/yuccabank/policy/routing/TwoChoicesRouter.java
@@ -187,7 +187,7 @@
         double spread = SPREAD_COST * service * load / candidate.slots();
         boolean isAvoided =
                 load >= candidate.connections()
-                        || options.outlierHandling() && view.refusedLately(nowMillis);
+                        || (options.outlierHandling() && view.refusedLately(nowMillis));
         return expectedMicros(view, nowMillis) + spread + (isAvoided ? AVOIDED_COST_MICROS : 0);
     }
 
