--- /dev/null
+++ b/src/main/java/org/yuccabank/local/EntryClient.java
@@ -0,0 +1,100 @@
+package org.yuccabank.local;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpMethod;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.resources.ConnectionProvider;
+
+/** Sends requests to the entries in turn, as the platform's balancer does. Thread-safe. */
+public final class EntryClient {
+
+    private static final int MAXIMUM_CONNECTIONS = 256;
+    private static final Duration ANSWER_LIMIT = Duration.ofSeconds(60);
+
+    private final List<InetSocketAddress> entries;
+    private final AtomicInteger next = new AtomicInteger();
+    private final ConnectionProvider connections;
+    private final HttpClient client;
+
+    private EntryClient(List<InetSocketAddress> entries) {
+        this.entries = List.copyOf(entries);
+        connections =
+                ConnectionProvider.builder("local-load")
+                        .maxConnections(MAXIMUM_CONNECTIONS)
+                        .pendingAcquireMaxCount(-1)
+                        .build();
+        client = HttpClient.create(connections).responseTimeout(ANSWER_LIMIT);
+    }
+
+    /**
+     * An answer of an entry.
+     *
+     * @param status HTTP status, 0 if there was no answer
+     * @param outcome the outcome header, empty if absent
+     * @param late whether the answer was flagged as late
+     * @param body the whole body
+     */
+    public record Answer(int status, String outcome, boolean late, String body) {}
+
+    /**
+     * Creates a client.
+     *
+     * @param entries addresses of the entries
+     * @return the client
+     */
+    public static EntryClient of(List<InetSocketAddress> entries) {
+        return new EntryClient(entries);
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param method HTTP method
+     * @param path path with the query
+     * @param headers headers
+     * @param body body, may be empty
+     * @return the answer; status 0 if the connection failed
+     */
+    public Mono<Answer> send(
+            HttpMethod method, String path, Map<String, String> headers, String body) {
+        InetSocketAddress entry =
+                entries.get(Math.floorMod(next.getAndIncrement(), entries.size()));
+        return client.headers(target -> headers.forEach(target::set))
+                .request(method)
+                .uri("http://" + entry.getHostString() + ":" + entry.getPort() + path)
+                .send(
+                        Mono.fromSupplier(
+                                () ->
+                                        Unpooled.wrappedBuffer(
+                                                body.getBytes(StandardCharsets.UTF_8))))
+                .responseSingle(
+                        (response, content) ->
+                                content.asString(StandardCharsets.UTF_8)
+                                        .defaultIfEmpty("")
+                                        .map(
+                                                text ->
+                                                        new Answer(
+                                                                response.status().code(),
+                                                                response.responseHeaders()
+                                                                        .get(
+                                                                                "Yuccabank-Outcome",
+                                                                                ""),
+                                                                response.responseHeaders()
+                                                                        .get("Yuccabank-Late", "")
+                                                                        .equals("true"),
+                                                                text)))
+                .onErrorResume(error -> Mono.just(new Answer(0, "", false, error.toString())));
+    }
+
+    /** Closes all connections. */
+    public void stop() {
+        connections.disposeLater().block(ANSWER_LIMIT);
+    }
+}
