--- /dev/null
+++ b/src/main/java/org/yuccabank/bench/routing/QuotaBench.java
@@ -0,0 +1,41 @@
+package org.yuccabank.bench.routing;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.math.BigDecimal;
+import java.math.RoundingMode;
+
+/** Measures the division of hosts among accounts. Thread-safe, as it has no state. */
+public final class QuotaBench {
+
+    private static final int DIGITS = 6;
+
+    private QuotaBench() {}
+
+    /**
+     * Runs a measurement.
+     *
+     * @param accounts number of accounts, at least 2
+     * @param hosts number of hosts, at least 1
+     * @param preempts whether borrowed tasks are stopped for their owners
+     * @param seed seed of all random numbers
+     * @return the figures as JSON, the same bytes for the same arguments
+     */
+    public static String run(int accounts, int hosts, boolean preempts, long seed) {
+        QuotaSimulation.Figures figures = QuotaSimulation.run(accounts, hosts, preempts, seed);
+        ObjectNode json = JsonNodeFactory.instance.objectNode();
+        json.put("accounts", accounts);
+        json.put("hosts", hosts);
+        json.put("preemption", preempts);
+        json.put("seed", seed);
+        json.put("steadyError", rounded(figures.steadyError()));
+        json.put("returnError", rounded(figures.returnError()));
+        json.put("preemptions", figures.preemptions());
+        json.put("lostSeconds", figures.lostSeconds());
+        return json.toString();
+    }
+
+    private static BigDecimal rounded(double value) {
+        return BigDecimal.valueOf(value).setScale(DIGITS, RoundingMode.HALF_UP);
+    }
+}
--- a/src/main/java/org/yuccabank/command/Commands.java
+++ b/src/main/java/org/yuccabank/command/Commands.java
@@ -16,6 +16,7 @@
                     new RulesDiffCommand(),
                     new SettingsCheckCommand(),
                     new BenchRoutingCommand(),
+                    new BenchQuotaCommand(),
                     new VersionCommand());
 
     private Commands() {}
