--- a/src/main/java/org/yuccabank/command/ControlCommand.java
+++ b/src/main/java/org/yuccabank/command/ControlCommand.java
@@ -6,6 +6,7 @@
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
 import org.yuccabank.control.ControlService;
+import org.yuccabank.protocol.PeerSecurity;
 import org.yuccabank.result.Result;
 import org.yuccabank.settings.ControlSettings;
 import org.yuccabank.settings.Settings;
@@ -25,20 +26,22 @@
 
     @Override
     public String arguments() {
-        return "SETTINGS";
+        return "";
     }
 
     @Override
     public Options options() {
-        return new Options().addOption(CommandOptions.settings());
+        return new Options()
+                .addOption(RoleProcess.settingsFile())
+                .addOption(CommandOptions.settings());
     }
 
     @Override
     public List<String> examples() {
         return List.of(
-                "yuccabank control /etc/yuccabank/control.toml",
-                "yuccabank control --set process_id=control-2 --set group.replica_id=control-2"
-                        + " control.toml");
+                "yuccabank control --settings /etc/yuccabank/control.toml",
+                "yuccabank control --settings control.toml --set process_id=control-2"
+                        + " --set group.replica_id=control-2");
     }
 
     @Override
@@ -63,10 +66,15 @@
         Result<ControlSettings> settings = Settings.control(file, overrides);
         return settings.flatMap(
                 valid ->
-                        ControlService.of(
-                                        RoleConfigurations.control(valid),
-                                        RoleConfigurations.placement(),
-                                        RoleConfigurations.security(valid.process()))
-                                .start());
+                        RoleConfigurations.security(valid.process())
+                                .flatMap(security -> start(valid, security)));
+    }
+
+    private static Result<ControlService> start(ControlSettings settings, PeerSecurity security) {
+        return ControlService.of(
+                        RoleConfigurations.control(settings),
+                        RoleConfigurations.placement(),
+                        security)
+                .start();
     }
 }
