--- a/src/main/java/org/yuccabank/command/Commands.java
+++ b/src/main/java/org/yuccabank/command/Commands.java
@@ -16,6 +16,8 @@
                     new RulesCheckCommand(),
                     new RulesDiffCommand(),
                     new SettingsCheckCommand(),
+                    new BenchRoutingCommand(),
+                    new BenchQuotaCommand(),
                     new VersionCommand());
 
     private Commands() {}
