Add the verify command with seeded schedules of faults

Cause: the protocol needs proof under crashes, lost disks, clock drift and network faults. Change: a simulation with fake clock, disk and network drives ReplicaNode; checks for one leader per term, log matching, kept commits, equal order, stale reads, linearizability, one winner among operators, undisturbed leaders and progress. A voter that stores its own uncommitted removal may still campaign; before, a group could stay without a leader when it alone had the complete log. A replica that is told to replace a committed entry stops.

--- a/src/main/java/org/yuccabank/command/Commands.java
+++ b/src/main/java/org/yuccabank/command/Commands.java
@@ -6,7 +6,11 @@
 final class Commands {
 
     private static final List<Command> ALL =
-            List.of(new RulesCheckCommand(), new RulesDiffCommand(), new VersionCommand());
+            List.of(
+                    new RulesCheckCommand(),
+                    new RulesDiffCommand(),
+                    new VersionCommand(),
+                    new VerifyCommand());
 
     private Commands() {}
 
--- /dev/null
+++ b/src/main/java/org/yuccabank/command/VerifyCommand.java
@@ -0,0 +1,94 @@
+package org.yuccabank.command;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.PrintStream;
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.yuccabank.verify.Verification;
+
+/** Runs seeded schedules of the replication protocol. Thread-safe, as it has no state. */
+final class VerifyCommand implements Command {
+
+    private static final String SCHEDULES = "schedules";
+    private static final String SEED = "seed";
+    private static final String JSON = "json";
+    private static final long DEFAULT_SCHEDULES = 1_000;
+    private static final long MAXIMUM_SCHEDULES = 10_000_000;
+
+    @Override
+    public String name() {
+        return "verify";
+    }
+
+    @Override
+    public String summary() {
+        return "Checks the replication protocol with seeded schedules of faults.";
+    }
+
+    @Override
+    public String arguments() {
+        return "";
+    }
+
+    @Override
+    public Options options() {
+        return new Options()
+                .addOption(number(SCHEDULES, "Number of schedules, by default 1000."))
+                .addOption(number(SEED, "Seed of the first schedule, by default 1."))
+                .addOption(Option.builder().longOpt(JSON).desc("Prints one JSON object.").get());
+    }
+
+    private static Option number(String name, String description) {
+        return Option.builder().longOpt(name).hasArg().argName("N").desc(description).get();
+    }
+
+    @Override
+    public List<String> examples() {
+        return List.of(
+                "yuccabank verify --schedules 20000 --seed 1",
+                "yuccabank verify --schedules 1 --seed 4711 --json");
+    }
+
+    @Override
+    public ExitCode run(CommandLine line, PrintStream output, PrintStream errors)
+            throws ParseException, JsonProcessingException {
+        long schedules = parse(line, SCHEDULES, DEFAULT_SCHEDULES);
+        if (schedules < 1 || schedules > MAXIMUM_SCHEDULES) {
+            throw new ParseException("--schedules must be from 1 to " + MAXIMUM_SCHEDULES);
+        }
+        Verification.Report report = Verification.run(schedules, parse(line, SEED, 1));
+        if (line.hasOption(JSON)) {
+            output.println(new ObjectMapper().writeValueAsString(report));
+        } else {
+            print(report, output);
+        }
+        return report.violationCount() == 0 ? ExitCode.SUCCESS : ExitCode.REFUSED;
+    }
+
+    private static long parse(CommandLine line, String option, long defaultValue)
+            throws ParseException {
+        String text = line.getOptionValue(option, Long.toString(defaultValue));
+        try {
+            return Long.parseLong(text);
+        } catch (NumberFormatException exception) {
+            throw new ParseException("--" + option + " " + text + " is not a whole number");
+        }
+    }
+
+    private static void print(Verification.Report report, PrintStream output) {
+        output.println("schedules tried: " + report.schedules());
+        output.println("operations of clients: " + report.operations());
+        output.println("terms with a leader: " + report.leaders());
+        output.println("faults injected:");
+        report.faults().forEach((fault, count) -> output.printf("  %-24s %d%n", fault, count));
+        output.println("violations: " + report.violationCount());
+        for (Verification.Finding violation : report.violations()) {
+            output.println("  " + violation.property() + ": " + violation.detail());
+            output.println("    replay with: " + violation.replay());
+        }
+    }
+}
--- a/src/main/java/org/yuccabank/replication/CoreState.java
+++ b/src/main/java/org/yuccabank/replication/CoreState.java
@@ -69,6 +69,10 @@
         return settings.timing();
     }
 
+    int batchBytes() {
+        return settings.batchBytes();
+    }
+
     EntryLog log() {
         return log;
     }
@@ -133,6 +137,16 @@
         return membership.isVoter(id());
     }
 
+    /**
+     * Tells whether this replica may become leader. A voter that stores its own removal still may
+     * while the removal is not committed, because its log can be the only one that is complete
+     * enough to win.
+     */
+    boolean mayCampaign() {
+        long latest = membership.latestIndex();
+        return isSelfVoter() || (latest > commitIndex && membership.isVoterAt(latest - 1, id()));
+    }
+
     /** Enters a term and records a vote in it; both are written. */
     void enterTerm(long newTerm, String newVote) {
         term = newTerm;
--- a/src/main/java/org/yuccabank/replication/Election.java
+++ b/src/main/java/org/yuccabank/replication/Election.java
@@ -22,7 +22,7 @@
 
     /** Starts an election if this replica has not heard from a leader for too long. */
     void tick() {
-        if (!state.isSelfVoter() || !state.isElectionDue()) {
+        if (!state.mayCampaign() || !state.isElectionDue()) {
             return;
         }
         if (state.uses(Mechanism.PRE_VOTE)) {
--- a/src/main/java/org/yuccabank/replication/Leadership.java
+++ b/src/main/java/org/yuccabank/replication/Leadership.java
@@ -22,9 +22,6 @@
  */
 final class Leadership {
 
-    /** Keeps a message well below the largest frame of 4 MiB. */
-    static final int MAXIMUM_BATCH_BYTES = 1 << 20;
-
     /** Bounds what is sent to a replica that does not answer. */
     private static final int MAXIMUM_ENTRIES_IN_FLIGHT = 4096;
 
@@ -177,7 +174,7 @@
                             .slice(
                                     each.nextIndex(),
                                     each.nextIndex() + MAXIMUM_ENTRIES_IN_FLIGHT,
-                                    MAXIMUM_BATCH_BYTES);
+                                    state.batchBytes());
             sendEntries(each, previous, state.log().termAt(previous), entries);
             each.sent(entries.size());
         }
--- a/src/main/java/org/yuccabank/replication/LogFollower.java
+++ b/src/main/java/org/yuccabank/replication/LogFollower.java
@@ -69,6 +69,10 @@
             if (log.termAt(entry.getIndex()) == entry.getTerm()) {
                 return;
             }
+            if (entry.getIndex() <= state.commitIndex()) {
+                throw new IllegalStateException(
+                        "entry " + entry.getIndex() + " contradicts a committed entry");
+            }
             state.truncateFrom(entry.getIndex());
         }
         state.append(entry);
--- a/src/main/java/org/yuccabank/replication/LogReader.java
+++ b/src/main/java/org/yuccabank/replication/LogReader.java
@@ -74,8 +74,9 @@
     }
 
     private Content read() throws IOException {
-        ByteBuffer header = ByteBuffer.wrap(file.read(0, FILE_HEADER_BYTES));
-        checkFileHeader(header);
+        byte[] headerBytes = file.read(0, FILE_HEADER_BYTES);
+        checkFileHeader(headerBytes);
+        ByteBuffer header = ByteBuffer.wrap(headerBytes);
         long baseIndex = header.getLong(MAGIC.length);
         long baseTerm = header.getLong(MAGIC.length + 8);
         List<LogEntry> entries = new ArrayList<>();
@@ -97,12 +98,13 @@
         return new Content(baseIndex, baseTerm, entries, offsets, position, size - position);
     }
 
-    private void checkFileHeader(ByteBuffer header) throws IOException {
+    private void checkFileHeader(byte[] header) throws IOException {
+        int checked = FILE_HEADER_BYTES - Integer.BYTES;
         boolean valid =
-                header.capacity() == FILE_HEADER_BYTES
-                        && Arrays.equals(header.array(), 0, MAGIC.length, MAGIC, 0, MAGIC.length)
-                        && header.getInt(FILE_HEADER_BYTES - 4)
-                                == RecordFormat.checksum(header.array(), 0, FILE_HEADER_BYTES - 4);
+                header.length == FILE_HEADER_BYTES
+                        && Arrays.equals(header, 0, MAGIC.length, MAGIC, 0, MAGIC.length)
+                        && ByteBuffer.wrap(header).getInt(checked)
+                                == RecordFormat.checksum(header, 0, checked);
         if (!valid) {
             throw new CorruptStorageException(name, 0, "the file header is damaged");
         }
--- a/src/main/java/org/yuccabank/replication/MembershipHistory.java
+++ b/src/main/java/org/yuccabank/replication/MembershipHistory.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
@@ -91,6 +92,14 @@
         return voters.contains(replicaId);
     }
 
+    /** Tells whether a replica was a voter at an earlier position, false if that is not known. */
+    boolean isVoterAt(long index, String replicaId) {
+        Map.Entry<Long, Membership> entry = byIndex.floorEntry(index);
+        return entry != null
+                && entry.getValue().getMembersList().stream()
+                        .anyMatch(each -> each.getVoter() && each.getReplicaId().equals(replicaId));
+    }
+
     Set<String> voters() {
         return voters;
     }
--- a/src/main/java/org/yuccabank/replication/ReplicaNode.java
+++ b/src/main/java/org/yuccabank/replication/ReplicaNode.java
@@ -356,7 +356,7 @@
     /**
      * Syncs everything that was written, then does what waited for it.
      *
-     * @param now the present time after the sync
+     * @param now the time before or after the sync
      */
     public void sync(long now) {
         if (!isRunning()) {
@@ -456,6 +456,33 @@
         return isRunning() && core.holdsLease(now);
     }
 
+    /**
+     * The present role.
+     *
+     * @return the role
+     */
+    public ReplicaRole role() {
+        return isRunning() ? core.state().role() : ReplicaRole.STOPPED;
+    }
+
+    /**
+     * The present term.
+     *
+     * @return the term
+     */
+    public long term() {
+        return core.state().term();
+    }
+
+    /**
+     * Last log position that this replica has applied.
+     *
+     * @return the position
+     */
+    public long appliedIndex() {
+        return core.appliedIndex();
+    }
+
     private Optional<ReplicaMember> leader() {
         CoreState state = core.state();
         return state.membership().member(state.leaderId());
--- a/src/main/java/org/yuccabank/replication/ReplicaSettings.java
+++ b/src/main/java/org/yuccabank/replication/ReplicaSettings.java
@@ -14,6 +14,8 @@
  *     joins an existing group as a learner. Ignored once the directory holds state.
  * @param timing times of the protocol
  * @param snapshotEntries number of applied entries after which a snapshot is written
+ * @param batchBytes largest size of the entries of one message, at most 1 MiB; a larger entry is
+ *     sent alone
  */
 public record ReplicaSettings(
         String group,
@@ -21,7 +23,11 @@
         Path directory,
         List<ReplicaMember> initialMembers,
         ReplicaTiming timing,
-        int snapshotEntries) {
+        int snapshotEntries,
+        int batchBytes) {
+
+    /** Keeps a message well below the largest frame of 4 MiB. */
+    public static final int MAXIMUM_BATCH_BYTES = 1 << 20;
 
     /** Entries between snapshots, which bounds the time to read the log at start. */
     public static final int DEFAULT_SNAPSHOT_ENTRIES = 20_000;
@@ -36,6 +42,27 @@
         if (snapshotEntries < 1) {
             throw new IllegalArgumentException("snapshotEntries must be at least 1");
         }
+        if (batchBytes < 1 || batchBytes > MAXIMUM_BATCH_BYTES) {
+            throw new IllegalArgumentException("batchBytes must be from 1 to 1 MiB");
+        }
+    }
+
+    /** Settings with the largest batches. */
+    public ReplicaSettings(
+            String group,
+            String replicaId,
+            Path directory,
+            List<ReplicaMember> initialMembers,
+            ReplicaTiming timing,
+            int snapshotEntries) {
+        this(
+                group,
+                replicaId,
+                directory,
+                initialMembers,
+                timing,
+                snapshotEntries,
+                MAXIMUM_BATCH_BYTES);
     }
 
     /**
--- /dev/null
+++ b/src/main/java/org/yuccabank/verify/FakeClock.java
@@ -0,0 +1,24 @@
+package org.yuccabank.verify;
+
+/** Clock of one host, which runs faster or slower than simulated time. Not thread-safe. */
+final class FakeClock {
+
+    private final Simulation simulation;
+    private final double rate;
+    private final long offsetMicros;
+
+    FakeClock(Simulation simulation, double rate, long offsetMicros) {
+        this.simulation = simulation;
+        this.rate = rate;
+        this.offsetMicros = offsetMicros;
+    }
+
+    long nowMillis() {
+        return (offsetMicros + (long) (simulation.nowMicros() * rate)) / 1000;
+    }
+
+    /** Simulated time that passes during an interval of this clock. */
+    long toMicros(long localMillis) {
+        return (long) (localMillis * 1000 / rate);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/verify/FakeDisk.java
@@ -0,0 +1,165 @@
+package org.yuccabank.verify;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.yuccabank.replication.StorageDirectory;
+import org.yuccabank.replication.StorageFile;
+
+/**
+ * Disk in memory that distinguishes between written and synced bytes. A crash loses what was not
+ * synced, or keeps part of it, with unwritten sectors that read as zeros. Not thread-safe.
+ */
+final class FakeDisk implements StorageDirectory {
+
+    private static final int SECTOR_BYTES = 512;
+    private static final int NEVER = Integer.MAX_VALUE;
+
+    private final Simulation simulation;
+    private final Map<String, FakeFile> files = new TreeMap<>();
+    private boolean full;
+    private int operationsUntilFailure = NEVER;
+
+    FakeDisk(Simulation simulation) {
+        this.simulation = simulation;
+    }
+
+    void setFull(boolean nowFull) {
+        full = nowFull;
+    }
+
+    /** Lets one operation fail after a number of successful ones. */
+    void failAfter(int operations) {
+        operationsUntilFailure = operations;
+    }
+
+    /** Ends all faults. */
+    void repair() {
+        full = false;
+        operationsUntilFailure = NEVER;
+    }
+
+    private void operate() throws IOException {
+        if (operationsUntilFailure == NEVER) {
+            return;
+        }
+        operationsUntilFailure--;
+        if (operationsUntilFailure < 0) {
+            operationsUntilFailure = NEVER;
+            simulation.count(Fault.DISK_ERROR);
+            throw new IOException("input/output error");
+        }
+    }
+
+    /** Loses unsynced writes, wholly or in part. */
+    void crash() {
+        files.values().forEach(FakeFile::crash);
+    }
+
+    @Override
+    public Optional<StorageFile> open(String name) throws IOException {
+        return Optional.ofNullable(files.get(name));
+    }
+
+    @Override
+    public void replace(String name, Iterable<byte[]> parts) throws IOException {
+        operate();
+        if (full) {
+            simulation.count(Fault.DISK_FULL);
+            throw new IOException("no space left on device");
+        }
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        parts.forEach(bytes::writeBytes);
+        files.put(name, new FakeFile(bytes.toByteArray()));
+    }
+
+    @Override
+    public void close() {}
+
+    /** File in memory. */
+    private final class FakeFile implements StorageFile {
+
+        private byte[] data;
+        private int size;
+        private int syncedSize;
+        private byte[] beforeTruncation;
+
+        private FakeFile(byte[] content) {
+            data = content;
+            size = content.length;
+            syncedSize = size;
+        }
+
+        @Override
+        public long size() {
+            return size;
+        }
+
+        @Override
+        public byte[] read(long position, int length) {
+            int start = (int) Math.min(position, size);
+            return Arrays.copyOfRange(data, start, (int) Math.min(size, position + length));
+        }
+
+        @Override
+        public void append(byte[] bytes) throws IOException {
+            operate();
+            int written = full ? bytes.length / 2 : bytes.length;
+            if (size + written > data.length) {
+                data = Arrays.copyOf(data, Math.max(2 * data.length, size + written));
+            }
+            System.arraycopy(bytes, 0, data, size, written);
+            size += written;
+            if (full) {
+                simulation.count(Fault.DISK_FULL);
+                throw new IOException("no space left on device");
+            }
+        }
+
+        @Override
+        public void truncate(long newSize) throws IOException {
+            operate();
+            if (newSize < syncedSize && beforeTruncation == null) {
+                beforeTruncation = Arrays.copyOf(data, syncedSize);
+            }
+            size = (int) newSize;
+            syncedSize = Math.min(syncedSize, size);
+        }
+
+        @Override
+        public void sync() throws IOException {
+            operate();
+            syncedSize = size;
+            beforeTruncation = null;
+        }
+
+        private void crash() {
+            if (beforeTruncation != null && simulation.random().nextBoolean()) {
+                data = beforeTruncation;
+                size = data.length;
+            } else if (size > syncedSize) {
+                tear();
+            }
+            beforeTruncation = null;
+            syncedSize = size;
+        }
+
+        private void tear() {
+            int kept = simulation.random().nextInt(size - syncedSize + 1);
+            size = syncedSize + kept;
+            if (kept > 0) {
+                simulation.count(Fault.RECORD_TORN);
+            }
+            int sector = (syncedSize / SECTOR_BYTES + 1) * SECTOR_BYTES;
+            if (sector < size && simulation.random().nextBoolean()) {
+                Arrays.fill(data, sector, Math.min(size, sector + SECTOR_BYTES), (byte) 0);
+            }
+        }
+
+        @Override
+        public void close() {}
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/verify/InvariantChecker.java
@@ -0,0 +1,198 @@
+package org.yuccabank.verify;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.yuccabank.protocol.generated.LogEntry;
+import org.yuccabank.replication.ReplicaNode;
+import org.yuccabank.replication.ReplicaRole;
+
+/**
+ * Compares what all replicas of a schedule do with the properties of the protocol. It reads only
+ * roles, logs and what state machines applied. Not thread-safe.
+ */
+final class InvariantChecker implements CheckedStateMachine.Observer {
+
+    /** A committed command, and the newest term with a leader when it was applied first. */
+    private record Command(int hash, long digest, long newestTerm) {
+
+        private boolean isSame(Command other) {
+            return hash == other.hash && digest == other.digest;
+        }
+    }
+
+    private final long seed;
+    private final List<Violation> violations = new ArrayList<>();
+    private final Map<Long, String> leaders = new HashMap<>();
+    private final TreeMap<Long, Command> committed = new TreeMap<>();
+    private final Map<Long, Integer> owners = new HashMap<>();
+    private long acknowledgedIndex;
+    private long newestTerm;
+
+    InvariantChecker(long seed) {
+        this.seed = seed;
+    }
+
+    void report(Violation.Property property, String detail) {
+        violations.add(new Violation(property, seed, detail));
+    }
+
+    List<Violation> violations() {
+        return violations;
+    }
+
+    int leaderChanges() {
+        return leaders.size();
+    }
+
+    @Override
+    public void applied(long index, byte[] command, long digest) {
+        Command present = new Command(Arrays.hashCode(command), digest, newestTerm);
+        Command earlier = committed.putIfAbsent(index, present);
+        if (earlier != null && !earlier.isSame(present)) {
+            report(
+                    Violation.Property.EQUAL_ORDER,
+                    "position " + index + " was applied differently");
+        }
+    }
+
+    @Override
+    public void restored(long index, long digest) {
+        Command earlier = committed.get(index);
+        if (earlier != null && earlier.digest() != digest) {
+            report(Violation.Property.EQUAL_ORDER, "snapshot at " + index + " differs");
+        }
+    }
+
+    /** Checks a replica after each of its steps. */
+    void observe(String replicaId, ReplicaNode node) {
+        if (node.role() != ReplicaRole.LEADER) {
+            return;
+        }
+        String earlier = leaders.putIfAbsent(node.term(), replicaId);
+        if (earlier == null) {
+            checkCompleteness(replicaId, node);
+        } else if (!earlier.equals(replicaId)) {
+            report(
+                    Violation.Property.ONE_LEADER_PER_TERM,
+                    earlier + " and " + replicaId + " lead in term " + node.term());
+        }
+    }
+
+    /**
+     * A leader must have what was committed in earlier terms. A candidate that gets the last vote
+     * late leads a term that is already over; it need not have what was committed since.
+     */
+    private void checkCompleteness(String replicaId, ReplicaNode node) {
+        newestTerm = Math.max(newestTerm, node.term());
+        List<LogEntry> entries = node.entries(1, Long.MAX_VALUE);
+        long last = node.status().lastIndex();
+        long first = last - entries.size() + 1;
+        for (Map.Entry<Long, Command> each : committed.tailMap(first, true).entrySet()) {
+            if (each.getValue().newestTerm() >= node.term()) {
+                continue;
+            }
+            boolean kept =
+                    each.getKey() <= last
+                            && hash(entries.get((int) (each.getKey() - first)))
+                                    == each.getValue().hash();
+            if (!kept) {
+                reportLoss(replicaId, each.getKey());
+                return;
+            }
+        }
+    }
+
+    private static int hash(LogEntry entry) {
+        return Arrays.hashCode(entry.getPayload().toByteArray());
+    }
+
+    private void reportLoss(String replicaId, long index) {
+        report(
+                Violation.Property.COMMITTED_ENTRIES_KEPT,
+                "leader " + replicaId + " lacks committed entry " + index);
+    }
+
+    /** Checks that logs with an equal term at a position are equal up to it. */
+    void checkLogs(Collection<ReplicaNode> nodes) {
+        List<List<LogEntry>> logs = new ArrayList<>();
+        nodes.forEach(node -> logs.add(node.entries(1, Long.MAX_VALUE)));
+        for (int first = 0; first < logs.size(); first++) {
+            for (int second = first + 1; second < logs.size(); second++) {
+                compare(logs.get(first), logs.get(second));
+            }
+        }
+    }
+
+    private void compare(List<LogEntry> one, List<LogEntry> other) {
+        if (one.isEmpty() || other.isEmpty()) {
+            return;
+        }
+        long start = Math.max(one.get(0).getIndex(), other.get(0).getIndex());
+        long end = Math.min(last(one), last(other));
+        boolean matched = false;
+        for (long index = end; index >= start; index--) {
+            LogEntry left = one.get((int) (index - one.get(0).getIndex()));
+            LogEntry right = other.get((int) (index - other.get(0).getIndex()));
+            matched |= left.getTerm() == right.getTerm();
+            if (matched && !left.equals(right)) {
+                report(Violation.Property.LOG_MATCHING, "logs differ at position " + index);
+                return;
+            }
+        }
+    }
+
+    private static long last(List<LogEntry> entries) {
+        return entries.get(entries.size() - 1).getIndex();
+    }
+
+    /** The last position of which any replica said that it is committed. */
+    long acknowledgedIndex() {
+        return acknowledgedIndex;
+    }
+
+    void acknowledged(long index) {
+        acknowledgedIndex = Math.max(acknowledgedIndex, index);
+    }
+
+    void confirmedRead(String replicaId, long requiredIndex, long appliedIndex) {
+        if (appliedIndex < requiredIndex) {
+            report(
+                    Violation.Property.NO_STALE_READ,
+                    replicaId + " read at " + appliedIndex + " after " + requiredIndex);
+        }
+    }
+
+    /** Checks the answer of an operator against what others were told about the same version. */
+    void checkRules(Operation operation, Answer answer) {
+        Integer owner = owners.putIfAbsent(answer.value(), answer.owner());
+        boolean contradicts = owner != null && owner != answer.owner();
+        boolean stale = !answer.accepted() && answer.value() <= operation.argument();
+        boolean lostOutcome =
+                !answer.accepted()
+                        && answer.value() == operation.argument() + 1
+                        && answer.owner() == operation.client();
+        if (contradicts || stale || lostOutcome) {
+            report(
+                    Violation.Property.ONE_WINNER,
+                    "operator " + operation.client() + " was told " + answer + ", owner " + owner);
+        }
+    }
+
+    void checkHistory(History history) {
+        checkObject(history, Operation.Kind.INCREMENT, Operation.Kind.READ_COUNTER);
+        checkObject(history, Operation.Kind.WRITE, Operation.Kind.READ_REGISTER);
+    }
+
+    private void checkObject(History history, Operation.Kind write, Operation.Kind read) {
+        LinearizabilityChecker.Verdict verdict =
+                LinearizabilityChecker.check(history.of(write, read));
+        if (verdict != LinearizabilityChecker.Verdict.LINEARIZABLE) {
+            report(Violation.Property.LINEARIZABLE, "history of " + write + " is " + verdict);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/verify/Operation.java
@@ -0,0 +1,47 @@
+package org.yuccabank.verify;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+/**
+ * Operation of a client.
+ *
+ * @param client number of the client
+ * @param sequence number of the operation among those of the client; both together identify it
+ * @param kind what it does
+ * @param argument written value, or expected version
+ */
+record Operation(int client, long sequence, Kind kind, long argument) {
+
+    /** Kinds of operations. */
+    enum Kind {
+        /** Adds one to the counter and returns its value. */
+        INCREMENT,
+        /** Returns the value of the counter. */
+        READ_COUNTER,
+        /** Writes the register. */
+        WRITE,
+        /** Returns the value of the register. */
+        READ_REGISTER,
+        /** Accepts a new version of the rules if the expected version is the present one. */
+        APPLY_RULES
+    }
+
+    boolean isRead() {
+        return kind == Kind.READ_COUNTER || kind == Kind.READ_REGISTER;
+    }
+
+    byte[] encode() {
+        return (client + " " + sequence + " " + kind + " " + argument)
+                .getBytes(StandardCharsets.UTF_8);
+    }
+
+    static Operation decode(byte[] bytes) {
+        List<String> words = List.of(new String(bytes, StandardCharsets.UTF_8).split(" ", -1));
+        return new Operation(
+                Integer.parseInt(words.get(0)),
+                Long.parseLong(words.get(1)),
+                Kind.valueOf(words.get(2)),
+                Long.parseLong(words.get(3)));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/verify/Schedule.java
@@ -0,0 +1,135 @@
+package org.yuccabank.verify;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.yuccabank.replication.ReplicaMember;
+import org.yuccabank.replication.ReplicaNode;
+
+/**
+ * One seeded run of a group with clients and faults. After the faults everything is healthy, and
+ * the group must answer every client and agree. The same seed gives the same run.
+ */
+final class Schedule {
+
+    private static final int USERS = 3;
+    private static final int OPERATORS = 2;
+    private static final long CHECK_INTERVAL_MILLIS = 500;
+    private static final long RECOVERY_MILLIS = 30_000;
+
+    private final Simulation simulation;
+    private final InvariantChecker checker;
+    private final SimulatedGroup group;
+    private final History history = new History();
+    private final List<SimulatedClient> clients = new ArrayList<>();
+    private final Repairer repairer;
+    private final FaultInjector faults;
+
+    /**
+     * Result of a schedule.
+     *
+     * @param faults number of faults by kind
+     * @param operations number of operations of clients
+     * @param leaders number of terms with a leader
+     * @param violations broken properties
+     */
+    record Outcome(
+            Map<Fault, Long> faults, long operations, long leaders, List<Violation> violations) {}
+
+    private Schedule(long seed, VerifyOptions options) {
+        simulation = new Simulation(seed);
+        checker = new InvariantChecker(seed);
+        SchedulePlan plan = SchedulePlan.of(simulation.random());
+        group = new SimulatedGroup(simulation, plan, options, checker);
+        repairer = new Repairer(group);
+        faults = new FaultInjector(group, repairer);
+    }
+
+    /** Runs the schedule of a seed. */
+    static Outcome run(long seed, VerifyOptions options) {
+        return new Schedule(seed, options).run();
+    }
+
+    private Outcome run() {
+        try {
+            runPhases();
+        } catch (IllegalStateException exception) {
+            checker.report(Violation.Property.NO_CONTRADICTION, exception.getMessage());
+        }
+        return new Outcome(
+                simulation.faults(), history.size(), checker.leaderChanges(), checker.violations());
+    }
+
+    private void runPhases() {
+        group.start();
+        for (int number = 1; number <= USERS + OPERATORS; number++) {
+            clients.add(new SimulatedClient(group, history, number, number > USERS));
+        }
+        clients.forEach(SimulatedClient::start);
+        repairer.start();
+        faults.start();
+        runUntil(group.plan().faultMillis());
+        faults.end();
+        clients.forEach(SimulatedClient::stop);
+        recover();
+        checker.checkHistory(history);
+    }
+
+    /** Runs with regular checks; a broken schedule is ended early. */
+    private void runUntil(long endMillis) {
+        while (simulation.nowMillis() < endMillis && checker.violations().isEmpty()) {
+            simulation.runUntilMillis(
+                    Math.min(endMillis, simulation.nowMillis() + CHECK_INTERVAL_MILLIS));
+            checker.checkLogs(group.runningNodes());
+        }
+    }
+
+    private void recover() {
+        long end = simulation.nowMillis() + RECOVERY_MILLIS;
+        while (simulation.nowMillis() < end && !isSettled() && checker.violations().isEmpty()) {
+            runUntil(simulation.nowMillis() + CHECK_INTERVAL_MILLIS);
+        }
+        if (!isSettled() && checker.violations().isEmpty()) {
+            checker.report(Violation.Property.PROGRESS, describe());
+        }
+    }
+
+    private boolean isSettled() {
+        return repairer.isIdle()
+                && clients.stream().allMatch(SimulatedClient::isIdle)
+                && replicasAgree();
+    }
+
+    private boolean replicasAgree() {
+        Optional<SimulatedReplica> leader = group.leader();
+        if (leader.isEmpty()) {
+            return false;
+        }
+        long digest = leader.get().machine().digest();
+        for (ReplicaMember member : leader.get().node().orElseThrow().status().members()) {
+            Optional<SimulatedReplica> replica = group.replica(member.replicaId());
+            boolean agrees =
+                    replica.isPresent()
+                            && replica.get().isUp()
+                            && replica.get().machine().digest() == digest;
+            if (!agrees) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private String describe() {
+        StringBuilder text = new StringBuilder("not settled;");
+        for (SimulatedReplica replica : group.replicas()) {
+            text.append(' ').append(replica.id()).append('=');
+            text.append(replica.node().map(Schedule::describe).orElse("down"));
+        }
+        return text.append(" replacing=").append(!repairer.isIdle()).toString();
+    }
+
+    private static String describe(ReplicaNode node) {
+        return node.role() + "/" + node.term() + "/" + node.appliedIndex();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/verify/SimulatedGroup.java
@@ -0,0 +1,131 @@
+package org.yuccabank.verify;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.yuccabank.event.Event;
+import org.yuccabank.replication.ReplicaMember;
+import org.yuccabank.replication.ReplicaNode;
+
+/** The replicas of a schedule with their network. Not thread-safe. */
+final class SimulatedGroup {
+
+    private static final long MAXIMUM_OFFSET_MICROS = 1_000_000_000L;
+
+    private final Simulation simulation;
+    private final SchedulePlan plan;
+    private final VerifyOptions options;
+    private final InvariantChecker checker;
+    private final FakeNetwork network;
+    private final Map<String, SimulatedReplica> replicas = new TreeMap<>();
+    private boolean faulty = true;
+    private int created;
+
+    SimulatedGroup(
+            Simulation simulation,
+            SchedulePlan plan,
+            VerifyOptions options,
+            InvariantChecker checker) {
+        this.simulation = simulation;
+        this.plan = plan;
+        this.options = options;
+        this.checker = checker;
+        network = new FakeNetwork(simulation, plan.quick());
+    }
+
+    /** Starts the first voters. */
+    void start() {
+        List<ReplicaMember> members = new ArrayList<>();
+        for (int number = 1; number <= plan.replicas(); number++) {
+            members.add(ReplicaMember.voter("r" + number, "r" + number));
+        }
+        members.forEach(member -> add(members));
+    }
+
+    /** Starts another replica. */
+    SimulatedReplica add(List<ReplicaMember> members) {
+        created++;
+        FakeClock clock =
+                new FakeClock(
+                        simulation,
+                        plan.clockRate(simulation.random()),
+                        simulation.random().nextLong(MAXIMUM_OFFSET_MICROS));
+        SimulatedReplica replica = new SimulatedReplica(this, "r" + created, members, clock);
+        replicas.put(replica.id(), replica);
+        replica.start();
+        return replica;
+    }
+
+    Simulation simulation() {
+        return simulation;
+    }
+
+    SchedulePlan plan() {
+        return plan;
+    }
+
+    VerifyOptions options() {
+        return options;
+    }
+
+    InvariantChecker checker() {
+        return checker;
+    }
+
+    FakeNetwork network() {
+        return network;
+    }
+
+    boolean isFaulty() {
+        return faulty;
+    }
+
+    void endFaults() {
+        faulty = false;
+    }
+
+    Optional<SimulatedReplica> replica(String id) {
+        return Optional.ofNullable(replicas.get(id));
+    }
+
+    Collection<SimulatedReplica> replicas() {
+        return replicas.values();
+    }
+
+    List<String> presentIds() {
+        return replicas.values().stream()
+                .filter(replica -> !replica.isRetired())
+                .map(SimulatedReplica::id)
+                .toList();
+    }
+
+    List<ReplicaNode> runningNodes() {
+        return replicas.values().stream()
+                .map(SimulatedReplica::node)
+                .flatMap(Optional::stream)
+                .toList();
+    }
+
+    /** The replica that leads in the newest term. */
+    Optional<SimulatedReplica> leader() {
+        SimulatedReplica newest = null;
+        for (SimulatedReplica replica : replicas.values()) {
+            boolean leads = replica.node().map(ReplicaNode::isLeader).orElse(false);
+            if (leads
+                    && (newest == null
+                            || replica.node().get().term() > newest.node().get().term())) {
+                newest = replica;
+            }
+        }
+        return Optional.ofNullable(newest);
+    }
+
+    void noteEvent(Event event) {
+        if (event == Event.LOG_CORRUPT) {
+            checker.report(Violation.Property.RESTARTS, "a log was found corrupt");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/verify/Verification.java
@@ -0,0 +1,95 @@
+package org.yuccabank.verify;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.LongStream;
+
+/**
+ * Runs many schedules and adds up what they found. Schedules share nothing and run in parallel; the
+ * result does not depend on their order.
+ */
+public final class Verification {
+
+    private static final int KEPT_VIOLATIONS = 20;
+
+    private Verification() {}
+
+    /**
+     * Result of many schedules.
+     *
+     * @param schedules number of schedules
+     * @param operations number of operations of clients
+     * @param leaders number of terms with a leader
+     * @param faults number of faults by name
+     * @param violationCount number of violations
+     * @param violations the first violations, with the command that replays each
+     */
+    public record Report(
+            long schedules,
+            long operations,
+            long leaders,
+            Map<String, Long> faults,
+            long violationCount,
+            List<Finding> violations) {}
+
+    /**
+     * Violation as it is shown.
+     *
+     * @param property the broken property
+     * @param seed seed of the schedule
+     * @param detail what was seen
+     * @param replay command that replays the schedule
+     */
+    public record Finding(String property, long seed, String detail, String replay) {}
+
+    /**
+     * Runs schedules with everything as in production.
+     *
+     * @param schedules number of schedules
+     * @param firstSeed seed of the first one; the others follow
+     * @return the result
+     */
+    public static Report run(long schedules, long firstSeed) {
+        return run(schedules, firstSeed, VerifyOptions.standard());
+    }
+
+    static Report run(long schedules, long firstSeed, VerifyOptions options) {
+        List<Schedule.Outcome> outcomes =
+                LongStream.range(firstSeed, firstSeed + schedules)
+                        .parallel()
+                        .mapToObj(seed -> Schedule.run(seed, options))
+                        .toList();
+        return sum(outcomes);
+    }
+
+    private static Report sum(List<Schedule.Outcome> outcomes) {
+        Map<Fault, Long> faults = new EnumMap<>(Fault.class);
+        List<Violation> violations = new ArrayList<>();
+        long operations = 0;
+        long leaders = 0;
+        for (Schedule.Outcome outcome : outcomes) {
+            outcome.faults().forEach((fault, count) -> faults.merge(fault, count, Long::sum));
+            violations.addAll(outcome.violations());
+            operations += outcome.operations();
+            leaders += outcome.leaders();
+        }
+        Map<String, Long> named = new LinkedHashMap<>();
+        for (Fault fault : Fault.values()) {
+            named.put(fault.name(), faults.getOrDefault(fault, 0L));
+        }
+        List<Finding> shown =
+                violations.stream().limit(KEPT_VIOLATIONS).map(Verification::show).toList();
+        return new Report(outcomes.size(), operations, leaders, named, violations.size(), shown);
+    }
+
+    private static Finding show(Violation violation) {
+        return new Finding(
+                violation.property().name(),
+                violation.seed(),
+                violation.detail(),
+                violation.replayCommand());
+    }
+}
