Show that the checks of the schedules notice each missing mechanism

Cause: a check that was never seen to fail proves nothing. Schedules gain readers, quiet phases and isolation of one replica after another.

--- a/src/main/java/org/yuccabank/verify/FaultInjector.java
+++ b/src/main/java/org/yuccabank/verify/FaultInjector.java
@@ -12,6 +12,7 @@
     private static final long MAXIMUM_GAP_MILLIS = 400;
     private static final long MAXIMUM_PAUSE_MILLIS = 1_500;
     private static final long MAXIMUM_CUT_MILLIS = 2_500;
+    private static final long QUICK_FACTOR = 8;
     private static final int MAXIMUM_DISK_OPERATIONS = 20;
 
     private final SimulatedGroup group;
@@ -42,7 +43,7 @@
                             random.nextDouble() * 0.1,
                             random.nextDouble() * 0.05);
         }
-        simulation.afterMillis(SETTLE_MILLIS, this::next);
+        simulation.afterMillis(scaled(SETTLE_MILLIS), this::next);
     }
 
     /** Ends all faults and lets everything recover. */
@@ -60,12 +61,17 @@
             return;
         }
         inject();
-        simulation.afterMillis(random.nextLong(MAXIMUM_GAP_MILLIS) + 1, this::next);
+        simulation.afterMillis(random.nextLong(scaled(MAXIMUM_GAP_MILLIS)) + 1, this::next);
+    }
+
+    /** A long election timeout needs more time between faults, or there is never a leader. */
+    private long scaled(long millis) {
+        return group.plan().quick() ? QUICK_FACTOR * millis : millis;
     }
 
     private void inject() {
         switch (group.plan().profile()) {
-            case LEASES -> injectLeaseFault(random.nextInt(5));
+            case LEASES -> injectLeaseFault(random.nextInt(6));
             case DISKS -> injectDiskFault(random.nextInt(5));
             case MEMBERS -> injectMemberFault(random.nextInt(5));
             case CRASHES -> leaderOrAny().ifPresent(SimulatedReplica::crash);
@@ -75,7 +81,7 @@
 
     private void injectAny(int choice) {
         switch (choice) {
-            case 0 -> injectLeaseFault(random.nextInt(5));
+            case 0 -> injectLeaseFault(random.nextInt(6));
             case 1 -> injectDiskFault(random.nextInt(5));
             case 2 -> injectMemberFault(random.nextInt(5));
             default -> any().ifPresent(SimulatedReplica::crash);
@@ -88,6 +94,7 @@
             case 1 -> leaderOrAny().ifPresent(this::cutOneWay);
             case 2 -> leaderOrAny().ifPresent(this::pause);
             case 3 -> leaderOrAny().ifPresent(this::cutPair);
+            case 4 -> isolateInTurn();
             default -> transfer();
         }
     }
@@ -133,13 +140,25 @@
         replica.pause(random.nextLong(MAXIMUM_PAUSE_MILLIS) + 1);
     }
 
-    private void isolate(SimulatedReplica replica) {
+    private long isolate(SimulatedReplica replica) {
         simulation.count(Fault.ISOLATION);
         long millis = cutMillis();
         for (SimulatedReplica other : group.replicas()) {
             cutFor(replica.id(), other.id(), millis);
             cutFor(other.id(), replica.id(), millis);
         }
+        return millis;
+    }
+
+    /** Isolates the leader at the moment when a replica that waits for an election returns. */
+    private void isolateInTurn() {
+        Optional<SimulatedReplica> leader = group.leader();
+        Optional<SimulatedReplica> follower =
+                any().filter(replica -> leader.isPresent() && replica != leader.get());
+        if (follower.isPresent()) {
+            long millis = isolate(follower.get());
+            simulation.afterMillis(millis, () -> isolate(leader.get()));
+        }
     }
 
     private void cutPair(SimulatedReplica replica) {
--- a/src/main/java/org/yuccabank/verify/Schedule.java
+++ b/src/main/java/org/yuccabank/verify/Schedule.java
@@ -13,8 +13,16 @@
  */
 final class Schedule {
 
-    private static final int USERS = 3;
-    private static final int OPERATORS = 2;
+    private static final List<SimulatedClient.Role> CLIENTS =
+            List.of(
+                    SimulatedClient.Role.USER,
+                    SimulatedClient.Role.USER,
+                    SimulatedClient.Role.USER,
+                    SimulatedClient.Role.READER,
+                    SimulatedClient.Role.READER,
+                    SimulatedClient.Role.OPERATOR,
+                    SimulatedClient.Role.OPERATOR);
+
     private static final long CHECK_INTERVAL_MILLIS = 500;
     private static final long RECOVERY_MILLIS = 30_000;
 
@@ -63,8 +71,8 @@
 
     private void runPhases() {
         group.start();
-        for (int number = 1; number <= USERS + OPERATORS; number++) {
-            clients.add(new SimulatedClient(group, history, number, number > USERS));
+        for (SimulatedClient.Role role : CLIENTS) {
+            clients.add(new SimulatedClient(group, history, clients.size() + 1, role));
         }
         clients.forEach(SimulatedClient::start);
         repairer.start();
--- a/src/main/java/org/yuccabank/verify/SchedulePlan.java
+++ b/src/main/java/org/yuccabank/verify/SchedulePlan.java
@@ -52,6 +52,9 @@
     private static final long SPREAD_MILLIS = 4_000;
     private static final int[] SNAPSHOT_ENTRIES = {10, 60, 100_000};
 
+    /** A long election timeout needs a longer schedule for several elections. */
+    private static final long QUICK_FACTOR = 3;
+
     /** A long lease makes the effect of the drift long compared with an election. */
     private static final ReplicaTiming QUICK_TIMING = new ReplicaTiming(1000, 10, 75, 10);
 
@@ -71,7 +74,7 @@
                 quick,
                 1 - drift * (1 - SLOWEST_CLOCK),
                 1 + drift * (FASTEST_CLOCK - 1),
-                SHORTEST_MILLIS + random.nextLong(SPREAD_MILLIS));
+                (SHORTEST_MILLIS + random.nextLong(SPREAD_MILLIS)) * (quick ? QUICK_FACTOR : 1));
     }
 
     /** Rate of one of the clocks; with clocks at the limit each is either slowest or fastest. */
--- a/src/main/java/org/yuccabank/verify/SimulatedClient.java
+++ b/src/main/java/org/yuccabank/verify/SimulatedClient.java
@@ -14,13 +14,31 @@
  */
 final class SimulatedClient {
 
+    /** What a client does. */
+    enum Role {
+        /** Reads and writes. */
+        USER,
+        /** Only reads, and stays with a replica as long as that answers. */
+        READER,
+        /** Applies rules, in competition with the other operators. */
+        OPERATOR
+    }
+
     private static final long MAXIMUM_PAUSE_MILLIS = 80;
+
+    /** Phases without writes let a replica that was cut off have a complete log. */
+    private static final long QUIET_PHASE_MILLIS = 1_500;
+
     private static final long TIMEOUT_MILLIS = 250;
     private static final long REDIRECT_MILLIS = 20;
 
     /** Some requests go to a replica that need not lead, such as one whose lease has ended. */
     private static final double STRAY_CHANCE = 0.2;
 
+    private static final Operation.Kind[] READ_KINDS = {
+        Operation.Kind.READ_COUNTER, Operation.Kind.READ_REGISTER
+    };
+
     private static final Operation.Kind[] USER_KINDS = {
         Operation.Kind.INCREMENT,
         Operation.Kind.INCREMENT,
@@ -34,7 +52,7 @@
     private final Simulation simulation;
     private final History history;
     private final int number;
-    private final boolean operator;
+    private final Role role;
     private Operation present;
     private long sequence;
     private long attempt;
@@ -42,17 +60,17 @@
     private String target = "r1";
     private boolean stopped;
 
-    SimulatedClient(SimulatedGroup group, History history, int number, boolean operator) {
+    SimulatedClient(SimulatedGroup group, History history, int number, Role role) {
         this.group = group;
         this.history = history;
         this.number = number;
-        this.operator = operator;
+        this.role = role;
         simulation = group.simulation();
     }
 
     void start() {
         long pause = simulation.random().nextLong(MAXIMUM_PAUSE_MILLIS) + 1;
-        simulation.afterMillis(group.plan().quick() ? pause / 4 + 1 : pause, this::begin);
+        simulation.afterMillis(pause, this::begin);
     }
 
     /** Starts no further operation. */
@@ -68,17 +86,27 @@
         if (stopped) {
             return;
         }
+        if (role == Role.OPERATOR && isQuiet()) {
+            start();
+            return;
+        }
         sequence++;
         present = choose(simulation.random());
         history.invoked(present, simulation.nowMicros());
         attempt();
     }
 
+    private boolean isQuiet() {
+        return group.plan().profile() == SchedulePlan.Profile.LEASES
+                && simulation.nowMillis() / QUIET_PHASE_MILLIS % 2 == 1;
+    }
+
     private Operation choose(RandomGenerator random) {
-        if (operator) {
+        if (role == Role.OPERATOR) {
             return new Operation(number, sequence, Operation.Kind.APPLY_RULES, knownVersion);
         }
-        Operation.Kind kind = USER_KINDS[random.nextInt(USER_KINDS.length)];
+        Operation.Kind[] kinds = role == Role.READER || isQuiet() ? READ_KINDS : USER_KINDS;
+        Operation.Kind kind = kinds[random.nextInt(kinds.length)];
         return new Operation(number, sequence, kind, number * 1_000_000L + sequence);
     }
 
@@ -90,7 +118,7 @@
         attempt++;
         long sent = attempt;
         Operation operation = present;
-        String replicaId = simulation.chance(STRAY_CHANCE) ? anyReplica() : target;
+        String replicaId = isStray() ? anyReplica() : target;
         group.network()
                 .send(
                         address(),
@@ -101,7 +129,7 @@
         simulation.afterMillis(
                 TIMEOUT_MILLIS,
                 () -> {
-                    if (attempt == sent && present == operation) {
+                    if (attempt == sent && operation.equals(present)) {
                         target = anyReplica();
                         simulation.count(Fault.COMMAND_RESENT);
                         attempt();
@@ -109,6 +137,10 @@
                 });
     }
 
+    private boolean isStray() {
+        return role != Role.READER && simulation.chance(STRAY_CHANCE);
+    }
+
     private String anyReplica() {
         List<String> ids = group.presentIds();
         return ids.get(simulation.random().nextInt(ids.size()));
@@ -182,13 +214,13 @@
     }
 
     private void onAnswer(Operation operation, Answer answer) {
-        if (present != operation) {
+        if (!operation.equals(present)) {
             return;
         }
         present = null;
         attempt++;
         history.answered(operation, simulation.nowMicros(), answer);
-        if (operator) {
+        if (role == Role.OPERATOR) {
             group.checker().checkRules(operation, answer);
             knownVersion = answer.value();
         }
--- a/src/test/java/org/yuccabank/replication/Mechanisms.java
+++ b/src/test/java/org/yuccabank/replication/Mechanisms.java
@@ -7,15 +7,6 @@
 
     private Mechanisms() {}
 
-    /** The names of all mechanisms. */
-    public static String[] names() {
-        String[] names = new String[Mechanism.values().length];
-        for (Mechanism mechanism : Mechanism.values()) {
-            names[mechanism.ordinal()] = mechanism.name();
-        }
-        return names;
-    }
-
     /** Opens a replica without one mechanism. */
     public static Result<ReplicaNode> openWithout(
             String mechanism,
--- /dev/null
+++ b/src/test/java/org/yuccabank/replication/ReplicaCoreTest.java
@@ -0,0 +1,145 @@
+package org.yuccabank.replication;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Set;
+import org.testng.annotations.Test;
+import org.yuccabank.protocol.generated.ReplicaMessage;
+
+/**
+ * Plays sequences of messages that random schedules hardly ever contain, with a mechanism and
+ * without it.
+ */
+public final class ReplicaCoreTest {
+
+    private static final ReplicaTiming TIMING = new ReplicaTiming(300, 1, 75, 10);
+    private static final double SLOW = 0.953;
+    private static final double FAST = 1.047;
+
+    private double trueMillis;
+
+    private static boolean among(ReplicaMessage message, String... ids) {
+        return Set.of(ids).contains(message.getFrom()) && Set.of(ids).contains(message.getTo());
+    }
+
+    /** Lets one replica win an election with the votes of the reachable ones. */
+    private void elect(CoreGroup group, String id, String... reachable) {
+        int attempts = 0;
+        // A leader that hears from nobody steps down.
+        trueMillis += 400;
+        group.tick(id);
+        while (group.core(id).state().role() != ReplicaRole.LEADER) {
+            trueMillis += 400;
+            group.tick(id);
+            group.deliver(message -> among(message, reachable) && !message.hasAppendRequest());
+            attempts++;
+            assertTrue(attempts < 10, "no election of " + id);
+        }
+    }
+
+    private boolean readsStaleAfterDrift(ReplicaOptions options) {
+        trueMillis = 0;
+        CoreGroup group =
+                new CoreGroup(
+                        List.of("a", "b", "c"),
+                        TIMING,
+                        options,
+                        id -> (long) (trueMillis * (id.equals("a") ? SLOW : FAST)));
+        elect(group, "a", "a", "b", "c");
+        trueMillis += 100;
+        group.tick("a");
+        group.deliver(message -> true);
+        group.tick("a");
+        group.deliver(message -> true);
+        for (int step = 0; step < 1000 && !group.core("b").isReadyLeader(); step++) {
+            trueMillis += 1;
+            group.tick("b");
+            group.deliver(message -> among(message, "b", "c"));
+        }
+        group.propose("b", "y");
+        group.deliver(message -> among(message, "b", "c"));
+        assertEquals(group.committed("b"), List.of("y"));
+        int before = group.reads("a");
+        group.read("a");
+        group.deliver(message -> among(message, "b", "c"));
+        return group.reads("a") > before;
+    }
+
+    /** Guards against a lease that outlives the election timeout of replicas with faster clocks. */
+    @Test
+    public void shouldEndLeaseBeforeFasterClocksElect() {
+        assertTrue(readsStaleAfterDrift(ReplicaOptions.without(Mechanism.CLOCK_DRIFT_MARGIN)));
+        assertFalse(readsStaleAfterDrift(ReplicaOptions.all()));
+    }
+
+    private boolean readsStaleWithTwoLeaders(ReplicaOptions options) {
+        trueMillis = 0;
+        CoreGroup group =
+                new CoreGroup(List.of("a", "b", "c"), TIMING, options, id -> (long) trueMillis);
+        elect(group, "a", "a", "b", "c");
+        trueMillis += 100;
+        group.tick("a");
+        group.deliver(message -> true);
+        for (int step = 0; step < 302; step++) {
+            trueMillis += 1;
+            group.tick("a");
+            group.deliver(message -> among(message, "a", "c"));
+        }
+        group.tick("b");
+        group.deliver(message -> among(message, "b", "c"));
+        group.propose("b", "y");
+        group.deliver(message -> among(message, "b", "c"));
+        int before = group.reads("a");
+        group.read("a");
+        group.deliver(message -> among(message, "b", "c"));
+        assertTrue(group.reads("a") > before, "the leader holds a lease");
+        return group.committed("b").contains("y");
+    }
+
+    /** Guards against voters that elect another leader while the present one holds a lease. */
+    @Test
+    public void shouldRefuseVotesWhileLeaderHoldsLease() {
+        assertTrue(readsStaleWithTwoLeaders(ReplicaOptions.without(Mechanism.LEADER_STICKINESS)));
+        assertFalse(readsStaleWithTwoLeaders(ReplicaOptions.all()));
+    }
+
+    /** An entry of an old term reaches a majority, and then another leader replaces it. */
+    private boolean losesCommittedEntry(ReplicaOptions options) {
+        trueMillis = 0;
+        String[] all = {"a", "b", "c", "d", "e"};
+        CoreGroup group = new CoreGroup(List.of(all), TIMING, options, id -> (long) trueMillis);
+        elect(group, "a", all);
+        trueMillis += 80;
+        group.tick("a");
+        group.deliver(message -> true);
+        group.propose("a", "entry");
+        long position = group.core("a").state().log().lastIndex();
+        group.deliver(message -> among(message, "a", "b"));
+        elect(group, "e", "c", "d", "e");
+        elect(group, "a", "a", "b", "c");
+        for (int round = 0; round < 5; round++) {
+            trueMillis += 80;
+            group.tick("a");
+            group.deliver(
+                    message -> among(message, "a", "b", "c") && !carriesAfter(message, position));
+        }
+        boolean committed = group.committed("a").contains("entry");
+        elect(group, "e", "b", "c", "d", "e");
+        return committed;
+    }
+
+    private static boolean carriesAfter(ReplicaMessage message, long position) {
+        return message.getAppendRequest().getEntriesList().stream()
+                .anyMatch(entry -> entry.getIndex() > position);
+    }
+
+    /** Guards against counting replicas for an entry of an earlier term. */
+    @Test
+    public void shouldCommitEarlierTermsOnlyThroughPresentTerm() {
+        assertTrue(losesCommittedEntry(ReplicaOptions.without(Mechanism.CURRENT_TERM_COMMIT)));
+        assertFalse(losesCommittedEntry(ReplicaOptions.all()));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/yuccabank/verify/FailoverTimeTest.java
@@ -0,0 +1,67 @@
+package org.yuccabank.verify;
+
+import static org.testng.Assert.assertTrue;
+
+import java.util.Optional;
+import org.HdrHistogram.Histogram;
+import org.testng.Reporter;
+import org.testng.annotations.Test;
+import org.yuccabank.replication.ReplicaTiming;
+
+/** Measures the simulated time without a leader after the leader stops. */
+public final class FailoverTimeTest {
+
+    private static final int SEEDS = 1_000;
+    private static final long TARGET_MILLIS = 1_000;
+    private static final long STEADY_MILLIS = 2_000;
+    private static final long LIMIT_MILLIS = 20_000;
+
+    private static long measure(long seed, int replicas) {
+        Simulation simulation = new Simulation(seed);
+        SchedulePlan plan =
+                new SchedulePlan(
+                        SchedulePlan.Profile.MIXED,
+                        replicas,
+                        ReplicaTiming.standard(),
+                        1000,
+                        1 << 20,
+                        false,
+                        0.953,
+                        1.047,
+                        0);
+        SimulatedGroup group =
+                new SimulatedGroup(
+                        simulation, plan, VerifyOptions.standard(), new InvariantChecker(seed));
+        group.start();
+        group.endFaults();
+        simulation.runUntilMillis(STEADY_MILLIS + simulation.random().nextLong(100));
+        Optional<SimulatedReplica> leader = group.leader();
+        leader.orElseThrow().retire();
+        long stopped = simulation.nowMillis();
+        while (group.leader().isEmpty() && simulation.nowMillis() < stopped + LIMIT_MILLIS) {
+            simulation.runUntilMillis(simulation.nowMillis() + 1);
+        }
+        return simulation.nowMillis() - stopped;
+    }
+
+    /** Guards against elections that take longer than a second at 1.5 ms between data centres. */
+    @Test
+    public void shouldElectLeaderWithinSecond() {
+        for (int replicas : new int[] {3, 5}) {
+            Histogram histogram = new Histogram(LIMIT_MILLIS, 3);
+            for (long seed = 1; seed <= SEEDS; seed++) {
+                histogram.recordValue(measure(seed, replicas));
+            }
+            String figures =
+                    String.format(
+                            "failover with %d replicas over %d seeds: p50 %d ms, p99 %d ms, max %d ms",
+                            replicas,
+                            SEEDS,
+                            histogram.getValueAtPercentile(50),
+                            histogram.getValueAtPercentile(99),
+                            histogram.getMaxValue());
+            Reporter.log(figures, true);
+            assertTrue(histogram.getValueAtPercentile(99) < TARGET_MILLIS, figures);
+        }
+    }
+}
