--- a/src/main/java/org/yuccabank/command/Commands.java
+++ b/src/main/java/org/yuccabank/command/Commands.java
@@ -7,10 +7,17 @@
 
     private static final List<Command> ALL =
             List.of(
+                    new ControlCommand(),
+                    new EntryCommand(),
+                    new AgentCommand(),
+                    new WorkerCommand(),
+                    new LocalCommand(),
+                    new BenchScaleCommand(),
                     new RulesCheckCommand(),
                     new RulesDiffCommand(),
-                    new VersionCommand(),
-                    new VerifyCommand());
+                    new SettingsCheckCommand(),
+                    new VerifyCommand(),
+                    new VersionCommand());
 
     private Commands() {}
 
--- /dev/null
+++ b/src/main/java/org/yuccabank/command/RoleConfigurations.java
@@ -0,0 +1,114 @@
+package org.yuccabank.command;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import org.yuccabank.control.ControlConfiguration;
+import org.yuccabank.entry.CallerIdentification;
+import org.yuccabank.entry.EntryConfiguration;
+import org.yuccabank.event.Event;
+import org.yuccabank.event.EventLog;
+import org.yuccabank.policy.placement.PlacementPolicy;
+import org.yuccabank.policy.placement.ScanningPlacement;
+import org.yuccabank.protocol.PeerSecurity;
+import org.yuccabank.replication.ReplicaMember;
+import org.yuccabank.replication.ReplicaTiming;
+import org.yuccabank.result.Result;
+import org.yuccabank.security.ReloadingCredentials;
+import org.yuccabank.security.TlsContexts;
+import org.yuccabank.settings.ControlSettings;
+import org.yuccabank.settings.EntrySettings;
+import org.yuccabank.settings.ProcessSettings;
+
+/** Translates checked settings into what each role needs. Has no state. */
+final class RoleConfigurations {
+
+    private static final double PERCENT = 100.0;
+
+    private RoleConfigurations() {}
+
+    static ControlConfiguration control(ControlSettings settings) {
+        ControlSettings.Group group = settings.group();
+        List<ReplicaMember> members =
+                group.joining()
+                        ? List.of()
+                        : group.members().stream()
+                                .map(
+                                        member ->
+                                                ReplicaMember.voter(
+                                                        member.replicaId(), text(member.address())))
+                                .toList();
+        return new ControlConfiguration(
+                settings.process().processId(),
+                settings.process().dataCentre(),
+                group.name(),
+                group.replicaId(),
+                members,
+                settings.dataDirectory(),
+                settings.protocolAddress(),
+                settings.administrationAddress(),
+                settings.lease().toMillis(),
+                settings.clockDriftPercent() / PERCENT,
+                timing(settings));
+    }
+
+    private static ReplicaTiming timing(ControlSettings settings) {
+        Duration minimum = settings.timing().electionTimeoutMinimum();
+        Duration maximum = settings.timing().electionTimeoutMaximum();
+        return new ReplicaTiming(
+                minimum.toMillis(),
+                maximum.minus(minimum).toMillis(),
+                settings.timing().heartbeat().toMillis(),
+                settings.clockDriftPercent());
+    }
+
+    static EntryConfiguration entry(EntrySettings settings) {
+        return new EntryConfiguration(
+                settings.process().processId(),
+                settings.process().dataCentre(),
+                settings.httpAddress(),
+                settings.administrationAddress(),
+                settings.controlAddresses(),
+                settings.configurationLease().toMillis(),
+                settings.withoutControl() == EntrySettings.WithoutControl.SERVE_IDEMPOTENT,
+                settings.retryBudgetPercent(),
+                settings.process().drainTimeout().map(Duration::toMillis).orElse(0L));
+    }
+
+    static PlacementPolicy placement() {
+        return ScanningPlacement.bestFit();
+    }
+
+    /**
+     * TLS between the processes, reloaded when its files change.
+     *
+     * @param settings settings of the process
+     * @return the security, or what is wrong with the files
+     */
+    static Result<PeerSecurity> security(ProcessSettings settings) {
+        if (settings.tls().isEmpty()) {
+            EventLog.warning(Event.SECURITY_OFF, "process", settings.processId());
+            return Result.success(PeerSecurity.off());
+        }
+        return TlsContexts.load(settings.tls().get()).map(TlsContexts::start);
+    }
+
+    /**
+     * Identification of callers, by the credentials file if there is one.
+     *
+     * @param settings settings of the entry
+     * @return the identification, or what is wrong with the file
+     */
+    static Result<CallerIdentification> identification(EntrySettings settings) {
+        if (settings.credentialsFile().isEmpty()) {
+            return Result.success(CallerIdentification.off());
+        }
+        return ReloadingCredentials.load(settings.credentialsFile().get())
+                .map(ReloadingCredentials::start)
+                .map(CallerIdentification::byToken);
+    }
+
+    static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+}
--- a/src/main/java/org/yuccabank/protocol/PeerConnection.java
+++ b/src/main/java/org/yuccabank/protocol/PeerConnection.java
@@ -1,6 +1,7 @@
 package org.yuccabank.protocol;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.DecoderException;
@@ -10,7 +11,6 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
 import org.yuccabank.event.Event;
 import org.yuccabank.event.EventLog;
@@ -65,23 +65,37 @@
             // A peer that does not read must not make the queue of this process grow.
             return Mono.error(PeerException.notSent("connection is congested"));
         }
-        long correlation = lastCorrelation.incrementAndGet();
-        Mono<Envelope> reply =
-                Mono.create(
-                        sink -> {
-                            pending.put(correlation, sink);
-                            sink.onDispose(() -> pending.remove(correlation));
-                            write(current, request, correlation, false);
-                            if (!current.isActive()) {
-                                sink.error(PeerException.inDoubt("connection was closed"));
-                            }
-                        });
-        return reply.timeout(timeout)
-                .onErrorMap(
-                        TimeoutException.class,
-                        error ->
-                                PeerException.inDoubt(
-                                        "no reply within " + timeout.toMillis() + " ms"));
+        if (request.getSerializedSize() > PeerTransport.MAXIMUM_REQUEST_BYTES) {
+            return Mono.error(PeerException.notSent("request is too long"));
+        }
+        return Mono.create(
+                sink -> {
+                    long correlation = lastCorrelation.incrementAndGet();
+                    pending.put(correlation, sink);
+                    ScheduledFuture<?> expiry = expireAfter(timeout, sink, current);
+                    sink.onDispose(
+                            () -> {
+                                expiry.cancel(false);
+                                pending.remove(correlation);
+                            });
+                    write(current, request, correlation, false);
+                    if (!current.isActive()) {
+                        sink.error(PeerException.inDoubt("connection was closed"));
+                    }
+                });
+    }
+
+    /** The event loop of the connection keeps the time, so that no timer threads are needed. */
+    private static ScheduledFuture<?> expireAfter(
+            Duration timeout, MonoSink<Envelope> sink, Channel current) {
+        long millis = timeout.toMillis();
+        return current.eventLoop()
+                .schedule(
+                        () ->
+                                sink.error(
+                                        PeerException.inDoubt("no reply within " + millis + " ms")),
+                        millis,
+                        TimeUnit.MILLISECONDS);
     }
 
     /**
@@ -103,13 +117,8 @@
                         .setReply(reply)
                         .setConfigurationVersion(transport.configurationVersion())
                         .build();
-        target.writeAndFlush(framed)
-                .addListener(
-                        result -> {
-                            if (!result.isSuccess()) {
-                                target.close();
-                            }
-                        });
+        var unused =
+                target.writeAndFlush(framed).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
     }
 
     /**
@@ -135,7 +144,7 @@
     public void close() {
         Channel current = channel;
         if (current != null) {
-            current.close();
+            var unused = current.close();
         }
     }
 
@@ -167,7 +176,7 @@
                     describe(),
                     "silentMs",
                     TimeUnit.NANOSECONDS.toMillis(silentNanos));
-            channel.close();
+            close();
             return;
         }
         Heartbeat heartbeat =
@@ -179,17 +188,15 @@
     protected void channelRead0(ChannelHandlerContext context, Envelope message) {
         lastFrameNanos = System.nanoTime();
         switch (message.getBodyCase()) {
-            case HEARTBEAT:
-                break;
-            case HELLO:
-                remote = message.getHello();
-                break;
-            default:
+            case HEARTBEAT -> {}
+            case HELLO -> remote = message.getHello();
+            default -> {
                 if (message.getReply()) {
                     complete(message);
                 } else {
                     answer(message);
                 }
+            }
         }
     }
 
@@ -221,6 +228,16 @@
                 .build();
     }
 
+    /**
+     * Reads nothing from a peer that does not read its replies, so that they do not fill the
+     * memory. If it does not read until the silence limit, the connection is closed.
+     */
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        context.channel().config().setAutoRead(context.channel().isWritable());
+        context.fireChannelWritabilityChanged();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         if (heartbeats != null) {
@@ -238,7 +255,7 @@
         if (cause instanceof DecoderException) {
             EventLog.warning(Event.FRAME_REFUSED, "peer", describe(), "cause", cause.getMessage());
         }
-        context.close();
+        var unused = context.close();
     }
 
     private String describe() {
