--- a/src/main/java/org/yuccabank/command/Commands.java
+++ b/src/main/java/org/yuccabank/command/Commands.java
@@ -18,6 +18,7 @@
                     new SettingsCheckCommand(),
                     new BenchRoutingCommand(),
                     new BenchQuotaCommand(),
+                    new VerifyCommand(),
                     new VersionCommand());
 
     private Commands() {}
