Load no data binding and use the process's security in the agent

Cause: creating the list of commands loaded Jackson data binding, 283 classes more, through LocalCommand; the agent ignored the security setting. Change: LocalCommand uses the mapper of CommandJson when it prints; the agent takes its security from RoleConfigurations, like control and entry.

--- a/src/main/java/org/yuccabank/command/AgentCommand.java
+++ b/src/main/java/org/yuccabank/command/AgentCommand.java
@@ -9,7 +9,6 @@
 import org.apache.commons.cli.ParseException;
 import org.yuccabank.agent.AgentConfiguration;
 import org.yuccabank.agent.AgentService;
-import org.yuccabank.protocol.PeerSecurity;
 import org.yuccabank.result.Result;
 import org.yuccabank.settings.AgentSettings;
 import org.yuccabank.settings.ProcessSettings;
@@ -62,7 +61,9 @@
             return ExitCode.REFUSED;
         }
         AgentService service =
-                AgentService.start(configuration(settings.get()), PeerSecurity.off());
+                AgentService.start(
+                        configuration(settings.get()),
+                        RoleConfigurations.security(settings.get().process()));
         return RoleProcess.runUntilStopped(service::stop);
     }
 
--- a/src/main/java/org/yuccabank/command/LocalCommand.java
+++ b/src/main/java/org/yuccabank/command/LocalCommand.java
@@ -1,6 +1,5 @@
 package org.yuccabank.command;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
@@ -31,7 +30,6 @@
 /** Runs an example deployment in one process and drives its load. Thread-safe, without state. */
 final class LocalCommand implements Command {
 
-    private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final Duration READY_LIMIT = Duration.ofSeconds(30);
     private static final Duration READY_POLL = Duration.ofMillis(100);
     private static final double MICROS_PER_MILLI = 1_000.0;
@@ -180,7 +178,7 @@
                                 .toList(),
                         atMostOnce);
         ObjectNode node =
-                MAPPER.createObjectNode()
+                CommandJson.object()
                         .put("example", example)
                         .put("durationSeconds", duration.toSeconds())
                         .put("served", counts.served())
