--- a/src/main/java/org/yuccabank/command/AgentCommand.java
+++ b/src/main/java/org/yuccabank/command/AgentCommand.java
@@ -56,15 +56,17 @@
         }
         Result<AgentSettings> settings =
                 Settings.agent(Path.of(file), CommandOptions.overrides(line));
-        if (!settings.isSuccess()) {
-            errors.println(settings.findings());
-            return ExitCode.REFUSED;
-        }
-        AgentService service =
-                AgentService.start(
-                        configuration(settings.get()),
-                        RoleConfigurations.security(settings.get().process()));
-        return RoleProcess.runUntilStopped(service::stop);
+        Result<AgentService> service =
+                settings.flatMap(
+                        valid ->
+                                RoleConfigurations.security(valid.process())
+                                        .map(
+                                                security ->
+                                                        AgentService.start(
+                                                                configuration(valid), security)));
+        return service.fold(
+                findings -> RoleProcess.refuse(findings, errors),
+                started -> RoleProcess.runUntilStopped(started::stop));
     }
 
     private static AgentConfiguration configuration(AgentSettings settings) {
