--- /dev/null
+++ b/examples/ferraglia/start.sh
@@ -0,0 +1,41 @@
+#!/bin/sh
+# Starts the example on this machine: 3 control processes, 3 entries, 11 agents and 11 stand-in
+# workers. Usage: start.sh EXECUTABLE DIRECTORY; DIRECTORY receives data, logs and process ids.
+# Stop with: kill $(cat DIRECTORY/pids)
+set -eu
+yuccabank=$1
+directory=$2
+settings=$(cd "$(dirname "$0")" && pwd)
+mkdir -p "$directory"
+: >"$directory/pids"
+start() {
+  name=$1
+  shift
+  "$yuccabank" "$@" --set "process_id=$name" >"$directory/$name.log" 2>&1 &
+  echo $! >>"$directory/pids"
+}
+number=0
+for data_centre in catania palermo siracusa; do
+  number=$((number + 1))
+  start "control-$number" control "$settings/control.toml" --set "data_centre=$data_centre" \
+    --set "protocol_address=127.0.0.1:$((8100 + number))" \
+    --set "control.data_directory=$directory/control-$number" \
+    --set "group.replica_id=control-$number"
+  start "entry-$number" entry "$settings/entry.toml" --set "data_centre=$data_centre" \
+    --set "http_address=127.0.0.1:$((8400 + number))"
+done
+number=0
+while [ "$number" -lt 11 ]; do
+  number=$((number + 1))
+  data_centre=$(echo catania palermo siracusa | cut -d ' ' -f $((number % 3 + 1)))
+  rack="rack-$(((number + 2) / 3))"
+  start "worker-$number" worker --settings "$settings/worker.toml" --kinds quote,cut \
+    --serve-ms 30 --slowdown quote:costing=0.2,quote:kiln-plan=0.3 --set "host_id=host-$number" \
+    --set "data_centre=$data_centre" --set "rack=$rack" \
+    --set "http_address=127.0.0.1:$((8800 + number))" \
+    --set "worker.agent_address=127.0.0.1:$((8700 + number))"
+  start "agent-$number" agent --settings "$settings/agent.toml" --set "host_id=host-$number" \
+    --set "data_centre=$data_centre" --set "rack=$rack" \
+    --set "http_address=127.0.0.1:$((8700 + number))" \
+    --set "agent.worker_address=127.0.0.1:$((8800 + number))"
+done
--- a/src/main/java/org/yuccabank/command/AgentCommand.java
+++ b/src/main/java/org/yuccabank/command/AgentCommand.java
@@ -61,8 +61,11 @@
             errors.println(settings.findings());
             return ExitCode.REFUSED;
         }
-        AgentService service =
-                AgentService.start(configuration(settings.get()), PeerSecurity.off());
+        Result<PeerSecurity> security = RoleConfigurations.security(settings.get().process());
+        if (!security.isSuccess()) {
+            return RoleProcess.refuse(security.findings(), errors);
+        }
+        AgentService service = AgentService.start(configuration(settings.get()), security.get());
         return RoleProcess.runUntilStopped(service::stop);
     }
 
--- a/src/main/java/org/yuccabank/command/Commands.java
+++ b/src/main/java/org/yuccabank/command/Commands.java
@@ -1,21 +1,12 @@
 package org.yuccabank.command;
 
+import java.util.ArrayList;
 import java.util.List;
 
 /** The commands of the executable, in the order in which the help lists them. */
 final class Commands {
 
-    private static final List<Command> ALL =
-            List.of(
-                    new ControlCommand(),
-                    new EntryCommand(),
-                    new AgentCommand(),
-                    new WorkerCommand(),
-                    new LocalCommand(),
-                    new RulesCheckCommand(),
-                    new RulesDiffCommand(),
-                    new SettingsCheckCommand(),
-                    new VersionCommand());
+    private static final List<Command> ALL = commands();
 
     private Commands() {}
 
@@ -27,4 +18,19 @@
     static List<Command> all() {
         return ALL;
     }
+
+    private static List<Command> commands() {
+        List<Command> commands = new ArrayList<>();
+        commands.add(new ControlCommand());
+        commands.add(new EntryCommand());
+        commands.add(new AgentCommand());
+        commands.add(new WorkerCommand());
+        commands.add(new LocalCommand());
+        commands.add(new RulesCheckCommand());
+        commands.add(new RulesDiffCommand());
+        commands.addAll(OperatorCommands.all());
+        commands.add(new SettingsCheckCommand());
+        commands.add(new VersionCommand());
+        return List.copyOf(commands);
+    }
 }
--- a/src/main/java/org/yuccabank/command/ControlCommand.java
+++ b/src/main/java/org/yuccabank/command/ControlCommand.java
@@ -63,10 +63,13 @@
         Result<ControlSettings> settings = Settings.control(file, overrides);
         return settings.flatMap(
                 valid ->
-                        ControlService.of(
-                                        RoleConfigurations.control(valid),
-                                        RoleConfigurations.placement(),
-                                        RoleConfigurations.security(valid.process()))
-                                .start());
+                        RoleConfigurations.security(valid.process())
+                                .flatMap(
+                                        security ->
+                                                ControlService.of(
+                                                                RoleConfigurations.control(valid),
+                                                                RoleConfigurations.placement(),
+                                                                security)
+                                                        .start()));
     }
 }
--- a/src/main/java/org/yuccabank/command/EntryCommand.java
+++ b/src/main/java/org/yuccabank/command/EntryCommand.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
-import org.yuccabank.entry.CallerIdentification;
 import org.yuccabank.entry.EntryService;
 import org.yuccabank.result.Result;
 import org.yuccabank.settings.EntrySettings;
@@ -45,21 +44,26 @@
         return RoleProcess.withSettingsFile(
                 line,
                 errors,
-                file -> {
-                    Result<EntrySettings> settings =
-                            Settings.entry(file, CommandOptions.overrides(line));
-                    return settings.fold(
-                            findings -> RoleProcess.refuse(findings, errors), EntryCommand::run);
-                });
+                file ->
+                        Settings.entry(file, CommandOptions.overrides(line))
+                                .flatMap(EntryCommand::service)
+                                .fold(
+                                        findings -> RoleProcess.refuse(findings, errors),
+                                        service ->
+                                                RoleProcess.runUntilStopped(
+                                                        service.start()::stop)));
     }
 
-    private static ExitCode run(EntrySettings settings) {
-        EntryService service =
-                EntryService.of(
-                                RoleConfigurations.entry(settings),
-                                CallerIdentification.off(),
-                                RoleConfigurations.security(settings.process()))
-                        .start();
-        return RoleProcess.runUntilStopped(service::stop);
+    private static Result<EntryService> service(EntrySettings settings) {
+        return RoleConfigurations.security(settings.process())
+                .flatMap(
+                        security ->
+                                RoleConfigurations.callers(settings)
+                                        .map(
+                                                callers ->
+                                                        EntryService.of(
+                                                                RoleConfigurations.entry(settings),
+                                                                callers,
+                                                                security)));
     }
 }
--- /dev/null
+++ b/src/main/java/org/yuccabank/command/OperatorCommands.java
@@ -0,0 +1,364 @@
+package org.yuccabank.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.handler.codec.http.HttpMethod;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.function.Function;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.ParseException;
+import org.yuccabank.result.Result;
+import org.yuccabank.result.TextFile;
+import org.yuccabank.rules.RulesParser;
+
+/** The commands that operators send to an entry. Thread-safe, as it has no state. */
+final class OperatorCommands {
+
+    private OperatorCommands() {}
+
+    /** All of them, in the order of the help. */
+    static List<Command> all() {
+        return List.of(
+                rulesApply(),
+                rulesShow(),
+                rulesHistory(),
+                status(),
+                jobs("jobs"),
+                jobs("jobs list"),
+                jobsShow(),
+                jobsSubmit(),
+                jobsCancel(),
+                targets(),
+                drain(),
+                audit());
+    }
+
+    private static Command rulesApply() {
+        return new OperatorCommand(
+                "rules apply",
+                "Checks a rules file and puts it in force as a new version.",
+                "FILE",
+                () ->
+                        List.of(
+                                CommandOptions.value(
+                                        "expected-version",
+                                        "N",
+                                        "Version on which the file is based; 0 for the first.")),
+                List.of(
+                        "yuccabank rules apply rules.txt --expected-version 7",
+                        "yuccabank rules apply rules.txt --expected-version 0 --token-file token"),
+                OperatorCommands::applyRequest,
+                body -> "version " + body.path("version").asText() + " is accepted");
+    }
+
+    private static Result<EntryRequest> applyRequest(CommandLine line) throws ParseException {
+        String file = only(line, "FILE");
+        String expected = line.getOptionValue("expected-version", "");
+        if (!expected.matches("[0-9]{1,18}")) {
+            throw new ParseException("--expected-version N is needed; see yuccabank rules show");
+        }
+        return TextFile.read(Path.of(file), RulesParser.GREATEST_LENGTH)
+                .flatMap(text -> RulesParser.parse(text, file).map(rules -> text))
+                .map(
+                        text ->
+                                EntryRequest.of(HttpMethod.PUT, "/v1/rules", text)
+                                        .with("Content-Type", "text/plain; charset=utf-8")
+                                        .with("If-Match", "\"" + expected + "\""));
+    }
+
+    private static Command rulesShow() {
+        return new OperatorCommand(
+                "rules show",
+                "Prints the rules in force, or an earlier version, as a rules file.",
+                "",
+                () -> List.of(CommandOptions.value("version", "N", "Version to show.")),
+                List.of("yuccabank rules show", "yuccabank rules show --version 3 > rules-3.txt"),
+                line -> {
+                    none(line);
+                    String version = line.getOptionValue("version");
+                    if (version != null && !version.matches("[0-9]{1,18}")) {
+                        throw new ParseException("--version needs a number");
+                    }
+                    String query = version == null ? "" : "?version=" + version;
+                    return Result.success(EntryRequest.get("/v1/rules" + query));
+                },
+                OperatorCommands::rulesText);
+    }
+
+    private static String rulesText(JsonNode body) {
+        return "# version "
+                + body.path("version").asText()
+                + ", accepted "
+                + TextTable.cell(body, "acceptedAtMillis")
+                + ", applied by "
+                + TextTable.cell(body, "author")
+                + System.lineSeparator()
+                + body.path("text").asText().stripTrailing();
+    }
+
+    private static Command rulesHistory() {
+        return query(
+                "rules history",
+                "Lists the versions of the rules with their authors.",
+                "/v1/rules/history",
+                body ->
+                        TextTable.of(
+                                body.path("versions"),
+                                "version",
+                                "acceptedAtMillis",
+                                "author",
+                                "bytes"));
+    }
+
+    private static Command status() {
+        return query(
+                "status",
+                "Shows control, hosts, and the rules version of every process.",
+                "/v1/status",
+                OperatorCommands::statusText);
+    }
+
+    private static String statusText(JsonNode body) {
+        String newline = System.lineSeparator();
+        String heading =
+                "rules version "
+                        + TextTable.cell(body, "configurationVersion")
+                        + ", leader "
+                        + TextTable.cell(body, "leader")
+                        + " in term "
+                        + TextTable.cell(body, "term")
+                        + ", tasks: "
+                        + TextTable.cell(body, "runningTasks")
+                        + " running, "
+                        + TextTable.cell(body, "queuedTasks")
+                        + " queued";
+        String members = TextTable.of(body.path("members"), "replicaId", "address", "voter");
+        String processes =
+                TextTable.of(
+                        body.path("processes"),
+                        "processId",
+                        "role",
+                        "configurationVersion",
+                        "inForce",
+                        "lastSeenMillisAgo");
+        String hosts =
+                TextTable.of(
+                        body.path("hosts"),
+                        "host",
+                        "dataCentre",
+                        "rack",
+                        "state",
+                        "tasks",
+                        "capacity.processorMillis",
+                        "reserved.processorMillis",
+                        "usage.processorMillis");
+        return String.join(newline + newline, heading, members, processes, hosts);
+    }
+
+    private static Command jobs(String name) {
+        return query(
+                name,
+                "Lists jobs, the newest first.",
+                "/v1/jobs",
+                body ->
+                        TextTable.of(
+                                body.path("jobs"),
+                                "job",
+                                "account",
+                                "kind",
+                                "state",
+                                "finishedTasks",
+                                "tasks",
+                                "submittedAtMillis",
+                                "reason"));
+    }
+
+    private static Command jobsShow() {
+        return new OperatorCommand(
+                "jobs show",
+                "Shows a job with its tasks.",
+                "JOB",
+                List::of,
+                List.of("yuccabank jobs show job-12"),
+                line -> Result.success(EntryRequest.get("/v1/jobs/" + encoded(only(line, "JOB")))),
+                OperatorCommands::jobText);
+    }
+
+    private static String jobText(JsonNode body) {
+        JsonNode self = CommandJson.array().add(body);
+        String job = TextTable.of(self, "job", "account", "kind", "state", "reason");
+        String tasks =
+                TextTable.of(
+                        body.path("taskStates"),
+                        "task",
+                        "state",
+                        "progress",
+                        "checkpointGeneration",
+                        "starts",
+                        "evictions",
+                        "host");
+        return job + System.lineSeparator() + System.lineSeparator() + tasks;
+    }
+
+    private static Command jobsSubmit() {
+        return new OperatorCommand(
+                "jobs submit",
+                "Submits a batch job.",
+                "",
+                OperatorCommands::submitOptions,
+                List.of(
+                        "yuccabank jobs submit --kind render --processor-millis 2000"
+                                + " --memory-mebibytes 4096 --run-ms 60000 --checkpointable"),
+                OperatorCommands::submitRequest,
+                body -> "job " + TextTable.cell(body, "job") + " is accepted");
+    }
+
+    private static List<Option> submitOptions() {
+        return List.of(
+                CommandOptions.value("kind", "KIND", "Kind of work."),
+                CommandOptions.value("tasks", "N", "Tasks of the job; 1 by default."),
+                CommandOptions.value("processor-millis", "N", "Thousandths of a core for a task."),
+                CommandOptions.value("memory-mebibytes", "N", "MiB for a task."),
+                CommandOptions.value("accelerators", "N", "Accelerators for a task; 0 by default."),
+                CommandOptions.value("run-ms", "N", "Expected run time of a task in ms."),
+                CommandOptions.value("priority", "N", "1 (lowest) to 9; 1 by default."),
+                CommandOptions.flag("checkpointable", "Tasks can write checkpoints."));
+    }
+
+    private static Result<EntryRequest> submitRequest(CommandLine line) throws ParseException {
+        none(line);
+        if (!line.hasOption("kind")) {
+            throw new ParseException("--kind KIND is needed");
+        }
+        ObjectNode resources =
+                CommandJson.object()
+                        .put("processorMillis", number(line, "processor-millis", null))
+                        .put("memoryMebibytes", number(line, "memory-mebibytes", null))
+                        .put("accelerators", number(line, "accelerators", "0"));
+        ObjectNode job =
+                CommandJson.object()
+                        .put("kind", line.getOptionValue("kind"))
+                        .put("tasks", number(line, "tasks", "1"))
+                        .put("runMillis", number(line, "run-ms", null))
+                        .put("priority", number(line, "priority", "1"))
+                        .put("checkpointable", line.hasOption("checkpointable"));
+        job.set("resources", resources);
+        String body = CommandJson.line(job);
+        return Result.success(
+                EntryRequest.of(HttpMethod.POST, "/v1/jobs", body)
+                        .with("Content-Type", "application/json"));
+    }
+
+    private static long number(CommandLine line, String name, String fallback)
+            throws ParseException {
+        String text = line.getOptionValue(name, fallback);
+        if (text == null || !text.matches("[0-9]{1,15}")) {
+            throw new ParseException("--" + name + " needs a whole number");
+        }
+        return Long.parseLong(text);
+    }
+
+    private static Command jobsCancel() {
+        return new OperatorCommand(
+                "jobs cancel",
+                "Cancels a job and stops its tasks.",
+                "JOB",
+                List::of,
+                List.of("yuccabank jobs cancel job-12"),
+                line ->
+                        Result.success(
+                                EntryRequest.of(
+                                        HttpMethod.DELETE,
+                                        "/v1/jobs/" + encoded(only(line, "JOB")),
+                                        "")),
+                body -> "the cancellation is accepted");
+    }
+
+    private static Command targets() {
+        return query(
+                "targets",
+                "Lists the targets that announced themselves.",
+                "/v1/targets",
+                body ->
+                        TextTable.of(
+                                body.path("targets"),
+                                "target",
+                                "service",
+                                "host",
+                                "dataCentre",
+                                "state",
+                                "slotsUsed",
+                                "slots",
+                                "connections"));
+    }
+
+    private static Command drain() {
+        return new OperatorCommand(
+                "drain",
+                "Gives a host no new work, or new work again with --undo.",
+                "HOST",
+                () -> List.of(CommandOptions.flag("undo", "Lets the host receive work again.")),
+                List.of("yuccabank drain host-3", "yuccabank drain host-3 --undo"),
+                line -> {
+                    HttpMethod method =
+                            line.hasOption("undo") ? HttpMethod.DELETE : HttpMethod.POST;
+                    String path = "/v1/hosts/" + encoded(only(line, "HOST")) + "/drain";
+                    return Result.success(EntryRequest.of(method, path, ""));
+                },
+                body -> "the change is accepted; see yuccabank status");
+    }
+
+    private static Command audit() {
+        return query(
+                "audit",
+                "Lists who changed what, the newest first.",
+                "/v1/audit",
+                body ->
+                        TextTable.of(
+                                body.path("audit"),
+                                "index",
+                                "atMillis",
+                                "account",
+                                "action",
+                                "verdict",
+                                "detail"));
+    }
+
+    private static Command query(
+            String name, String summary, String path, Function<JsonNode, String> rendering) {
+        return new OperatorCommand(
+                name,
+                summary,
+                "",
+                List::of,
+                List.of(
+                        "yuccabank " + name,
+                        "yuccabank " + name + " --entry 10.1.0.21:7400 --token-file token --json"),
+                line -> {
+                    none(line);
+                    return Result.success(EntryRequest.get(path));
+                },
+                rendering);
+    }
+
+    private static String only(CommandLine line, String argument) throws ParseException {
+        if (line.getArgList().size() != 1) {
+            throw new ParseException("exactly one " + argument + " is needed");
+        }
+        return line.getArgList().get(0);
+    }
+
+    private static void none(CommandLine line) throws ParseException {
+        if (!line.getArgList().isEmpty()) {
+            throw new ParseException("unexpected argument " + line.getArgList().get(0));
+        }
+    }
+
+    private static String encoded(String segment) {
+        return URLEncoder.encode(segment, StandardCharsets.UTF_8).replace("+", "%20");
+    }
+}
--- a/src/main/java/org/yuccabank/command/RoleConfigurations.java
+++ b/src/main/java/org/yuccabank/command/RoleConfigurations.java
@@ -4,12 +4,20 @@
 import java.time.Duration;
 import java.util.List;
 import org.yuccabank.control.ControlConfiguration;
+import org.yuccabank.entry.Caller;
+import org.yuccabank.entry.CallerIdentification;
 import org.yuccabank.entry.EntryConfiguration;
+import org.yuccabank.event.Event;
+import org.yuccabank.event.EventLog;
 import org.yuccabank.policy.placement.PlacementPolicy;
 import org.yuccabank.policy.placement.ScanningPlacement;
 import org.yuccabank.protocol.PeerSecurity;
 import org.yuccabank.replication.ReplicaMember;
 import org.yuccabank.replication.ReplicaTiming;
+import org.yuccabank.result.Result;
+import org.yuccabank.security.Authenticator;
+import org.yuccabank.security.ReloadingCredentials;
+import org.yuccabank.security.TlsContexts;
 import org.yuccabank.settings.ControlSettings;
 import org.yuccabank.settings.EntrySettings;
 import org.yuccabank.settings.ProcessSettings;
@@ -73,8 +81,30 @@
         return ScanningPlacement.bestFit();
     }
 
-    static PeerSecurity security(ProcessSettings settings) {
-        return PeerSecurity.off();
+    /** Mutual TLS as the settings ask for it, or why its keys cannot be used. */
+    static Result<PeerSecurity> security(ProcessSettings settings) {
+        if (settings.tls().isEmpty()) {
+            EventLog.warning(Event.SECURITY_OFF, "process", settings.processId());
+            return Result.success(PeerSecurity.off());
+        }
+        return TlsContexts.load(settings.tls().get()).map(TlsContexts::start);
+    }
+
+    /** Identifies callers by the credentials file, or why the file cannot be used. */
+    static Result<CallerIdentification> callers(EntrySettings settings) {
+        if (settings.credentialsFile().isEmpty()) {
+            return Result.success(CallerIdentification.off());
+        }
+        return ReloadingCredentials.load(settings.credentialsFile().get())
+                .map(ReloadingCredentials::start)
+                .map(RoleConfigurations::identification);
+    }
+
+    private static CallerIdentification identification(Authenticator authenticator) {
+        return headers ->
+                authenticator
+                        .authenticateHeader(headers.get("Authorization"))
+                        .map(known -> new Caller(known.account(), known.operator()));
     }
 
     static String text(InetSocketAddress address) {
--- /dev/null
+++ b/src/test/java/org/yuccabank/command/OperatorCommandsTest.java
@@ -0,0 +1,205 @@
+package org.yuccabank.command;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+
+/** Checks the requests of operators' commands against a stand-in of the entry. */
+public final class OperatorCommandsTest {
+
+    private final List<String> requests = Collections.synchronizedList(new ArrayList<>());
+    private final List<String> keys = Collections.synchronizedList(new ArrayList<>());
+    private DisposableServer server;
+    private int status;
+    private String answer;
+    private int lostAnswers;
+    private ByteArrayOutputStream output;
+    private ByteArrayOutputStream errors;
+
+    /** Starts the stand-in, which records requests and gives the prepared answer. */
+    @BeforeMethod
+    public void start() {
+        requests.clear();
+        keys.clear();
+        status = 200;
+        lostAnswers = 0;
+        server =
+                HttpServer.create()
+                        .host("127.0.0.1")
+                        .port(0)
+                        .handle(
+                                (request, response) ->
+                                        request.receive()
+                                                .aggregate()
+                                                .asString()
+                                                .defaultIfEmpty("")
+                                                .flatMap(
+                                                        body -> {
+                                                            requests.add(
+                                                                    request.method()
+                                                                            + " "
+                                                                            + request.uri()
+                                                                            + " "
+                                                                            + request.requestHeaders()
+                                                                                    .get(
+                                                                                            "Authorization")
+                                                                            + " "
+                                                                            + request.requestHeaders()
+                                                                                    .get("If-Match")
+                                                                            + " "
+                                                                            + body);
+                                                            keys.add(
+                                                                    request.requestHeaders()
+                                                                            .get(
+                                                                                    "Idempotency-Key"));
+                                                            if (lostAnswers-- > 0) {
+                                                                request.withConnection(
+                                                                        one -> one.dispose());
+                                                                return Mono.never();
+                                                            }
+                                                            return response.status(status)
+                                                                    .sendString(Mono.just(answer))
+                                                                    .then();
+                                                        }))
+                        .bindNow();
+    }
+
+    /** Stops the stand-in. */
+    @AfterMethod
+    public void stop() {
+        server.disposeNow();
+    }
+
+    private ExitCode run(String... arguments) {
+        output = new ByteArrayOutputStream();
+        errors = new ByteArrayOutputStream();
+        List<String> all = new ArrayList<>(List.of(arguments));
+        all.add("--entry");
+        all.add("127.0.0.1:" + server.port());
+        return CommandRunner.of(Commands.all())
+                .run(
+                        all.toArray(String[]::new),
+                        new PrintStream(output, true, StandardCharsets.UTF_8),
+                        new PrintStream(errors, true, StandardCharsets.UTF_8));
+    }
+
+    private String printed() {
+        return output.toString(StandardCharsets.UTF_8) + errors.toString(StandardCharsets.UTF_8);
+    }
+
+    /** Guards against rules applied without their expected version or under no account. */
+    @Test(timeOut = 20_000)
+    public void shouldApplyRulesWithExpectedVersionAndToken() throws IOException {
+        Path token = Files.writeString(Files.createTempFile("token", ""), "my-token\n");
+        Path rules = Files.createTempFile("rules", ".txt");
+        Files.writeString(rules, "batch a # asked by O");
+        answer = "{\"version\":8}";
+        ExitCode code =
+                run(
+                        "rules",
+                        "apply",
+                        rules.toString(),
+                        "--expected-version",
+                        "7",
+                        "--token-file",
+                        token.toString());
+        assertEquals(code, ExitCode.SUCCESS, printed());
+        assertEquals(requests, List.of("PUT /v1/rules Bearer my-token \"7\" batch a # asked by O"));
+        assertEquals(printed().strip(), "version 8 is accepted");
+        Files.writeString(rules, "batch a");
+        assertEquals(
+                run("rules", "apply", rules.toString(), "--expected-version", "7"),
+                ExitCode.REFUSED);
+        assertEquals(requests.size(), 1, "an invalid file must not be sent");
+    }
+
+    /** Guards against a resend that runs a command twice because its key differs. */
+    @Test(timeOut = 20_000)
+    public void shouldResendUnderTheSameKey() {
+        answer = "{}";
+        lostAnswers = 1;
+        assertEquals(run("drain", "host 3"), ExitCode.SUCCESS, printed());
+        assertTrue(requests.get(0).startsWith("POST /v1/hosts/host%203/drain "), requests.get(0));
+        assertTrue(keys.size() >= 2, keys.toString());
+        assertEquals(keys.stream().distinct().count(), 1, keys.toString());
+    }
+
+    /** Guards against refusals that end with success, or that hide a finding. */
+    @Test(timeOut = 20_000)
+    public void shouldMapProblemsToExitCodes() {
+        status = 409;
+        answer =
+                "{\"title\":\"conflict\",\"detail\":\"version is 9, by omar\",\"findings\":[\"f\"]}";
+        assertEquals(run("jobs", "cancel", "job-1"), ExitCode.REFUSED);
+        assertEquals(
+                printed().strip().lines().toList(),
+                List.of("conflict: version is 9, by omar", "f"));
+        status = 503;
+        assertEquals(run("status"), ExitCode.UNAVAILABLE);
+        server.disposeNow();
+        assertEquals(run("status"), ExitCode.UNAVAILABLE);
+        assertTrue(printed().contains("--key"), printed());
+        assertEquals(run("jobs", "show"), ExitCode.USAGE);
+    }
+
+    /** Guards against tables that lose a field, and against control characters on a terminal. */
+    @Test(timeOut = 20_000)
+    public void shouldRenderTables() {
+        answer =
+                "{\"audit\":[{\"index\":3,\"atMillis\":1000,\"account\":\"omar\\u001b[2J\","
+                        + "\"action\":\"apply\",\"verdict\":\"accepted\"}]}";
+        assertEquals(run("audit"), ExitCode.SUCCESS);
+        assertTrue(printed().contains("1970-01-01T00:00:01Z"), printed());
+        assertTrue(printed().contains("omar?[2J"), printed());
+        assertFalse(printed().contains("\u001b"));
+        assertEquals(run("audit", "--json"), ExitCode.SUCCESS);
+        assertTrue(printed().startsWith("{\"audit\":["), printed());
+        answer = "{\"job\":\"j\",\"taskStates\":[]}";
+        assertEquals(run("jobs", "show", "j"), ExitCode.SUCCESS);
+    }
+
+    /** Guards against a job that is submitted with other values than those on the command line. */
+    @Test(timeOut = 20_000)
+    public void shouldSubmitJob() {
+        status = 201;
+        answer = "{\"job\":\"job-1\"}";
+        ExitCode code =
+                run(
+                        "jobs",
+                        "submit",
+                        "--kind",
+                        "render",
+                        "--processor-millis",
+                        "2000",
+                        "--memory-mebibytes",
+                        "64",
+                        "--run-ms",
+                        "5",
+                        "--checkpointable");
+        assertEquals(code, ExitCode.SUCCESS, printed());
+        assertTrue(
+                requests.get(0)
+                        .endsWith(
+                                "{\"kind\":\"render\",\"tasks\":1,\"runMillis\":5,\"priority\":1,"
+                                        + "\"checkpointable\":true,\"resources\":{"
+                                        + "\"processorMillis\":2000,\"memoryMebibytes\":64,"
+                                        + "\"accelerators\":0}}"),
+                requests.get(0));
+    }
+}
