Hold credentials in a class in place of a record with an array

Cause: Error Prone reports arrays as record components, whose equality is that of references. Change: Entry is a class.

--- a/src/main/java/org/yuccabank/security/Credentials.java
+++ b/src/main/java/org/yuccabank/security/Credentials.java
@@ -34,7 +34,15 @@
     private static final Pattern DIGEST = Pattern.compile("[0-9a-f]{64}");
     private static final Pattern ACCOUNT = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,63}");
 
-    private record Entry(byte[] digest, Principal principal) {}
+    private static final class Entry {
+        private final byte[] digest;
+        private final Principal principal;
+
+        Entry(byte[] digest, Principal principal) {
+            this.digest = digest;
+            this.principal = principal;
+        }
+    }
 
     private final List<Entry> entries;
 
