Format the ArchUnit test

Cause: the formatter check failed on one line. Change: formatting only. Conclusion: no change of behaviour.

--- a/src/test/java/org/yuccabank/ArchitectureTest.java
+++ b/src/test/java/org/yuccabank/ArchitectureTest.java
@@ -27,8 +27,7 @@
                     Map.entry("policy", Set.of("model", "rules", "result")),
                     Map.entry("replication", Set.of("protocol", "event", "result")),
                     Map.entry(
-                            "state",
-                            Set.of("model", "rules", "result", "protocol", "replication")),
+                            "state", Set.of("model", "rules", "result", "protocol", "replication")),
                     Map.entry("http", Set.of("model", "result", "event")),
                     Map.entry(
                             "security", Set.of("model", "result", "event", "protocol", "settings")),
