--- a/examples/tazzart/start.sh
+++ b/examples/tazzart/start.sh
@@ -17,11 +17,11 @@
 number=0
 for data_centre in marrakech essaouira agadir; do
   number=$((number + 1))
-  start "control-$number" control "$settings/control.toml" --set "data_centre=$data_centre" \
+  start "control-$number" control --settings "$settings/control.toml" --set "data_centre=$data_centre" \
     --set "protocol_address=127.0.0.1:$((7100 + number))" \
     --set "control.data_directory=$directory/control-$number" \
     --set "group.replica_id=control-$number"
-  start "entry-$number" entry "$settings/entry.toml" --set "data_centre=$data_centre" \
+  start "entry-$number" entry --settings "$settings/entry.toml" --set "data_centre=$data_centre" \
     --set "http_address=127.0.0.1:$((7400 + number))"
 done
 number=0
--- a/src/main/java/org/yuccabank/command/Commands.java
+++ b/src/main/java/org/yuccabank/command/Commands.java
@@ -26,6 +26,7 @@
         commands.add(new AgentCommand());
         commands.add(new WorkerCommand());
         commands.add(new LocalCommand());
+        commands.add(new BenchScaleCommand());
         commands.add(new RulesCheckCommand());
         commands.add(new RulesDiffCommand());
         commands.addAll(OperatorCommands.all());
--- a/src/main/java/org/yuccabank/command/EntryCommand.java
+++ b/src/main/java/org/yuccabank/command/EntryCommand.java
@@ -24,19 +24,21 @@
 
     @Override
     public String arguments() {
-        return "SETTINGS";
+        return "";
     }
 
     @Override
     public Options options() {
-        return new Options().addOption(CommandOptions.settings());
+        return new Options()
+                .addOption(RoleProcess.settingsFile())
+                .addOption(CommandOptions.settings());
     }
 
     @Override
     public List<String> examples() {
         return List.of(
-                "yuccabank entry /etc/yuccabank/entry.toml",
-                "yuccabank entry --set process_id=entry-2 entry.toml");
+                "yuccabank entry --settings /etc/yuccabank/entry.toml",
+                "yuccabank entry --settings entry.toml --set process_id=entry-2");
     }
 
     @Override
@@ -44,26 +46,26 @@
         return RoleProcess.withSettingsFile(
                 line,
                 errors,
-                file ->
-                        Settings.entry(file, CommandOptions.overrides(line))
-                                .flatMap(EntryCommand::service)
-                                .fold(
-                                        findings -> RoleProcess.refuse(findings, errors),
-                                        service ->
-                                                RoleProcess.runUntilStopped(
-                                                        service.start()::stop)));
+                file -> {
+                    Result<EntryService> service =
+                            Settings.entry(file, CommandOptions.overrides(line))
+                                    .flatMap(EntryCommand::create);
+                    return service.fold(
+                            findings -> RoleProcess.refuse(findings, errors),
+                            created -> RoleProcess.runUntilStopped(created.start()::stop));
+                });
     }
 
-    private static Result<EntryService> service(EntrySettings settings) {
+    private static Result<EntryService> create(EntrySettings settings) {
         return RoleConfigurations.security(settings.process())
                 .flatMap(
                         security ->
-                                RoleConfigurations.callers(settings)
+                                RoleConfigurations.identification(settings)
                                         .map(
-                                                callers ->
+                                                identification ->
                                                         EntryService.of(
                                                                 RoleConfigurations.entry(settings),
-                                                                callers,
+                                                                identification,
                                                                 security)));
     }
 }
--- a/src/main/java/org/yuccabank/command/RoleConfigurations.java
+++ b/src/main/java/org/yuccabank/command/RoleConfigurations.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.util.List;
 import org.yuccabank.control.ControlConfiguration;
-import org.yuccabank.entry.Caller;
 import org.yuccabank.entry.CallerIdentification;
 import org.yuccabank.entry.EntryConfiguration;
 import org.yuccabank.event.Event;
@@ -15,7 +14,6 @@
 import org.yuccabank.replication.ReplicaMember;
 import org.yuccabank.replication.ReplicaTiming;
 import org.yuccabank.result.Result;
-import org.yuccabank.security.Authenticator;
 import org.yuccabank.security.ReloadingCredentials;
 import org.yuccabank.security.TlsContexts;
 import org.yuccabank.settings.ControlSettings;
@@ -81,7 +79,12 @@
         return ScanningPlacement.bestFit();
     }
 
-    /** Mutual TLS as the settings ask for it, or why its keys cannot be used. */
+    /**
+     * TLS between the processes, reloaded when its files change.
+     *
+     * @param settings settings of the process
+     * @return the security, or what is wrong with the files
+     */
     static Result<PeerSecurity> security(ProcessSettings settings) {
         if (settings.tls().isEmpty()) {
             EventLog.warning(Event.SECURITY_OFF, "process", settings.processId());
@@ -90,21 +93,19 @@
         return TlsContexts.load(settings.tls().get()).map(TlsContexts::start);
     }
 
-    /** Identifies callers by the credentials file, or why the file cannot be used. */
-    static Result<CallerIdentification> callers(EntrySettings settings) {
+    /**
+     * Identification of callers, by the credentials file if there is one.
+     *
+     * @param settings settings of the entry
+     * @return the identification, or what is wrong with the file
+     */
+    static Result<CallerIdentification> identification(EntrySettings settings) {
         if (settings.credentialsFile().isEmpty()) {
             return Result.success(CallerIdentification.off());
         }
         return ReloadingCredentials.load(settings.credentialsFile().get())
                 .map(ReloadingCredentials::start)
-                .map(RoleConfigurations::identification);
-    }
-
-    private static CallerIdentification identification(Authenticator authenticator) {
-        return headers ->
-                authenticator
-                        .authenticateHeader(headers.get("Authorization"))
-                        .map(known -> new Caller(known.account(), known.operator()));
+                .map(CallerIdentification::byToken);
     }
 
     static String text(InetSocketAddress address) {
