Add the policy bench, learned interference, protection, health and reservations

Change: bench policy with fakes for hosts, agents and requests; first versions of learned slowdown, gradual protection, host health, observed reservations, urgent reserve and checkpoint intervals.

--- /dev/null
+++ b/src/main/java/org/yuccabank/bench/BenchRun.java
@@ -0,0 +1,191 @@
+package org.yuccabank.bench;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import org.yuccabank.result.Place;
+import org.yuccabank.result.Result;
+
+/**
+ * One run of the policy bench: seeded load, fake hosts and the decision code, in steps of {@value
+ * #STEP_MILLIS} ms. The same options give the same result.
+ */
+public final class BenchRun {
+
+    private static final long STEP_MILLIS = 100;
+    private static final long REPORT_MILLIS = 1_000;
+    private static final int LEAST_REPORT_DELAY_MILLIS = 30;
+    private static final int REPORT_DELAY_SPREAD_MILLIS = 60;
+
+    /** Usage and slowdown in a report are older than the report by at least this. */
+    private static final long LAG_MILLIS = 2_000;
+
+    /** Batch work is finishable if twice its run time and this allowance remain. */
+    private static final double FINISHABLE_FACTOR = 2;
+
+    private static final long FINISHABLE_ALLOWANCE_MILLIS = 20_000;
+
+    private final BenchOptions options;
+    private final Load load;
+    private final long durationMillis;
+    private final RunTotals totals = new RunTotals();
+    private final EventQueue events = new EventQueue();
+    private final Fleet fleet;
+    private final WorkSource source;
+    private final BenchScheduler scheduler;
+    private final RandomGenerator network;
+
+    private BenchRun(BenchOptions options, Example example, Load load, PolicySet policy) {
+        this.options = options;
+        this.load = load;
+        this.durationMillis = 1000L * options.durationSeconds();
+        this.network = generator(1);
+        this.fleet =
+                new Fleet(
+                        example,
+                        options.workers(),
+                        policy.router(),
+                        totals,
+                        generator(2),
+                        generator(3));
+        this.source = new WorkSource(example, load, options.workers(), generator(4));
+        this.scheduler =
+                new BenchScheduler(
+                        policy,
+                        example,
+                        source.teams(),
+                        fleet,
+                        new Directives(fleet.hosts(), events, network),
+                        events,
+                        totals,
+                        generator(5));
+        new FaultScript(fleet, events, generator(6), durationMillis)
+                .schedule(load, source, scheduler);
+    }
+
+    /** Each part of the bench has its own stream, so that one part cannot shift another. */
+    private RandomGenerator generator(int part) {
+        return RandomGeneratorFactory.of("L64X128MixRandom")
+                .create(options.seed() * 1_000_003 + part);
+    }
+
+    /**
+     * Runs the bench.
+     *
+     * @param options what to measure
+     * @return the figures, or findings for unknown names
+     */
+    public static Result<BenchResult> run(BenchOptions options) {
+        Objects.requireNonNull(options, "options is null");
+        var example = Example.named(options.example());
+        if (example.isEmpty()) {
+            return unknown("example", options.example());
+        }
+        var load = Load.named(options.load());
+        if (load.isEmpty()) {
+            return unknown("load", options.load());
+        }
+        var policy = PolicyCatalogue.create(options.policy(), example.get());
+        if (policy.isEmpty()) {
+            return unknown("policy", options.policy());
+        }
+        return Result.success(new BenchRun(options, example.get(), load.get(), policy.get()).run());
+    }
+
+    /**
+     * Names of the loads.
+     *
+     * @return the names
+     */
+    public static List<String> loads() {
+        return List.of(Load.values()).stream().map(Load::label).toList();
+    }
+
+    /**
+     * Names of the policies.
+     *
+     * @return the names
+     */
+    public static List<String> policies() {
+        return PolicyCatalogue.names();
+    }
+
+    private static Result<BenchResult> unknown(String option, String value) {
+        return Result.failure(
+                Place.of("--" + option), "unknown " + option + " " + value + "; see --list");
+    }
+
+    private BenchResult run() {
+        source.initial().forEach(task -> scheduler.submit(task, 0));
+        for (long now = 0; now < durationMillis; now += STEP_MILLIS) {
+            step(now);
+        }
+        scheduler.finish(durationMillis);
+        return result();
+    }
+
+    private void step(long now) {
+        double part = (double) now / durationMillis;
+        events.runUntil(now);
+        fleet.tick(now, STEP_MILLIS, load, part);
+        sendReports(now);
+        source.arrivals(now, STEP_MILLIS, part).forEach(task -> scheduler.submit(task, now));
+        scheduler.tick(now);
+        if (now % REPORT_MILLIS == 0 && now >= RunTotals.WARM_UP_MILLIS) {
+            scheduler.measureQuota();
+        }
+    }
+
+    private void sendReports(long now) {
+        List<FakeHost> hosts = fleet.hosts();
+        for (int index = 0; index < hosts.size(); index++) {
+            FakeHost host = hosts.get(index);
+            boolean due = (now + index % 10 * STEP_MILLIS) % REPORT_MILLIS == 0;
+            if (due && host.isReachable()) {
+                HostReport report = host.report(now, LAG_MILLIS, Fleet.SERVICE_MILLIS);
+                long arrives =
+                        now
+                                + LEAST_REPORT_DELAY_MILLIS
+                                + network.nextInt(REPORT_DELAY_SPREAD_MILLIS);
+                events.at(arrives, () -> scheduler.onReport(report, arrives));
+            }
+        }
+    }
+
+    private BenchResult result() {
+        return new BenchResult(
+                options.policy(),
+                options.load(),
+                options.workers(),
+                options.seed(),
+                BenchResult.Percentiles.of(totals.latencyMicros, 1000),
+                BenchResult.rounded(
+                        (double) totals.late / Math.max(1, totals.latencyMicros.getTotalCount())),
+                BenchResult.rounded(batchFinished()),
+                totals.evictions,
+                BenchResult.rounded(totals.lostWorkMillis / 1000),
+                totals.capacityBreaches,
+                totals.doubleRuns,
+                BenchResult.Percentiles.of(totals.startDelayMillis, 1),
+                BenchResult.rounded(totals.quotaErrors / Math.max(1, totals.quotaSamples)),
+                BenchResult.rounded(totals.usedCores / totals.offeredCores));
+    }
+
+    private double batchFinished() {
+        double finishable = 0;
+        double finished = 0;
+        for (BenchTask task : source.all()) {
+            double end =
+                    task.submittedMillis
+                            + FINISHABLE_FACTOR * task.workMillis
+                            + FINISHABLE_ALLOWANCE_MILLIS;
+            if (task.urgent() || task.cancelled || task.broken || end > durationMillis) {
+                continue;
+            }
+            finishable += task.workMillis;
+            finished += task.finished ? task.workMillis : 0;
+        }
+        return finishable == 0 ? 1 : finished / finishable;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/bench/HostBelief.java
@@ -0,0 +1,151 @@
+package org.yuccabank.bench;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.yuccabank.model.HostId;
+import org.yuccabank.model.Resources;
+import org.yuccabank.policy.eviction.BatchCandidate;
+import org.yuccabank.policy.eviction.ProtectionState;
+import org.yuccabank.policy.interference.CompositionHistory;
+import org.yuccabank.policy.placement.HostStatus;
+import org.yuccabank.policy.placement.HostView;
+import org.yuccabank.policy.placement.KindLoad;
+
+/** What the scheduler knows about a host. Not thread-safe. */
+final class HostBelief {
+
+    private static final int HOSTS_PER_RACK = 3;
+    private static final int DATA_CENTRES = 3;
+
+    final HostId id;
+    final int index;
+    final Resources capacity;
+    final Map<Long, Lease> leases = new LinkedHashMap<>();
+    final CompositionHistory history = CompositionHistory.create();
+    ProtectionState protection = ProtectionState.INITIAL;
+    HostStatus status = HostStatus.READY;
+    long lastReportMillis;
+    double utilisation;
+
+    private final List<KindProfile> kinds;
+    private final String rack;
+    private final String dataCentre;
+    private Resources reserved = Fleet.SERVICE_RESERVATION;
+    private int unproven;
+    private HostView view;
+
+    HostBelief(int index, Resources capacity, List<KindProfile> kinds) {
+        this.index = index;
+        this.id = HostId.of("host-" + index);
+        this.capacity = capacity;
+        this.kinds = kinds;
+        this.rack = "rack-" + index / HOSTS_PER_RACK;
+        this.dataCentre = "dc-" + index / HOSTS_PER_RACK % DATA_CENTRES;
+    }
+
+    void add(Lease lease) {
+        leases.put(lease.token, lease);
+        reserved = reserved.plus(lease.reservation);
+        unproven++;
+        view = null;
+    }
+
+    Lease remove(long token) {
+        Lease lease = leases.remove(token);
+        if (lease != null) {
+            reserved = reserved.minus(lease.reservation);
+            unproven -= lease.proven ? 0 : 1;
+            view = null;
+        }
+        return lease;
+    }
+
+    void prove(Lease lease) {
+        lease.proven = true;
+        unproven--;
+        view = null;
+    }
+
+    void changed() {
+        view = null;
+    }
+
+    void setStatus(HostStatus newStatus) {
+        if (status != newStatus) {
+            status = newStatus;
+            view = null;
+        }
+    }
+
+    /** Immutable picture for placement, rebuilt after changes. */
+    HostView view() {
+        if (view == null) {
+            view =
+                    new HostView(
+                            id,
+                            dataCentre,
+                            rack,
+                            status,
+                            capacity,
+                            reserved,
+                            load(false),
+                            utilisation,
+                            lastReportMillis,
+                            unproven);
+        }
+        return view;
+    }
+
+    /**
+     * Load by kind.
+     *
+     * @param startedOnly true for what the newest report showed as running, false for every lease
+     */
+    List<KindLoad> load(boolean startedOnly) {
+        long[] millis = new long[kinds.size()];
+        int[] tasks = new int[kinds.size()];
+        millis[Example.SERVICE] =
+                (long) (utilisation * Fleet.SERVICE_RESERVATION.processorMillis());
+        tasks[Example.SERVICE] = 1;
+        for (Lease lease : leases.values()) {
+            if (!startedOnly || lease.startedMillis >= 0) {
+                millis[lease.task.kind] += lease.usedMillis;
+                tasks[lease.task.kind]++;
+            }
+        }
+        List<KindLoad> load = new ArrayList<>(kinds.size());
+        for (int kind = 0; kind < millis.length; kind++) {
+            if (tasks[kind] > 0) {
+                KindProfile profile = kinds.get(kind);
+                load.add(
+                        new KindLoad(
+                                profile.kind(),
+                                kind == Example.SERVICE,
+                                tasks[kind],
+                                millis[kind]));
+            }
+        }
+        return load;
+    }
+
+    /** Batch tasks that may be throttled or stopped. */
+    List<BatchCandidate> candidates(long nowMillis) {
+        List<BatchCandidate> candidates = new ArrayList<>();
+        for (Lease lease : leases.values()) {
+            if (!lease.task.urgent() && !lease.stopping) {
+                candidates.add(
+                        new BatchCandidate(
+                                lease.task.id,
+                                lease.task.profile.kind(),
+                                lease.reservation,
+                                lease.usedMillis,
+                                lease.task.checkpointable(),
+                                lease.throttled,
+                                lease.startedMillis < 0 ? 0 : lease.atRiskMillis));
+            }
+        }
+        return candidates;
+    }
+}
--- a/src/main/java/org/yuccabank/command/Commands.java
+++ b/src/main/java/org/yuccabank/command/Commands.java
@@ -5,7 +5,8 @@
 /** The commands of the executable, in the order in which the help lists them. */
 final class Commands {
 
-    private static final List<Command> ALL = List.of(new VersionCommand());
+    private static final List<Command> ALL =
+            List.of(new VersionCommand(), new BenchPolicyCommand());
 
     private Commands() {}
 
--- /dev/null
+++ b/src/main/java/org/yuccabank/policy/checkpoint/StopRate.java
@@ -0,0 +1,42 @@
+package org.yuccabank.policy.checkpoint;
+
+/** Mean time between unplanned stops of checkpointable tasks. Not thread-safe. */
+public final class StopRate {
+
+    /** One stop in ten minutes is assumed until more is known. */
+    private static final long PRIOR_MILLIS = 600_000;
+
+    private double ranMillis = PRIOR_MILLIS;
+    private double stops = 1;
+
+    private StopRate() {}
+
+    /**
+     * Creates a rate without observations.
+     *
+     * @return the rate
+     */
+    public static StopRate create() {
+        return new StopRate();
+    }
+
+    /**
+     * Takes in the end of an execution.
+     *
+     * @param millis how long it ran
+     * @param unplanned true if it was stopped without a checkpoint
+     */
+    public void observe(long millis, boolean unplanned) {
+        ranMillis += millis;
+        stops += unplanned ? 1 : 0;
+    }
+
+    /**
+     * Mean running time between unplanned stops of one task.
+     *
+     * @return the time in milliseconds
+     */
+    public long meanMillis() {
+        return (long) (ranMillis / stops);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/policy/eviction/BatchCandidate.java
@@ -0,0 +1,34 @@
+package org.yuccabank.policy.eviction;
+
+import java.util.Objects;
+import org.yuccabank.model.Resources;
+import org.yuccabank.model.TaskId;
+import org.yuccabank.model.WorkKind;
+
+/**
+ * A batch task that may be throttled or stopped. Immutable.
+ *
+ * @param task the task
+ * @param kind its kind
+ * @param reservation what its lease holds
+ * @param processorMillis processors that it uses, in thousandths of a core
+ * @param checkpointable true if it can be moved without loss
+ * @param throttled true if it is throttled already
+ * @param atRiskMillis work that a stop without a checkpoint would lose
+ */
+public record BatchCandidate(
+        TaskId task,
+        WorkKind kind,
+        Resources reservation,
+        long processorMillis,
+        boolean checkpointable,
+        boolean throttled,
+        long atRiskMillis) {
+
+    /** Checks the parts. */
+    public BatchCandidate {
+        Objects.requireNonNull(task, "task is null");
+        Objects.requireNonNull(kind, "kind is null");
+        Objects.requireNonNull(reservation, "reservation is null");
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/policy/interference/SlowdownEstimator.java
@@ -0,0 +1,37 @@
+package org.yuccabank.policy.interference;
+
+import java.util.List;
+import org.yuccabank.model.WorkKind;
+import org.yuccabank.policy.placement.KindLoad;
+
+/** Estimates how much the tasks on a host slow one kind. Reading it changes nothing. */
+@FunctionalInterface
+public interface SlowdownEstimator {
+
+    /**
+     * Estimates the slowdown of a kind on a host.
+     *
+     * @param victim kind whose slowdown is wanted
+     * @param present load on the host, including the victim's own
+     * @param added kind that is added to the load
+     * @param addedMillis processors that the added kind uses, in thousandths of a core; negative
+     *     for work that is removed, 0 for none
+     * @param capacityMillis processors of the host, in thousandths of a core
+     * @return the factor by which the victim takes longer, at least 1
+     */
+    double slowdown(
+            WorkKind victim,
+            List<KindLoad> present,
+            WorkKind added,
+            long addedMillis,
+            long capacityMillis);
+
+    /**
+     * Knows of no interference.
+     *
+     * @return an estimator that always answers 1
+     */
+    static SlowdownEstimator none() {
+        return (victim, present, added, addedMillis, capacityMillis) -> 1;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/policy/reservation/UrgentReserve.java
@@ -0,0 +1,83 @@
+package org.yuccabank.policy.reservation;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Objects;
+import org.yuccabank.model.Resources;
+
+/**
+ * Room kept free of batch work so that urgent tasks start without waiting for a termination. The
+ * reserve follows the greatest number of urgent starts in a few seconds of the recent past. Not
+ * thread-safe.
+ */
+public final class UrgentReserve {
+
+    /** Stopping a batch task and learning of it takes up to this long. */
+    private static final long WINDOW_MILLIS = 3_000;
+
+    /** Waves come back within minutes. */
+    private static final long MEMORY_MILLIS = 120_000;
+
+    /** Room beyond the greatest wave seen; arrivals vary by about their square root. */
+    private static final double ALLOWANCE = 1.5;
+
+    private static final int MINIMUM_SLOTS = 2;
+
+    private final Resources slot;
+    private final Deque<long[]> waves = new ArrayDeque<>();
+    private long windowStart;
+    private int windowStarts;
+
+    private UrgentReserve(Resources slot) {
+        this.slot = slot;
+    }
+
+    /**
+     * Creates a reserve.
+     *
+     * @param slot room for one urgent task
+     * @return the reserve
+     */
+    public static UrgentReserve of(Resources slot) {
+        return new UrgentReserve(Objects.requireNonNull(slot, "slot is null"));
+    }
+
+    /**
+     * Counts an urgent task that asks for a host.
+     *
+     * @param nowMillis present time
+     */
+    public void observeStart(long nowMillis) {
+        if (nowMillis - windowStart >= WINDOW_MILLIS) {
+            waves.addLast(new long[] {windowStart, windowStarts});
+            windowStart = nowMillis;
+            windowStarts = 0;
+            while (!waves.isEmpty() && waves.getFirst()[0] < nowMillis - MEMORY_MILLIS) {
+                waves.removeFirst();
+            }
+        }
+        windowStarts++;
+    }
+
+    /**
+     * Room that batch work must leave free on a host.
+     *
+     * @param index position of the host
+     * @param hosts number of hosts
+     * @return the room, in whole slots spread evenly over the hosts
+     */
+    public Resources on(int index, int hosts) {
+        long slots = slotsNeeded();
+        // Differences of rounded multiples spread the slots evenly without any state per host.
+        long onHost = (index + 1) * slots / hosts - index * slots / hosts;
+        return Resources.of(slot.processorMillis() * onHost, slot.memoryMebibytes() * onHost, 0);
+    }
+
+    private long slotsNeeded() {
+        long greatest = windowStarts;
+        for (long[] wave : waves) {
+            greatest = Math.max(greatest, wave[1]);
+        }
+        return Math.max(MINIMUM_SLOTS, (long) Math.ceil(greatest * ALLOWANCE));
+    }
+}
