Predict usage as a multiple of the declared size where owners are consistent

Cause: reservations from amounts alone were larger than accurate declarations, so less batch work fitted. Change: prediction by ratio or by amount, whichever spreads less; the router draws from available instances.

--- a/src/main/java/org/yuccabank/bench/ReportIntake.java
+++ b/src/main/java/org/yuccabank/bench/ReportIntake.java
@@ -127,7 +127,8 @@
 
     private void observe(Lease lease, Resources peak) {
         BenchTask task = lease.task;
-        policy.reservations().observe(task.account, task.profile.kind(), peak, lease.reservation);
+        policy.reservations()
+                .observe(task.account, task.profile.kind(), peak, lease.reservation, task.declared);
     }
 
     private void learn(HostBelief host, HostReport report, List<KindLoad> present, long nowMillis) {
--- a/src/main/java/org/yuccabank/bench/RequestRouter.java
+++ b/src/main/java/org/yuccabank/bench/RequestRouter.java
@@ -18,20 +18,29 @@
     int route(List<? extends TargetView> targets, long nowMillis, RandomGenerator random);
 
     /**
-     * Compares two instances chosen at random and takes the one with fewer requests in flight.
+     * Compares two available instances chosen at random and takes the one with fewer requests in
+     * flight.
      *
      * @return the router
      */
     static RequestRouter powerOfTwo() {
         return (targets, nowMillis, random) -> {
-            int first = random.nextInt(targets.size());
-            int second = random.nextInt(targets.size());
-            TargetView one = targets.get(first);
-            TargetView other = targets.get(second);
-            if (!one.available()) {
-                return other.available() ? second : -1;
+            int first = available(targets, random.nextInt(targets.size()));
+            int second = available(targets, random.nextInt(targets.size()));
+            if (first < 0) {
+                return -1;
             }
-            return other.available() && other.inFlight() < one.inFlight() ? second : first;
+            return targets.get(second).inFlight() < targets.get(first).inFlight() ? second : first;
         };
     }
+
+    private static int available(List<? extends TargetView> targets, int from) {
+        for (int step = 0; step < targets.size(); step++) {
+            int index = (from + step) % targets.size();
+            if (targets.get(index).available()) {
+                return index;
+            }
+        }
+        return -1;
+    }
 }
--- a/src/main/java/org/yuccabank/policy/reservation/ObservedReservation.java
+++ b/src/main/java/org/yuccabank/policy/reservation/ObservedReservation.java
@@ -10,8 +10,11 @@
  * Reserves what tasks of the same account and kind were seen to use, plus an allowance. Not
  * thread-safe.
  *
- * <p>The declared size counts in full until {@value #ENOUGH} tasks were seen. Accelerators always
- * follow the declaration, because a task without its accelerator cannot run.
+ * <p>Usage is predicted in two ways: as a multiple of the declared size, for owners whose error is
+ * consistent, and as an amount of its own, for owners who declare the same size for every task. The
+ * prediction with the lesser relative spread is used. The declared size counts in full until
+ * {@value #ENOUGH} tasks were seen. Accelerators always follow the declaration, because a task
+ * without its accelerator cannot run.
  */
 public final class ObservedReservation implements ReservationEstimator {
 
@@ -51,23 +54,33 @@
     @Override
     public Resources reservation(AccountId account, WorkKind kind, Resources declared) {
         Statistics statistics = byAccount.get(new Key(account, kind));
-        if (statistics == null || statistics.processors.count < ENOUGH) {
+        if (statistics == null || statistics.processors.count() < ENOUGH) {
             statistics = byKind.get(kind);
         }
-        if (statistics == null || statistics.processors.count < ENOUGH) {
+        if (statistics == null || statistics.processors.count() < ENOUGH) {
             return declared;
         }
+        double processors =
+                statistics.processors.upperBound(declared.processorMillis(), PROCESSOR_DEVIATIONS);
+        double memory = statistics.memory.upperBound(declared.memoryMebibytes(), MEMORY_DEVIATIONS);
         return Resources.of(
-                (long) (LAG_ALLOWANCE * statistics.processors.upperBound(PROCESSOR_DEVIATIONS)),
-                (long) (LAG_ALLOWANCE * statistics.memory.upperBound(MEMORY_DEVIATIONS)),
+                (long) Math.ceil(LAG_ALLOWANCE * processors),
+                (long) Math.ceil(LAG_ALLOWANCE * memory),
                 declared.accelerators());
     }
 
     @Override
-    public void observe(AccountId account, WorkKind kind, Resources peak, Resources reserved) {
+    public void observe(
+            AccountId account,
+            WorkKind kind,
+            Resources peak,
+            Resources reserved,
+            Resources declared) {
         Resources usage = wanted(peak, reserved);
-        byAccount.computeIfAbsent(new Key(account, kind), key -> new Statistics()).add(usage);
-        byKind.computeIfAbsent(kind, key -> new Statistics()).add(usage);
+        byAccount
+                .computeIfAbsent(new Key(account, kind), key -> new Statistics())
+                .add(usage, declared);
+        byKind.computeIfAbsent(kind, key -> new Statistics()).add(usage, declared);
     }
 
     private static Resources wanted(Resources peak, Resources reserved) {
@@ -82,33 +95,12 @@
 
     /** Usage of the tasks of one key. */
     private static final class Statistics {
-        private final Moments processors = new Moments();
-        private final Moments memory = new Moments();
+        private final UsagePrediction processors = new UsagePrediction();
+        private final UsagePrediction memory = new UsagePrediction();
 
-        void add(Resources usage) {
-            processors.add((double) usage.processorMillis());
-            memory.add((double) usage.memoryMebibytes());
-        }
-    }
-
-    /** Mean and variance that follow changes: old values fade with weight 1/{@value #WINDOW}. */
-    private static final class Moments {
-        private static final int WINDOW = 200;
-
-        private int count;
-        private double mean;
-        private double variance;
-
-        void add(double value) {
-            count++;
-            double weight = 1.0 / Math.min(count, WINDOW);
-            double difference = value - mean;
-            mean += weight * difference;
-            variance = (1 - weight) * (variance + weight * difference * difference);
-        }
-
-        double upperBound(double deviations) {
-            return mean + deviations * Math.sqrt(variance);
+        void add(Resources usage, Resources declared) {
+            processors.add((double) usage.processorMillis(), (double) declared.processorMillis());
+            memory.add((double) usage.memoryMebibytes(), (double) declared.memoryMebibytes());
         }
     }
 }
--- a/src/main/java/org/yuccabank/policy/reservation/ReservationEstimator.java
+++ b/src/main/java/org/yuccabank/policy/reservation/ReservationEstimator.java
@@ -24,8 +24,14 @@
      * @param kind kind of the task
      * @param peak greatest usage that was reported for the task
      * @param reserved what its lease reserved, which limits the usage
+     * @param declared what its owner declared
      */
-    void observe(AccountId account, WorkKind kind, Resources peak, Resources reserved);
+    void observe(
+            AccountId account,
+            WorkKind kind,
+            Resources peak,
+            Resources reserved,
+            Resources declared);
 
     /**
      * Trusts declared sizes.
@@ -41,7 +47,11 @@
 
             @Override
             public void observe(
-                    AccountId account, WorkKind kind, Resources peak, Resources reserved) {}
+                    AccountId account,
+                    WorkKind kind,
+                    Resources peak,
+                    Resources reserved,
+                    Resources declared) {}
         };
     }
 }
