Bound the urgent reserve and release throttled tasks together

Change: at most one slot per host; tasks that were there before do not count; limits of the protection are a value.

--- a/src/main/java/org/yuccabank/bench/BenchScheduler.java
+++ b/src/main/java/org/yuccabank/bench/BenchScheduler.java
@@ -97,7 +97,10 @@
 
     void submit(BenchTask task, long nowMillis) {
         if (task.urgent()) {
-            policy.reserve().ifPresent(reserve -> reserve.observeStart(nowMillis));
+            // The tasks of the first step stand for those that ran before the run began.
+            if (nowMillis > 0) {
+                policy.reserve().ifPresent(reserve -> reserve.observeStart(nowMillis));
+            }
             urgent.addLast(task);
         } else {
             batch.add(task);
--- a/src/main/java/org/yuccabank/bench/PolicyCatalogue.java
+++ b/src/main/java/org/yuccabank/bench/PolicyCatalogue.java
@@ -7,6 +7,7 @@
 import org.yuccabank.model.WorkKind;
 import org.yuccabank.policy.checkpoint.CheckpointInterval;
 import org.yuccabank.policy.eviction.GradualProtection;
+import org.yuccabank.policy.eviction.ProtectionLimits;
 import org.yuccabank.policy.eviction.ProtectionPolicy;
 import org.yuccabank.policy.eviction.ThresholdProtection;
 import org.yuccabank.policy.health.HostHealth;
@@ -105,7 +106,7 @@
                 InterferencePlacement.of(truth, reserve::on),
                 Optional.empty(),
                 false,
-                GradualProtection.of(truth),
+                GradualProtection.of(truth, ProtectionLimits.usual()),
                 true,
                 ObservedReservation.create(),
                 Optional.of(reserve),
@@ -144,7 +145,7 @@
         return switch (without) {
             case "protection" -> ProtectionPolicy.none();
             case "gradual-protection" -> ThresholdProtection.create();
-            default -> GradualProtection.of(estimator);
+            default -> GradualProtection.of(estimator, ProtectionLimits.usual());
         };
     }
 
--- a/src/main/java/org/yuccabank/policy/eviction/GradualProtection.java
+++ b/src/main/java/org/yuccabank/policy/eviction/GradualProtection.java
@@ -16,40 +16,34 @@
  */
 public final class GradualProtection implements ProtectionPolicy {
 
-    /** Slowdown above which urgent work needs protection. */
-    private static final double UPPER_LIMIT = 1.6;
-
-    /** Slowdown below which throttled tasks may be released. */
-    private static final double LOWER_LIMIT = 1.35;
-
     /** One report may be the noise of a short measurement. */
     private static final int REPORTS_TO_ACT = 2;
 
     /** A directive and its effect on requests in progress take about this long. */
     private static final long SETTLE_MILLIS = 1_000;
 
-    private static final long CALM_MILLIS = 4_000;
-
     /** Share of its processors that a throttled task keeps. */
     public static final double THROTTLED_SHARE = 0.3;
 
-    /** A stop loses work, so it needs a far worse state than a throttle or a move. */
-    private static final double STOP_LIMIT = 2.5;
-
     private final SlowdownEstimator estimator;
+    private final ProtectionLimits limits;
 
-    private GradualProtection(SlowdownEstimator estimator) {
+    private GradualProtection(SlowdownEstimator estimator, ProtectionLimits limits) {
         this.estimator = estimator;
+        this.limits = limits;
     }
 
     /**
      * Creates the policy.
      *
      * @param estimator tells which task slows the urgent work most
+     * @param limits when to act
      * @return the policy
      */
-    public static GradualProtection of(SlowdownEstimator estimator) {
-        return new GradualProtection(Objects.requireNonNull(estimator, "estimator is null"));
+    public static GradualProtection of(SlowdownEstimator estimator, ProtectionLimits limits) {
+        Objects.requireNonNull(estimator, "estimator is null");
+        Objects.requireNonNull(limits, "limits is null");
+        return new GradualProtection(estimator, limits);
     }
 
     @Override
@@ -62,18 +56,18 @@
         if (next.highReports() >= REPORTS_TO_ACT) {
             return escalate(next, pressure, nowMillis);
         }
-        if (next.calmSinceMillis() >= 0 && nowMillis - next.calmSinceMillis() >= CALM_MILLIS) {
+        if (next.calmSinceMillis() >= 0
+                && nowMillis - next.calmSinceMillis() >= limits.calmMillis()) {
             return release(next, pressure, nowMillis);
         }
         return ProtectionDecision.nothing(next);
     }
 
-    private static ProtectionState judged(
-            ProtectionState state, HostPressure pressure, long nowMillis) {
+    private ProtectionState judged(ProtectionState state, HostPressure pressure, long nowMillis) {
         double measured = pressure.measuredSlowdown();
-        int high = measured > UPPER_LIMIT ? state.highReports() + 1 : 0;
+        int high = measured > limits.upper() ? state.highReports() + 1 : 0;
         long calmSince = -1;
-        if (measured < LOWER_LIMIT) {
+        if (measured < limits.lower()) {
             calmSince = state.calmSinceMillis() >= 0 ? state.calmSinceMillis() : nowMillis;
         }
         return new ProtectionState(
@@ -98,7 +92,7 @@
         Optional<BatchCandidate> cheapest =
                 pressure.candidates().stream()
                         .min(Comparator.comparingLong(BatchCandidate::atRiskMillis));
-        if (cheapest.isPresent() && pressure.measuredSlowdown() > STOP_LIMIT) {
+        if (cheapest.isPresent() && pressure.measuredSlowdown() > limits.stop()) {
             return new ProtectionDecision(
                     state.acted(nowMillis),
                     List.of(new ProtectionAction.Stop(cheapest.get().task())));
@@ -118,7 +112,7 @@
         List<ProtectionAction> actions = new ArrayList<>();
         double expected = pressure.measuredSlowdown();
         for (BatchCandidate task : byEffect) {
-            if (expected <= LOWER_LIMIT) {
+            if (expected <= limits.target()) {
                 break;
             }
             actions.add(new ProtectionAction.Throttle(task.task()));
@@ -127,29 +121,29 @@
         return actions;
     }
 
+    /** Releases tasks, the least harmful first, while the expected slowdown stays acceptable. */
     private ProtectionDecision release(
             ProtectionState state, HostPressure pressure, long nowMillis) {
-        Optional<BatchCandidate> least =
+        List<BatchCandidate> byEffect =
                 pressure.candidates().stream()
                         .filter(BatchCandidate::throttled)
-                        .min(Comparator.comparingLong(BatchCandidate::processorMillis));
-        if (least.isEmpty()) {
-            return ProtectionDecision.nothing(state);
+                        .sorted(
+                                Comparator.comparingDouble(
+                                        (BatchCandidate task) -> effect(task, pressure)))
+                        .toList();
+        List<ProtectionAction> actions = new ArrayList<>();
+        double expected = pressure.measuredSlowdown();
+        for (BatchCandidate task : byEffect) {
+            expected += (1 / THROTTLED_SHARE - 1) * effect(task, pressure);
+            if (expected > limits.target() && !actions.isEmpty() || expected > limits.upper()) {
+                break;
+            }
+            actions.add(new ProtectionAction.Release(task.task()));
         }
-        BatchCandidate task = least.get();
-        long returned = (long) (task.processorMillis() * (1 / THROTTLED_SHARE - 1));
-        double expected =
-                estimator.slowdown(
-                        pressure.victim(),
-                        pressure.load(),
-                        task.kind(),
-                        returned,
-                        pressure.capacityMillis());
-        if (expected > UPPER_LIMIT) {
+        if (actions.isEmpty()) {
             return ProtectionDecision.nothing(state);
         }
-        return new ProtectionDecision(
-                state.acted(nowMillis), List.of(new ProtectionAction.Release(task.task())));
+        return new ProtectionDecision(state.acted(nowMillis), actions);
     }
 
     /** How much less the urgent work is slowed without the task. */
--- a/src/main/java/org/yuccabank/policy/reservation/UrgentReserve.java
+++ b/src/main/java/org/yuccabank/policy/reservation/UrgentReserve.java
@@ -23,6 +23,9 @@
 
     private static final int MINIMUM_SLOTS = 2;
 
+    /** A single great wave, such as a restart of all services, must not lock out batch work. */
+    private static final long GREATEST_SLOTS_PER_HOST = 1;
+
     private final Resources slot;
     private final Deque<long[]> waves = new ArrayDeque<>();
     private long windowStart;
@@ -67,7 +70,7 @@
      * @return the room, in whole slots spread evenly over the hosts
      */
     public Resources on(int index, int hosts) {
-        long slots = slotsNeeded();
+        long slots = Math.min(hosts * GREATEST_SLOTS_PER_HOST, slotsNeeded());
         // Differences of rounded multiples spread the slots evenly without any state per host.
         long onHost = (index + 1) * slots / hosts - index * slots / hosts;
         return Resources.of(slot.processorMillis() * onHost, slot.memoryMebibytes() * onHost, 0);
