--- a/src/main/java/org/yuccabank/command/Commands.java
+++ b/src/main/java/org/yuccabank/command/Commands.java
@@ -6,7 +6,17 @@
 final class Commands {
 
     private static final List<Command> ALL =
-            List.of(new VersionCommand(), new BenchPolicyCommand());
+            List.of(
+                    new ControlCommand(),
+                    new EntryCommand(),
+                    new AgentCommand(),
+                    new WorkerCommand(),
+                    new LocalCommand(),
+                    new RulesCheckCommand(),
+                    new RulesDiffCommand(),
+                    new SettingsCheckCommand(),
+                    new BenchPolicyCommand(),
+                    new VersionCommand());
 
     private Commands() {}
 
--- /dev/null
+++ b/src/main/java/org/yuccabank/command/LocalCommand.java
@@ -0,0 +1,224 @@
+package org.yuccabank.command;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.yuccabank.local.EntryClient;
+import org.yuccabank.local.LoadDriver;
+import org.yuccabank.local.LoadProfile;
+import org.yuccabank.local.LocalDeployment;
+import org.yuccabank.local.RunRecords;
+import org.yuccabank.result.Result;
+import reactor.core.publisher.Mono;
+
+/** Runs an example deployment in one process and drives its load. Thread-safe, without state. */
+final class LocalCommand implements Command {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final Duration READY_LIMIT = Duration.ofSeconds(30);
+    private static final Duration READY_POLL = Duration.ofMillis(100);
+    private static final double MICROS_PER_MILLI = 1_000.0;
+
+    @Override
+    public String name() {
+        return "local";
+    }
+
+    @Override
+    public String summary() {
+        return "Runs an example with all roles in one process and drives its load.";
+    }
+
+    @Override
+    public String arguments() {
+        return "";
+    }
+
+    @Override
+    public Options options() {
+        return CommandOptions.json()
+                .addOption(CommandOptions.value("example", "NAME", "tazzart or ferraglia."))
+                .addOption(
+                        CommandOptions.value("duration", "TIME", "Time of the load, such as 20s."));
+    }
+
+    @Override
+    public List<String> examples() {
+        return List.of(
+                "yuccabank local --example tazzart --duration 20s",
+                "yuccabank local --example ferraglia --duration 60s --json");
+    }
+
+    @Override
+    public ExitCode run(CommandLine line, PrintStream output, PrintStream errors)
+            throws IOException {
+        String example = line.getOptionValue("example", "tazzart");
+        Optional<Duration> duration = seconds(line.getOptionValue("duration", "20s"));
+        Optional<String> load = resource(example, "load.toml");
+        Optional<String> rules = resource(example, "rules.txt");
+        if (duration.isEmpty()) {
+            errors.println("--duration needs a number of seconds such as 20s");
+            return ExitCode.USAGE;
+        }
+        if (load.isEmpty() || rules.isEmpty()) {
+            errors.println("unknown example " + example + "; there are tazzart and ferraglia");
+            return ExitCode.USAGE;
+        }
+        Result<LoadProfile> profile =
+                LoadProfile.parse(load.get(), "examples/" + example + "/load.toml");
+        if (!profile.isSuccess()) {
+            return RoleProcess.refuse(profile.findings(), errors);
+        }
+        Path directory = Files.createTempDirectory("yuccabank-local");
+        try {
+            ObjectNode report = run(example, profile.get(), rules.get(), duration.get(), directory);
+            print(report, line.hasOption(CommandOptions.JSON), output);
+            return ExitCode.SUCCESS;
+        } finally {
+            delete(directory);
+        }
+    }
+
+    private static Optional<Duration> seconds(String text) {
+        return text.matches("[1-9]\\d{0,5}s?")
+                ? Optional.of(Duration.ofSeconds(Long.parseLong(text.replace("s", ""))))
+                : Optional.empty();
+    }
+
+    private static Optional<String> resource(String example, String file) throws IOException {
+        if (!example.matches("[a-z-]{1,40}")) {
+            return Optional.empty();
+        }
+        String name = "/examples/" + example + "/" + file;
+        try (InputStream stream = LocalCommand.class.getResourceAsStream(name)) {
+            return stream == null
+                    ? Optional.empty()
+                    : Optional.of(new String(stream.readAllBytes(), StandardCharsets.UTF_8));
+        }
+    }
+
+    private static ObjectNode run(
+            String example, LoadProfile profile, String rules, Duration duration, Path directory) {
+        LocalDeployment deployment =
+                LocalDeployment.of(profile, directory, RoleConfigurations::placement);
+        deployment.start();
+        EntryClient client = EntryClient.of(deployment.entryAddresses());
+        try {
+            awaitReady(client, profile);
+            applyRules(client, rules);
+            String run = Long.toString(System.currentTimeMillis());
+            LoadDriver driver = LoadDriver.of(profile, client, run);
+            driver.run(duration);
+            long finished = driver.awaitJobs();
+            return report(example, duration, profile, deployment, driver.counts(), finished);
+        } finally {
+            client.stop();
+            deployment.stop();
+        }
+    }
+
+    private static void awaitReady(EntryClient client, LoadProfile profile) {
+        long deadlineNanos = System.nanoTime() + READY_LIMIT.toNanos();
+        String ready = "\"state\":\"ready\"";
+        int entries = profile.entries();
+        int confirmed = 0;
+        while (confirmed < entries) {
+            EntryClient.Answer answer =
+                    client.send(HttpMethod.GET, "/v1/targets", Map.of(), "").block();
+            boolean complete = answer.body().split(ready, -1).length - 1 >= profile.hosts();
+            confirmed = complete ? confirmed + 1 : 0;
+            if (System.nanoTime() > deadlineNanos) {
+                throw new IllegalStateException(
+                        "the targets were not announced in time: " + answer.body());
+            }
+            Mono.delay(READY_POLL).block();
+        }
+    }
+
+    private static void applyRules(EntryClient client, String rules) {
+        EntryClient.Answer answer =
+                client.send(HttpMethod.PUT, "/v1/rules", Map.of("If-Match", "\"0\""), rules)
+                        .block();
+        if (answer.status() != 200) {
+            throw new IllegalStateException("the rules were refused: " + answer.body());
+        }
+        Mono.delay(Duration.ofSeconds(2)).block();
+    }
+
+    private static ObjectNode report(
+            String example,
+            Duration duration,
+            LoadProfile profile,
+            LocalDeployment deployment,
+            LoadDriver.Counts counts,
+            long finished) {
+        Set<String> atMostOnce =
+                profile.atMostOnce().stream()
+                        .map(LoadProfile.RequestStream::kind)
+                        .collect(Collectors.toSet());
+        RunRecords records =
+                RunRecords.of(
+                        deployment.workers().stream()
+                                .map(server -> server.worker().records().all())
+                                .toList(),
+                        atMostOnce);
+        ObjectNode node =
+                MAPPER.createObjectNode()
+                        .put("example", example)
+                        .put("durationSeconds", duration.toSeconds())
+                        .put("served", counts.served())
+                        .put("late", counts.late())
+                        .put("evicted", records.evicted())
+                        .put("refused", counts.refused() + counts.jobsRefused())
+                        .put("unknown", counts.unknown())
+                        .put("mismatched", counts.mismatched())
+                        .put("submitted", counts.jobsSubmitted())
+                        .put("finished", finished)
+                        .put("runTwice", records.runTwice());
+        node.putObject("latencyMillis")
+                .put("p50", millis(counts, 50))
+                .put("p99", millis(counts, 99))
+                .put("p999", millis(counts, 99.9));
+        return node;
+    }
+
+    private static double millis(LoadDriver.Counts counts, double percentile) {
+        return counts.latencyMicros().getValueAtPercentile(percentile) / MICROS_PER_MILLI;
+    }
+
+    private static void print(ObjectNode report, boolean json, PrintStream output) {
+        if (json) {
+            output.println(report);
+            return;
+        }
+        report.properties()
+                .forEach(field -> output.printf("%-16s %s%n", field.getKey(), field.getValue()));
+    }
+
+    private static void delete(Path directory) {
+        try (Stream<Path> files = Files.walk(directory)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/command/WorkerCommand.java
@@ -0,0 +1,127 @@
+package org.yuccabank.command;
+
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.yuccabank.result.Result;
+import org.yuccabank.settings.Settings;
+import org.yuccabank.settings.WorkerSettings;
+import org.yuccabank.standin.CheckpointStore;
+import org.yuccabank.standin.StandInConfiguration;
+import org.yuccabank.standin.StandInServer;
+
+/** Runs a stand-in worker with a service instance, for examples and tests. */
+final class WorkerCommand implements Command {
+
+    @Override
+    public String name() {
+        return "worker";
+    }
+
+    @Override
+    public String summary() {
+        return "Runs a stand-in worker and target, for examples and tests.";
+    }
+
+    @Override
+    public String arguments() {
+        return "";
+    }
+
+    @Override
+    public Options options() {
+        return new Options()
+                .addOption(CommandOptions.value("settings", "FILE", "Settings of the worker."))
+                .addOption(CommandOptions.settings())
+                .addOption(CommandOptions.value("kinds", "LIST", "Kinds that it serves."))
+                .addOption(CommandOptions.value("serve-ms", "N", "Time of a request when idle."))
+                .addOption(CommandOptions.value("slowdown", "LIST", "As preview:render=0.5."))
+                .addOption(CommandOptions.value("seed", "N", "Seed of random times."))
+                .addOption(CommandOptions.value("records", "FILE", "File for the records."));
+    }
+
+    @Override
+    public List<String> examples() {
+        return List.of(
+                "yuccabank worker --settings worker.toml --kinds preview,charge",
+                "yuccabank worker --settings worker.toml --slowdown preview:encode=1.5"
+                        + " --records records.jsonl");
+    }
+
+    @Override
+    public ExitCode run(CommandLine line, PrintStream output, PrintStream errors)
+            throws ParseException {
+        String file = line.getOptionValue("settings");
+        if (file == null) {
+            throw new ParseException("--settings FILE is needed");
+        }
+        Result<WorkerSettings> settings =
+                Settings.worker(Path.of(file), CommandOptions.overrides(line));
+        if (!settings.isSuccess()) {
+            errors.println(settings.findings());
+            return ExitCode.REFUSED;
+        }
+        StandInConfiguration configuration = configuration(settings.get(), line);
+        StandInServer server = StandInServer.start(configuration, CheckpointStore.empty());
+        output.println("worker listens on " + server.address());
+        return RoleProcess.runUntilStopped(
+                () -> {
+                    server.withdraw();
+                    server.stop();
+                    return true;
+                });
+    }
+
+    private static StandInConfiguration configuration(WorkerSettings settings, CommandLine line)
+            throws ParseException {
+        String kinds = line.getOptionValue("kinds", "");
+        StandInConfiguration configuration =
+                StandInConfiguration.standard(
+                                settings.process().processId(),
+                                settings.service(),
+                                kinds.isEmpty() ? List.of() : List.of(kinds.split(",", -1)),
+                                settings.httpAddress(),
+                                Optional.of(settings.agentAddress()))
+                        .withCapacity(
+                                settings.capacity(), StandInConfiguration.STANDARD_RESERVATION)
+                        .withTimes(
+                                number(line, "serve-ms", 20),
+                                slowdowns(line),
+                                number(line, "seed", 1));
+        String records = line.getOptionValue("records");
+        if (records != null) {
+            configuration = configuration.withRecordFile(Path.of(records));
+        }
+        return configuration;
+    }
+
+    private static long number(CommandLine line, String name, long otherwise)
+            throws ParseException {
+        String text = line.getOptionValue(name);
+        try {
+            return text == null ? otherwise : Long.parseLong(text);
+        } catch (NumberFormatException exception) {
+            throw new ParseException("--" + name + " needs a whole number, not " + text);
+        }
+    }
+
+    private static Map<String, Double> slowdowns(CommandLine line) throws ParseException {
+        Map<String, Double> result = new HashMap<>();
+        String text = line.getOptionValue("slowdown", "");
+        for (String part : text.isEmpty() ? new String[0] : text.split(",", -1)) {
+            String[] sides = part.split("=", -1);
+            try {
+                result.put(sides[0], Double.parseDouble(sides[sides.length - 1]));
+            } catch (NumberFormatException exception) {
+                throw new ParseException("--slowdown needs KIND:KIND=NUMBER, not " + part);
+            }
+        }
+        return result;
+    }
+}
