--- a/src/main/java/org/yuccabank/policy/eviction/GradualProtection.java
+++ b/src/main/java/org/yuccabank/policy/eviction/GradualProtection.java
@@ -135,7 +135,7 @@
         double expected = pressure.measuredSlowdown();
         for (BatchCandidate task : byEffect) {
             expected += (1 / THROTTLED_SHARE - 1) * effect(task, pressure);
-            if (expected > limits.target() && !actions.isEmpty() || expected > limits.upper()) {
+            if ((expected > limits.target() && !actions.isEmpty()) || expected > limits.upper()) {
                 break;
             }
             actions.add(new ProtectionAction.Release(task.task()));
--- a/src/main/java/org/yuccabank/policy/reservation/ObservedReservation.java
+++ b/src/main/java/org/yuccabank/policy/reservation/ObservedReservation.java
@@ -61,8 +61,11 @@
             return declared;
         }
         double processors =
-                statistics.processors.upperBound(declared.processorMillis(), PROCESSOR_DEVIATIONS);
-        double memory = statistics.memory.upperBound(declared.memoryMebibytes(), MEMORY_DEVIATIONS);
+                statistics.processors.upperBound(
+                        (double) declared.processorMillis(), PROCESSOR_DEVIATIONS);
+        double memory =
+                statistics.memory.upperBound(
+                        (double) declared.memoryMebibytes(), MEMORY_DEVIATIONS);
         return Resources.of(
                 (long) Math.ceil(LAG_ALLOWANCE * processors),
                 (long) Math.ceil(LAG_ALLOWANCE * memory),
