--- a/src/main/java/org/yuccabank/command/Commands.java
+++ b/src/main/java/org/yuccabank/command/Commands.java
@@ -27,6 +27,7 @@
         commands.add(new WorkerCommand());
         commands.add(new LocalCommand());
         commands.add(new BenchScaleCommand());
+        commands.add(new BenchPolicyCommand());
         commands.add(new BenchRoutingCommand());
         commands.add(new BenchQuotaCommand());
         commands.add(new VerifyCommand());
