Let only the incarnation that a claim names tell its outcome

A restarted agent answered a question about a claim of its former incarnation with "not run", and control would have replaced an unknown outcome by it, so the request could run twice. Change: OutcomeQuery names the incarnation and another one answers "unknown"; an unknown outcome becomes known only by proof that it ran; acknowledgements name the claim's token in place of its key; a drain waits until control has every change.

--- a/src/main/java/org/yuccabank/agent/AgentCore.java
+++ b/src/main/java/org/yuccabank/agent/AgentCore.java
@@ -37,6 +37,7 @@
     private final RequestDesk desk;
     private final List<AgentAction> actions = new ArrayList<>();
     private WorkerState worker;
+    private final long incarnation;
     private long lastRead;
     private long nextReadMillis;
     private long workerReadAtMillis;
@@ -47,6 +48,7 @@
 
     private AgentCore(AgentConfiguration configuration, long incarnation, AgentOptions options) {
         this.configuration = configuration;
+        this.incarnation = incarnation;
         this.options = options;
         this.rules = new ConfigurationState(configuration.limits());
         this.table = TaskTable.of(options);
@@ -167,8 +169,8 @@
             hostChanged();
         }
         renew(directives, base);
-        for (String key : directives.getAcknowledgedClaimsList()) {
-            desk.ledger().acknowledge(key, directives.getAcknowledgedSequence());
+        for (long token : directives.getAcknowledgedClaimTokensList()) {
+            desk.ledger().acknowledge(token, directives.getAcknowledgedSequence());
         }
         applyAll(directives, base, nowMillis);
     }
@@ -276,6 +278,11 @@
 
     /** Answers a question about a request. */
     OutcomeAnswer query(OutcomeQuery query, long nowMillis) {
+        boolean otherIncarnation =
+                query.getFencingToken() != 0 && query.getIncarnation() != incarnation;
+        if (otherIncarnation && options.checkIncarnation()) {
+            return RequestDesk.unknownTo(query);
+        }
         return desk.query(query, nowMillis);
     }
 
@@ -321,7 +328,7 @@
             idleSinceMillis = nowMillis;
             return false;
         }
-        boolean settled = desk.ledger().isSettled() && reporter.isSettled();
+        boolean settled = desk.ledger().isSettled() && reporter.isSettled(table.all());
         return settled || nowMillis - idleSinceMillis > SETTLE_MILLIS;
     }
 
--- a/src/main/java/org/yuccabank/agent/Reporter.java
+++ b/src/main/java/org/yuccabank/agent/Reporter.java
@@ -1,6 +1,7 @@
 package org.yuccabank.agent;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -85,9 +86,10 @@
         return acknowledged;
     }
 
-    /** Tells whether control has acknowledged the newest report. */
-    boolean isSettled() {
-        return acknowledged == sequence;
+    /** Tells whether control has acknowledged the newest report and nothing has changed since. */
+    boolean isSettled(Collection<AgentTask> tasks) {
+        return acknowledged == sequence
+                && tasks.stream().allMatch(task -> task.changedAt <= acknowledged);
     }
 
     /** Builds the next report. */
--- a/src/main/java/org/yuccabank/agent/RequestDesk.java
+++ b/src/main/java/org/yuccabank/agent/RequestDesk.java
@@ -229,6 +229,18 @@
         return answer.build();
     }
 
+    /** The answer about a claim that another incarnation had, which may have run it. */
+    static OutcomeAnswer unknownTo(OutcomeQuery query) {
+        ClaimOutcome outcome =
+                RequestLedger.outcome(
+                                query.getAccount(),
+                                query.getRequestId(),
+                                query.getFencingToken(),
+                                OutcomeKind.UNKNOWN)
+                        .build();
+        return OutcomeAnswer.newBuilder().setFound(true).setOutcome(outcome).build();
+    }
+
     private InvokeResult toResult(ClaimOutcome outcome) {
         return result(outcome.getOutcome())
                 .setStatus(outcome.getStatus())
--- a/src/main/java/org/yuccabank/agent/RequestLedger.java
+++ b/src/main/java/org/yuccabank/agent/RequestLedger.java
@@ -156,14 +156,14 @@
     }
 
     /**
-     * Takes the acknowledgement of control for a key.
+     * Takes the acknowledgement of control for a claim.
      *
      * @param sequence sequence of the report that control answers; an outcome that was not in that
      *     report or an earlier one is not acknowledged by it
      */
-    void acknowledge(String key, long sequence) {
+    void acknowledge(long token, long sequence) {
         for (Entry entry : entries.values()) {
-            boolean same = entry.outcome.getKey().equals(key);
+            boolean same = entry.outcome.getFencingToken() == token;
             boolean sent = entry.firstSequence != 0 && entry.firstSequence <= sequence;
             if (same && !entry.isOpen() && sent) {
                 entry.acknowledged = true;
--- a/src/main/java/org/yuccabank/command/BenchScaleCommand.java
+++ b/src/main/java/org/yuccabank/command/BenchScaleCommand.java
@@ -19,8 +19,8 @@
 import org.knowm.xchart.VectorGraphicsEncoder.VectorGraphicsFormat;
 import org.knowm.xchart.XYChart;
 import org.knowm.xchart.XYChartBuilder;
-import org.yuccabank.bench.scale.ScaleBench;
-import org.yuccabank.bench.scale.ScalePoint;
+import org.yuccabank.local.scale.ScaleBench;
+import org.yuccabank.local.scale.ScalePoint;
 
 /** Measures the cost of control at several sizes. Thread-safe, as it has no state. */
 final class BenchScaleCommand implements Command {
--- a/src/main/java/org/yuccabank/control/ReportHandler.java
+++ b/src/main/java/org/yuccabank/control/ReportHandler.java
@@ -151,9 +151,10 @@
             boolean recorded =
                     claim.isEmpty()
                             || claim.get().getFencingToken() != outcome.getFencingToken()
-                            || isFinal(claim.get().getOutcome().getOutcome());
+                            || isFinal(claim.get().getOutcome().getOutcome())
+                            || claim.get().getOutcome().getOutcome() == outcome.getOutcome();
             if (recorded) {
-                answer.addAcknowledgedClaims(outcome.getKey());
+                answer.addAcknowledgedClaimTokens(outcome.getFencingToken());
                 proposedClaimOutcomes.remove(claimId(outcome));
             } else if (proposedClaimOutcomes.add(claimId(outcome))) {
                 CommandRequest request =
--- a/src/main/java/org/yuccabank/entry/ClaimDispatcher.java
+++ b/src/main/java/org/yuccabank/entry/ClaimDispatcher.java
@@ -61,6 +61,23 @@
         this.random = random;
     }
 
+    /**
+     * Who holds a claim.
+     *
+     * @param hostId host of the agent
+     * @param incarnation incarnation of the agent that the claim names
+     * @param token fencing token of the claim
+     */
+    private record Holder(String hostId, long incarnation, long token) {
+
+        static Holder of(CommandResult existing) {
+            return new Holder(
+                    existing.getIdentifier(),
+                    existing.getIncarnation(),
+                    existing.getFencingToken());
+        }
+    }
+
     /** Progress of one request. */
     private static final class Progress {
         private final ServiceRequest request;
@@ -206,7 +223,7 @@
                 location.hostId(),
                 "cause",
                 attempt.error());
-        return settle(progress, location.hostId(), token, 0);
+        return settle(progress, new Holder(location.hostId(), location.incarnation(), token), 0);
     }
 
     private static ServiceReply ran(InvokeResult result, String target) {
@@ -266,8 +283,7 @@
                 progress.replacedToken = result.getFencingToken();
                 yield claim(progress);
             }
-            case IN_PROGRESS ->
-                    askAgain(progress, result.getIdentifier(), result.getFencingToken(), 0);
+            case IN_PROGRESS -> askAgain(progress, Holder.of(result), 0);
             default -> unknown("the target was restarted while the request ran");
         };
     }
@@ -278,8 +294,8 @@
     }
 
     /** Asks the agent that holds a claim until the outcome is known. */
-    private Mono<ServiceReply> settle(Progress progress, String hostId, long token, int questions) {
-        Optional<PeerClient> agent = directory.agentOf(hostId);
+    private Mono<ServiceReply> settle(Progress progress, Holder holder, int questions) {
+        Optional<PeerClient> agent = directory.agentOf(holder.hostId());
         if (agent.isEmpty() || questions >= MAXIMUM_QUESTIONS) {
             return Mono.just(new ServiceReply.InProgress());
         }
@@ -287,7 +303,8 @@
                 OutcomeQuery.newBuilder()
                         .setRequestId(progress.request.requestId())
                         .setAccount(progress.request.account().value())
-                        .setFencingToken(token)
+                        .setFencingToken(holder.token())
+                        .setIncarnation(holder.incarnation())
                         .build();
         return AgentCalls.query(agent.get(), query)
                 .map(OutcomeAnswer::getOutcome)
@@ -300,16 +317,15 @@
                                         report(answer).subscribe();
                                         yield Mono.just(remembered(answer));
                                     }
-                                    case NOT_RUN -> replace(progress, token);
+                                    case NOT_RUN -> replace(progress, holder.token());
                                     case UNKNOWN -> unknown("the agent does not know the outcome");
-                                    default -> askAgain(progress, hostId, token, questions);
+                                    default -> askAgain(progress, holder, questions);
                                 });
     }
 
-    private Mono<ServiceReply> askAgain(
-            Progress progress, String hostId, long token, int questions) {
+    private Mono<ServiceReply> askAgain(Progress progress, Holder holder, int questions) {
         return Mono.delay(QUESTION_INTERVAL, decisions)
-                .flatMap(tick -> settle(progress, hostId, token, questions + 1));
+                .flatMap(tick -> settle(progress, holder, questions + 1));
     }
 
     private static Mono<ServiceReply> notRun(String reason) {
--- a/src/main/java/org/yuccabank/bench/scale/ScaleBench.java
+++ b/src/main/java/org/yuccabank/local/scale/ScaleBench.java
@@ -1,4 +1,4 @@
-package org.yuccabank.bench.scale;
+package org.yuccabank.local.scale;
 
 import java.io.IOException;
 import java.net.InetAddress;
--- a/src/main/java/org/yuccabank/bench/scale/ScalePoint.java
+++ b/src/main/java/org/yuccabank/local/scale/ScalePoint.java
@@ -1,4 +1,4 @@
-package org.yuccabank.bench.scale;
+package org.yuccabank.local.scale;
 
 /**
  * One measured size. Immutable.
--- a/src/main/java/org/yuccabank/bench/scale/ThreadTimes.java
+++ b/src/main/java/org/yuccabank/local/scale/ThreadTimes.java
@@ -1,4 +1,4 @@
-package org.yuccabank.bench.scale;
+package org.yuccabank.local.scale;
 
 import java.lang.management.ManagementFactory;
 import java.lang.management.ThreadInfo;
--- a/src/main/java/org/yuccabank/state/Claims.java
+++ b/src/main/java/org/yuccabank/state/Claims.java
@@ -71,6 +71,7 @@
                 Results.of(Verdict.CONFLICT, "the key has a claim").toBuilder()
                         .setFencingToken(existing.getFencingToken())
                         .setIdentifier(existing.getHostId())
+                        .setIncarnation(existing.getIncarnation())
                         .setClaimOutcome(existing.getOutcome())
                         .build());
     }
@@ -82,8 +83,11 @@
         }
         ClaimRecord claim = found.get();
         OutcomeKind known = claim.getOutcome().getOutcome();
-        // An unknown outcome may still become known by a late report of the agent that ran it.
-        if (known == OutcomeKind.IN_PROGRESS || known == OutcomeKind.UNKNOWN) {
+        // A late report may still prove that a request of unknown outcome ran. Nothing can prove
+        // the
+        // opposite once the incarnation that had the claim is gone.
+        boolean provesRun = known == OutcomeKind.UNKNOWN && outcome.getOutcome() == OutcomeKind.RAN;
+        if (known == OutcomeKind.IN_PROGRESS || provesRun) {
             state.putClaim(claim.toBuilder().setOutcome(outcome).build());
         }
         return Results.accepted(index);
--- a/src/test/java/org/yuccabank/agent/AgentWorld.java
+++ b/src/test/java/org/yuccabank/agent/AgentWorld.java
@@ -310,6 +310,7 @@
                             .setRequestId(key)
                             .setAccount("account")
                             .setFencingToken(token.get())
+                            .setIncarnation(request.getIncarnation())
                             .build();
             carry(() -> input(host, () -> query(host, query, request)));
         }
@@ -322,10 +323,6 @@
     }
 
     private void query(Host host, OutcomeQuery query, Invoke request) {
-        if (host.incarnation != request.getIncarnation()) {
-            // The entry sees another incarnation in the greeting and leaves it to control.
-            return;
-        }
         var answer = host.core.query(query, now);
         if (answer.getOutcome().getOutcome() == OutcomeKind.NOT_RUN) {
             notRun(request);
--- a/src/test/java/org/yuccabank/agent/FakeControl.java
+++ b/src/test/java/org/yuccabank/agent/FakeControl.java
@@ -128,7 +128,7 @@
         report.getTasksList().forEach(this::takeUp);
         for (ClaimOutcome outcome : report.getClaimOutcomesList()) {
             takeUp(outcome);
-            answer.addAcknowledgedClaims(outcome.getKey());
+            answer.addAcknowledgedClaimTokens(outcome.getFencingToken());
         }
         for (Map.Entry<String, Lease> entry : leases.entrySet()) {
             Lease lease = entry.getValue();
--- a/src/test/java/org/yuccabank/agent/StubControl.java
+++ b/src/test/java/org/yuccabank/agent/StubControl.java
@@ -56,7 +56,7 @@
             answer.addRenewedTokens(task.getFencingToken());
         }
         for (ClaimOutcome claim : report.getClaimOutcomesList()) {
-            answer.addAcknowledgedClaims(claim.getKey());
+            answer.addAcknowledgedClaimTokens(claim.getFencingToken());
         }
         return Mono.just(Envelope.newBuilder().setAgentDirectives(answer).build());
     }
--- a/src/test/java/org/yuccabank/state/ReplicatedStateTest.java
+++ b/src/test/java/org/yuccabank/state/ReplicatedStateTest.java
@@ -194,6 +194,22 @@
         assertEquals(claim("k2", 1, 0, 5).getVerdict(), Verdict.REJECTED);
     }
 
+    /** Guards against "not run" for a request that an incarnation which is gone may have run. */
+    @Test
+    public void shouldNotTurnUnknownIntoNotRun() {
+        long token = claim("k", 1, 0, 5).getFencingToken();
+        apply(
+                StateCommand.newBuilder()
+                        .setIncarnationSeen(
+                                IncarnationSeen.newBuilder()
+                                        .setHostId("host-1")
+                                        .setIncarnation(2)));
+        report("k", token, OutcomeKind.NOT_RUN);
+        assertEquals(outcome("k"), OutcomeKind.UNKNOWN);
+        report("k", token, OutcomeKind.RAN);
+        assertEquals(outcome("k"), OutcomeKind.RAN);
+    }
+
     private OutcomeKind outcome(String key) {
         return state.records().claim("studio", key).orElseThrow().getOutcome().getOutcome();
     }
