--- a/src/main/java/org/yuccabank/command/Commands.java
+++ b/src/main/java/org/yuccabank/command/Commands.java
@@ -16,6 +16,7 @@
                     new RulesCheckCommand(),
                     new RulesDiffCommand(),
                     new SettingsCheckCommand(),
+                    new VerifyCommand(),
                     new VersionCommand());
 
     private Commands() {}
