Let a leader probe a follower whose conflict hint lies before its match index

Cause: a follower answers a conflict with the first index of its conflicting term, which may be at or before the match index that the leader knows; the leader ignored such answers for ever and the follower stayed behind in a healthy group.

--- a/src/main/java/org/yuccabank/replication/Leadership.java
+++ b/src/main/java/org/yuccabank/replication/Leadership.java
@@ -226,7 +226,8 @@
             commit();
             transfer.onMatch(from);
         } else if (from.mode() != Progress.Mode.SNAPSHOT
-                && reply.getConflictIndex() > from.matchIndex()) {
+                && from.nextIndex() > from.matchIndex() + 1) {
+            // The hint may lie before the match index, as it names the first entry of a term.
             from.conflicted(reply.getConflictIndex());
             sendHeartbeat(from);
         }
--- a/src/test/java/org/yuccabank/verify/VerificationTest.java
+++ b/src/test/java/org/yuccabank/verify/VerificationTest.java
@@ -24,6 +24,18 @@
         report.faults().forEach((fault, count) -> assertTrue(count > 0, fault + " never injected"));
     }
 
+    /** Seeds in which a follower stayed behind for ever. */
+    @DataProvider
+    public Object[][] seedsWithFollowerLeftBehind() {
+        return new Object[][] {{1_382L}, {1_919L}};
+    }
+
+    /** Guards against a leader that ignores a hint before the follower's match index. */
+    @Test(dataProvider = "seedsWithFollowerLeftBehind")
+    public void shouldCatchUpEveryFollower(long seed) {
+        assertEquals(Verification.run(1, seed).violations(), List.of());
+    }
+
     /** Guards against schedules that can not be replayed. */
     @Test
     public void shouldRepeatScheduleOfSeed() {
