--- a/src/main/java/org/yuccabank/agent/Reporter.java
+++ b/src/main/java/org/yuccabank/agent/Reporter.java
@@ -1,6 +1,7 @@
 package org.yuccabank.agent;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -85,9 +86,10 @@
         return acknowledged;
     }
 
-    /** Tells whether control has acknowledged the newest report. */
-    boolean isSettled() {
-        return acknowledged == sequence;
+    /** Tells whether control has acknowledged the newest report and nothing has changed since. */
+    boolean isSettled(Collection<AgentTask> tasks) {
+        return acknowledged == sequence
+                && tasks.stream().allMatch(task -> task.changedAt <= acknowledged);
     }
 
     /** Builds the next report. */
@@ -136,7 +138,9 @@
     }
 
     private void remember(long nowMillis) {
-        nextMillis = nowMillis + configuration.limits().reportIntervalMillis();
+        long interval = configuration.limits().reportIntervalMillis();
+        // Counted from when this report was due, so that ticks do not make the interval longer.
+        nextMillis = Math.max(nextMillis + interval, nowMillis + interval / 2);
         sentAt.put(sequence, nowMillis);
         if (sentAt.size() > REMEMBERED_SEQUENCES) {
             sentAt.remove(sentAt.keySet().iterator().next());
--- a/src/main/java/org/yuccabank/policy/routing/TargetView.java
+++ b/src/main/java/org/yuccabank/policy/routing/TargetView.java
@@ -12,12 +12,24 @@
     /** Age at which a reported load says no more than the average of all targets. */
     private static final long LOAD_MEMORY_MILLIS = 200;
 
-    /** Age at which a measured service time says no more than the average of all targets. */
+    /**
+     * Age after which a measured service time no longer keeps a target from getting a request; it
+     * gets one, and its answer replaces the old estimate.
+     */
     private static final long SERVICE_MEMORY_MILLIS = 5000;
 
     /** Weight of one service time; lower ones follow a slowdown too slowly. */
     private static final double SERVICE_WEIGHT = 1.0 / 16;
 
+    /**
+     * Factor by which a target's service time must differ from that of all to count. Smaller
+     * differences are mostly chance, and following them costs more than a way to a far target.
+     */
+    private static final double CLEAR_DIFFERENCE = 1.5;
+
+    /** Time for which a target is avoided after its agent refused a request, in milliseconds. */
+    private static final long REFUSAL_MEMORY_MILLIS = 200;
+
     /** A target is silent when nothing was heard for this multiple of the expected time. */
     private static final double SILENCE_FACTOR = 4;
 
@@ -30,6 +42,7 @@
     private double serviceMicros;
     private long heardMillis;
     private long awaitedSinceMillis;
+    private long refusedUntilMillis;
     private int failuresInRow;
     private int exclusions;
     private long excludedUntilMillis;
@@ -66,16 +79,28 @@
         }
         othersLoad = Math.max(0, response.occupancy() - inFlight);
         if (response.kind() == Response.Kind.RAN) {
-            learnService((double) response.serviceMicros(), fleet, ageing, nowMillis);
+            learnService((double) response.serviceMicros(), ageing, nowMillis);
             fleet.add((double) response.serviceMicros(), othersLoad);
         }
+        if (response.kind() == Response.Kind.REFUSED) {
+            refusedUntilMillis = nowMillis + REFUSAL_MEMORY_MILLIS;
+        }
         heardMillis = nowMillis;
         awaitedSinceMillis = nowMillis;
     }
 
-    private void learnService(double sample, FleetAverages fleet, boolean ageing, long nowMillis) {
-        double base = serviceMicros(fleet, ageing, nowMillis);
-        serviceMicros = base == 0 ? sample : base + SERVICE_WEIGHT * (sample - base);
+    /**
+     * Tells whether the agent refused a request a short time ago. Such a target looks idle, because
+     * refusals free it, and would attract requests.
+     */
+    boolean refusedLately(long nowMillis) {
+        return nowMillis < refusedUntilMillis;
+    }
+
+    private void learnService(double sample, boolean ageing, long nowMillis) {
+        boolean isOld = ageing && nowMillis - heardMillis > SERVICE_MEMORY_MILLIS;
+        double weight = serviceMicros == 0 || isOld ? 1 : SERVICE_WEIGHT;
+        serviceMicros += weight * (sample - serviceMicros);
     }
 
     /** Expected requests at the target, running or waiting. */
@@ -83,23 +108,22 @@
         if (!ageing) {
             return inFlight + othersLoad;
         }
-        double fresh = freshness(LOAD_MEMORY_MILLIS, nowMillis);
+        double fresh = Math.max(0, 1 - (double) (nowMillis - heardMillis) / LOAD_MEMORY_MILLIS);
         return inFlight + fresh * othersLoad + (1 - fresh) * fleet.othersLoad();
     }
 
+    /** Expected service time: that of all targets, unless this one clearly differs. */
     double serviceMicros(FleetAverages fleet, boolean ageing, long nowMillis) {
-        if (serviceMicros == 0) {
-            return fleet.serviceMicros();
-        }
-        if (!ageing) {
-            return serviceMicros;
-        }
-        double fresh = freshness(SERVICE_MEMORY_MILLIS, nowMillis);
-        return fresh * serviceMicros + (1 - fresh) * fleet.serviceMicros();
+        double own = ownServiceMicros(fleet, ageing, nowMillis);
+        double all = fleet.serviceMicros();
+        boolean isOrdinary = own < all * CLEAR_DIFFERENCE && own * CLEAR_DIFFERENCE > all;
+        return isOrdinary ? all : own;
     }
 
-    private double freshness(long memoryMillis, long nowMillis) {
-        return Math.max(0, 1 - (double) (nowMillis - heardMillis) / memoryMillis);
+    private double ownServiceMicros(FleetAverages fleet, boolean ageing, long nowMillis) {
+        boolean isProbe =
+                ageing && inFlight == 0 && nowMillis - heardMillis > SERVICE_MEMORY_MILLIS;
+        return serviceMicros == 0 || isProbe ? fleet.serviceMicros() : serviceMicros;
     }
 
     /** Time for which answers are overdue, 0 while the target is not silent. */
