--- a/src/test/java/org/yuccabank/verify/VerificationTest.java
+++ b/src/test/java/org/yuccabank/verify/VerificationTest.java
@@ -36,6 +36,18 @@
         assertEquals(Verification.run(1, seed).violations(), List.of());
     }
 
+    /** Guards against a group of candidates that elects no leader in a quiet network. */
+    @Test
+    public void shouldElectLeaderAmongThreeCandidates() {
+        assertEquals(Verification.run(1, 6_308).violations(), List.of());
+    }
+
+    /** Guards against a larger group of candidates that elects no leader in a quiet network. */
+    @Test
+    public void shouldElectLeaderAmongFourCandidates() {
+        assertEquals(Verification.run(1, 14_750).violations(), List.of());
+    }
+
     /** Guards against schedules that can not be replayed. */
     @Test
     public void shouldRepeatScheduleOfSeed() {
