Read peer addresses in one place

Cause: control, entry, the agent's link and the leader client each parsed addresses with the same lines, and a method of UrgentDispatcher had no caller. Change: PeerAddress in the protocol package replaces the four copies; the unused method is removed. The whole test run was not repeated.

--- a/src/main/java/org/yuccabank/agent/ControlLink.java
+++ b/src/main/java/org/yuccabank/agent/ControlLink.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.function.BiConsumer;
+import org.yuccabank.protocol.PeerAddress;
 import org.yuccabank.protocol.PeerClient;
 import org.yuccabank.protocol.PeerHandler;
 import org.yuccabank.protocol.PeerTransport;
@@ -77,14 +78,12 @@
         if (client != used) {
             return;
         }
-        int colon = leaderAddress.lastIndexOf(':');
-        if (colon < 0) {
+        if (leaderAddress.isEmpty()) {
             abandon(used);
             return;
         }
         used.stop();
-        String host = leaderAddress.substring(0, colon);
-        connect(new InetSocketAddress(host, Integer.parseInt(leaderAddress.substring(colon + 1))));
+        connect(PeerAddress.parse(leaderAddress));
         onLeaderChange.run();
     }
 
--- a/src/main/java/org/yuccabank/control/ControlService.java
+++ b/src/main/java/org/yuccabank/control/ControlService.java
@@ -15,6 +15,7 @@
 import org.yuccabank.event.EventLog;
 import org.yuccabank.http.AdministrationServer;
 import org.yuccabank.policy.placement.PlacementPolicy;
+import org.yuccabank.protocol.PeerAddress;
 import org.yuccabank.protocol.PeerClient;
 import org.yuccabank.protocol.PeerHandler;
 import org.yuccabank.protocol.PeerSecurity;
@@ -178,7 +179,7 @@
     }
 
     private PeerClient connect(String address) {
-        return PeerClient.of(transport, Addresses.parse(address), PeerHandler.none());
+        return PeerClient.of(transport, PeerAddress.parse(address), PeerHandler.none());
     }
 
     /**
--- a/src/main/java/org/yuccabank/entry/EntryDirectory.java
+++ b/src/main/java/org/yuccabank/entry/EntryDirectory.java
@@ -12,6 +12,7 @@
 import org.yuccabank.model.TargetId;
 import org.yuccabank.policy.routing.Candidate;
 import org.yuccabank.policy.routing.Router;
+import org.yuccabank.protocol.PeerAddress;
 import org.yuccabank.protocol.PeerClient;
 import org.yuccabank.protocol.PeerHandler;
 import org.yuccabank.protocol.PeerTransport;
@@ -151,7 +152,7 @@
 
     private PeerClient agent(DirectoryEntry host) {
         PeerClient known = agents.get(host.getHostId());
-        InetSocketAddress address = Addresses.parse(host.getAgentAddress());
+        InetSocketAddress address = PeerAddress.parse(host.getAgentAddress());
         if (known != null && known.address().equals(address)) {
             return known;
         }
--- a/src/main/java/org/yuccabank/entry/UrgentDispatcher.java
+++ b/src/main/java/org/yuccabank/entry/UrgentDispatcher.java
@@ -9,7 +9,6 @@
 import org.yuccabank.policy.routing.Admission;
 import org.yuccabank.policy.routing.AdmissionController;
 import org.yuccabank.policy.routing.AdmissionRequest;
-import org.yuccabank.policy.routing.Response;
 import org.yuccabank.policy.routing.RetryBudget;
 import org.yuccabank.policy.routing.Route;
 import org.yuccabank.policy.routing.RouteRequest;
@@ -159,15 +158,4 @@
                 attempt.result().getBody(),
                 target.value());
     }
-
-    /**
-     * Counts an attempt of another dispatcher, so that routing knows its load.
-     *
-     * @param router the service's router
-     * @param target the target
-     * @param response how it ended
-     */
-    void completed(Router router, TargetId target, Response response) {
-        router.completed(target, response, clock.getAsLong());
-    }
 }
--- a/src/main/java/org/yuccabank/protocol/LeaderClient.java
+++ b/src/main/java/org/yuccabank/protocol/LeaderClient.java
@@ -111,7 +111,7 @@
             String leader,
             long deadlineNanos) {
         if (!leader.isEmpty() && position == 0) {
-            InetSocketAddress named = parse(leader);
+            InetSocketAddress named = PeerAddress.parse(leader);
             if (!named.equals(order.get(0))) {
                 likelyLeader = named;
                 return attempt(request, order(named), 0, deadlineNanos);
@@ -143,12 +143,6 @@
         return clients.computeIfAbsent(address, key -> PeerClient.of(transport, key, handler));
     }
 
-    private static InetSocketAddress parse(String address) {
-        int colon = address.lastIndexOf(':');
-        return new InetSocketAddress(
-                address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
-    }
-
     /** Closes all connections. */
     public void stop() {
         clients.values().forEach(PeerClient::stop);
