--- /dev/null
+++ b/src/main/java/org/yuccabank/agent/workflow/RunEntry.java
@@ -0,0 +1,145 @@
+package org.yuccabank.agent.workflow;
+
+import java.util.Optional;
+import org.yuccabank.policy.workflow.FillerPacing;
+import org.yuccabank.protocol.generated.ActiveRun;
+import org.yuccabank.protocol.generated.EndedRun;
+import org.yuccabank.protocol.generated.RunAddress;
+import org.yuccabank.protocol.generated.RunEnding;
+import org.yuccabank.protocol.generated.StartRun;
+
+/**
+ * What the agent knows about one run. Confined to the thread of the agent; times are those of its
+ * steady clock.
+ */
+final class RunEntry {
+
+    /** How the agent stands with a run. */
+    enum Stage {
+        /** A start is to be sent or on its way. */
+        STARTING,
+        /** The worker has confirmed or listed the run. */
+        STARTED,
+        /** It is not known whether the start will be carried out: it has to be stopped. */
+        DOUBTFUL,
+        /** The worker will not start it any more; the next list tells whether it was there. */
+        CHECKING,
+        /** It has ended or will never run. */
+        ENDED
+    }
+
+    private final RunAddress run;
+    private final Optional<StartRun> order;
+    private Stage stage;
+    private long checkedSinceMillis;
+    private int tries;
+    private boolean callInProgress;
+    private boolean stopWanted;
+    private long stoppedAtMillis = Long.MIN_VALUE / 2;
+    private int percent = FillerPacing.FULL_SPEED;
+    private ActiveRun listed;
+    private EndedRun end;
+
+    private RunEntry(RunAddress run, Optional<StartRun> order, Stage stage) {
+        this.run = run;
+        this.order = order;
+        this.stage = stage;
+        this.listed = ActiveRun.newBuilder().setRun(run).build();
+    }
+
+    static RunEntry ordered(StartRun order) {
+        return new RunEntry(order.getRun(), Optional.of(order), Stage.STARTING);
+    }
+
+    static RunEntry found(RunAddress run) {
+        return new RunEntry(run, Optional.empty(), Stage.STARTED);
+    }
+
+    RunAddress run() {
+        return run;
+    }
+
+    Optional<StartRun> order() {
+        return order;
+    }
+
+    Stage stage() {
+        return stage;
+    }
+
+    void setStage(Stage next) {
+        stage = next;
+    }
+
+    /** From a list requested after this time, absence proves that the run will never be there. */
+    void checkSince(long nowMillis) {
+        stage = Stage.CHECKING;
+        checkedSinceMillis = nowMillis;
+    }
+
+    boolean isAbsenceProved(long listRequestedMillis) {
+        return stage == Stage.CHECKING && listRequestedMillis > checkedSinceMillis;
+    }
+
+    int nextTry() {
+        return ++tries;
+    }
+
+    boolean isCallInProgress() {
+        return callInProgress;
+    }
+
+    void setCallInProgress(boolean inProgress) {
+        callInProgress = inProgress;
+    }
+
+    boolean isStopWanted() {
+        return stopWanted;
+    }
+
+    void wantStop() {
+        stopWanted = true;
+    }
+
+    boolean mayStopAgain(long nowMillis, long intervalMillis) {
+        return nowMillis - stoppedAtMillis >= intervalMillis;
+    }
+
+    void noteStop(long nowMillis) {
+        stoppedAtMillis = nowMillis;
+    }
+
+    int percent() {
+        return percent;
+    }
+
+    void setPercent(int value) {
+        percent = value;
+    }
+
+    ActiveRun listed() {
+        return listed;
+    }
+
+    void setListed(ActiveRun value) {
+        listed = value;
+    }
+
+    void endAs(EndedRun ended) {
+        stage = Stage.ENDED;
+        end = ended;
+    }
+
+    void endUnstarted(String reason) {
+        endAs(
+                EndedRun.newBuilder()
+                        .setRun(run)
+                        .setEnding(RunEnding.RUN_NOT_STARTED)
+                        .setReason(reason)
+                        .build());
+    }
+
+    Optional<EndedRun> end() {
+        return Optional.ofNullable(end);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/agent/workflow/RunTable.java
@@ -0,0 +1,150 @@
+package org.yuccabank.agent.workflow;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.yuccabank.policy.workflow.FillerPacing;
+import org.yuccabank.protocol.generated.ActiveRun;
+import org.yuccabank.protocol.generated.EndedRun;
+import org.yuccabank.protocol.generated.RunAddress;
+import org.yuccabank.protocol.generated.StartRun;
+
+/**
+ * The runs of one incarnation of a worker.
+ *
+ * <p>Invariants: an end stays until it is acknowledged or settled by the leader; a run counts as
+ * not started only if the worker refused it, or if it was absent from a list that was requested
+ * after the worker had agreed to stop it. Confined to the thread of the agent.
+ */
+final class RunTable {
+
+    private final Map<RunAddress, RunEntry> entries = new LinkedHashMap<>();
+    private long acknowledgedNumber;
+
+    void clear() {
+        entries.clear();
+        acknowledgedNumber = 0;
+    }
+
+    Optional<RunEntry> entry(RunAddress run) {
+        return Optional.ofNullable(entries.get(run));
+    }
+
+    Collection<RunEntry> entries() {
+        return List.copyOf(entries.values());
+    }
+
+    /** The entry of an ordered start, empty if the run is known already. */
+    Optional<RunEntry> order(StartRun order) {
+        if (entries.containsKey(order.getRun())) {
+            return Optional.empty();
+        }
+        RunEntry entry = RunEntry.ordered(order);
+        entries.put(order.getRun(), entry);
+        return Optional.of(entry);
+    }
+
+    /** The entry of a run to stop; one that is not known here may still be on its way. */
+    RunEntry stop(RunAddress run) {
+        RunEntry entry = entries.computeIfAbsent(run, RunEntry::found);
+        entry.wantStop();
+        return entry;
+    }
+
+    /**
+     * Takes a list.
+     *
+     * @return true if a run has ended or turned out never to have started
+     */
+    boolean list(List<ActiveRun> active, List<EndedRun> ended, long requestedMillis) {
+        boolean changed = false;
+        Set<RunAddress> seen = new HashSet<>();
+        for (ActiveRun each : active) {
+            seen.add(each.getRun());
+            RunEntry entry = entries.computeIfAbsent(each.getRun(), RunEntry::found);
+            entry.setListed(each);
+            if (entry.stage() == RunEntry.Stage.STARTING
+                    || entry.stage() == RunEntry.Stage.DOUBTFUL) {
+                entry.setStage(RunEntry.Stage.STARTED);
+            }
+        }
+        for (EndedRun each : ended) {
+            seen.add(each.getRun());
+            RunEntry entry = entries.computeIfAbsent(each.getRun(), RunEntry::found);
+            if (each.getNumber() > acknowledgedNumber
+                    && entry.end().map(EndedRun::getNumber).orElse(0L) == 0) {
+                entry.endAs(each);
+                changed = true;
+            }
+        }
+        for (RunEntry entry : entries.values()) {
+            if (!seen.contains(entry.run()) && entry.isAbsenceProved(requestedMillis)) {
+                entry.endUnstarted("absent after a stop");
+                changed = true;
+            }
+        }
+        return changed;
+    }
+
+    void acknowledge(long number) {
+        acknowledgedNumber = Math.max(acknowledgedNumber, number);
+        entries.values()
+                .removeIf(
+                        entry ->
+                                entry.end()
+                                        .filter(end -> end.getNumber() > 0)
+                                        .filter(end -> end.getNumber() <= acknowledgedNumber)
+                                        .isPresent());
+    }
+
+    /** The leader has recorded that these runs did not start. */
+    void settle(List<RunAddress> runs) {
+        for (RunAddress run : runs) {
+            entry(run)
+                    .flatMap(RunEntry::end)
+                    .filter(end -> end.getNumber() == 0)
+                    .ifPresent(end -> entries.remove(run));
+        }
+    }
+
+    long acknowledgedNumber() {
+        return acknowledgedNumber;
+    }
+
+    List<ActiveRun> active() {
+        return entries.values().stream()
+                .filter(entry -> entry.stage() != RunEntry.Stage.ENDED)
+                .map(RunEntry::listed)
+                .toList();
+    }
+
+    List<EndedRun> ended() {
+        return entries.values().stream().flatMap(entry -> entry.end().stream()).toList();
+    }
+
+    /** Latency figures of the serving runs. */
+    List<FillerPacing.Served> served() {
+        List<FillerPacing.Served> served = new ArrayList<>();
+        for (RunEntry entry : entries.values()) {
+            long target = entry.order().map(StartRun::getLatencyTargetMillis).orElse(0L);
+            if (entry.stage() == RunEntry.Stage.STARTED && target > 0) {
+                served.add(new FillerPacing.Served(entry.listed().getFigure(), target));
+            }
+        }
+        return served;
+    }
+
+    /** Filling runs whose speed differs from a percentage. */
+    List<RunEntry> fillingRunsNotAt(int percent) {
+        return entries.values().stream()
+                .filter(entry -> entry.stage() == RunEntry.Stage.STARTED)
+                .filter(entry -> entry.order().map(StartRun::getFilling).orElse(false))
+                .filter(entry -> entry.percent() != percent)
+                .toList();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/agent/workflow/package-info.java
@@ -0,0 +1,2 @@
+/** The agent beside a worker: carries out the leader's orders and reports what truly runs. */
+package org.yuccabank.agent.workflow;
--- a/src/main/java/org/yuccabank/control/ControlHandler.java
+++ b/src/main/java/org/yuccabank/control/ControlHandler.java
@@ -9,6 +9,8 @@
 import org.yuccabank.protocol.generated.CommandResult.Verdict;
 import org.yuccabank.protocol.generated.Envelope;
 import org.yuccabank.protocol.generated.ProtocolError;
+import org.yuccabank.protocol.generated.WorkflowReply;
+import org.yuccabank.protocol.generated.WorkflowRequest;
 import org.yuccabank.replication.ReadOutcome;
 import org.yuccabank.replication.ReplicaMember;
 import org.yuccabank.replication.ReplicaService;
@@ -44,6 +46,17 @@
             case AGENT_REPORT -> whenLeader(() -> report(from, request));
             case DIRECTORY_REQUEST -> whenLeader(() -> directory(request));
             case COMMAND_REQUEST -> command(request);
+            case WORKER_REPORT ->
+                    whenLeader(
+                            () ->
+                                    Envelope.newBuilder()
+                                            .setWorkerDirectives(
+                                                    leader.workflows()
+                                                            .report(
+                                                                    request.getWorkerReport(),
+                                                                    from))
+                                            .build());
+            case WORKFLOW_REQUEST -> workflow(request.getWorkflowRequest());
             default -> Mono.just(error("unexpected", "unexpected " + request.getBodyCase()));
         };
     }
@@ -89,6 +102,28 @@
         return Mono.fromCompletionStage(reply);
     }
 
+    private Mono<Envelope> workflow(WorkflowRequest request) {
+        if (request.hasConfiguration() || request.hasState()) {
+            return whenLeader(() -> workflowReply(leader.workflows().read(request).orElseThrow()));
+        }
+        if (!replica.isLeader()) {
+            return Mono.just(notLeader());
+        }
+        CompletionStage<Envelope> reply =
+                replica.call(() -> leader.workflows().change(request))
+                        .thenCompose(stage -> stage)
+                        .thenApply(
+                                answer ->
+                                        answer.getVerdict() == WorkflowReply.Verdict.NOT_LEADER
+                                                ? notLeader()
+                                                : workflowReply(answer));
+        return Mono.fromCompletionStage(reply);
+    }
+
+    private static Envelope workflowReply(WorkflowReply reply) {
+        return Envelope.newBuilder().setWorkflowReply(reply).build();
+    }
+
     /** The stage completes on the thread of the replica, so the supplier may read the state. */
     private Mono<Envelope> whenLeader(Supplier<Envelope> supplier) {
         if (!replica.isLeader()) {
--- a/src/main/java/org/yuccabank/control/LeaderLogic.java
+++ b/src/main/java/org/yuccabank/control/LeaderLogic.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.random.RandomGenerator;
+import org.yuccabank.control.workflow.WorkflowLeader;
 import org.yuccabank.event.Event;
 import org.yuccabank.event.EventLog;
 import org.yuccabank.policy.placement.PlacementPolicy;
@@ -45,6 +46,7 @@
     private final Scheduler scheduler;
     private final ReportHandler reports;
     private final QueryAnswers queries;
+    private final WorkflowLeader workflows;
     private long pushedVersion;
 
     private LeaderLogic(
@@ -63,6 +65,7 @@
         scheduler.onLeaseCommitted(this::pushStart);
         reports = new ReportHandler(registry, leases, scheduler, proposer, leaseMillis);
         queries = QueryAnswers.of(registry, entries);
+        workflows = WorkflowLeader.of(replica, state, proposer, driftedLease(configuration));
         replica.addLeaderListener(this::leadershipChanged);
     }
 
@@ -75,7 +78,17 @@
         return new LeaderLogic(configuration, replica, state, placement, random);
     }
 
+    /** Longest time of a lease on the slowest clock that is allowed for. */
+    private static long driftedLease(ControlConfiguration configuration) {
+        return Math.round(configuration.leaseMillis() * (1 + configuration.clockDriftShare()));
+    }
+
+    WorkflowLeader workflows() {
+        return workflows;
+    }
+
     private void leadershipChanged(boolean leads, long term) {
+        workflows.leadershipChanged(term);
         registry.clear();
         entries.clear();
         reports.clear();
@@ -89,12 +102,14 @@
         Gauge<Integer> leased = () -> state.records().leasedTasks().size();
         metrics.register("tasks_queued", queued);
         metrics.register("tasks_leased", leased);
+        workflows.registerMetrics(metrics);
     }
 
     void runRound(long nowMillis) {
         if (replica.isLeader()) {
             state.records().newestRules().ifPresent(this::pushRules);
             scheduler.runRound(state.records(), nowMillis);
+            workflows.tick();
         }
     }
 
--- a/src/main/java/org/yuccabank/control/Proposer.java
+++ b/src/main/java/org/yuccabank/control/Proposer.java
@@ -12,7 +12,7 @@
 import org.yuccabank.replication.ReplicaService;
 
 /** Proposes commands to the replicated log and decodes their results. Thread-safe. */
-final class Proposer {
+public final class Proposer {
 
     private final ReplicaService replica;
     private final LongSupplier clock;
@@ -22,7 +22,14 @@
         this.clock = clock;
     }
 
-    static Proposer of(ReplicaService replica, LongSupplier clock) {
+    /**
+     * Creates a proposer.
+     *
+     * @param replica the replica
+     * @param clock present time, in milliseconds since 1970
+     * @return the proposer
+     */
+    public static Proposer of(ReplicaService replica, LongSupplier clock) {
         return new Proposer(replica, clock);
     }
 
@@ -32,7 +39,7 @@
      * @param command the command
      * @return completes with the result; {@link Verdict#UNAVAILABLE} if the outcome is unknown
      */
-    CompletionStage<CommandResult> propose(StateCommand.Builder command) {
+    public CompletionStage<CommandResult> propose(StateCommand.Builder command) {
         byte[] bytes = command.setAcceptedAtMillis(clock.getAsLong()).build().toByteArray();
         CompletableFuture<CommandResult> result = new CompletableFuture<>();
         replica.propose(bytes)
--- /dev/null
+++ b/src/main/java/org/yuccabank/control/workflow/StepEstimates.java
@@ -0,0 +1,74 @@
+package org.yuccabank.control.workflow;
+
+import java.util.List;
+import org.yuccabank.model.Resources;
+import org.yuccabank.policy.workflow.WaitingTask;
+import org.yuccabank.protocol.generated.ResourceVector;
+import org.yuccabank.protocol.generated.StepDefinition;
+import org.yuccabank.protocol.generated.WorkflowDefinition;
+import org.yuccabank.state.workflow.Workflow;
+
+/** What follows from the definition of a workflow for its placement. Has no state. */
+final class StepEstimates {
+
+    /** A workflow that takes longer than this many times its objective is worth nothing. */
+    private static final int LATE_FACTOR = 3;
+
+    private StepEstimates() {}
+
+    /** Estimated time of the longest chain of steps that begins with a step. */
+    static long remainingMillis(WorkflowDefinition definition, int step) {
+        long longest = 0;
+        for (int next = step + 1; next < definition.getStepsCount(); next++) {
+            if (definition.getSteps(next).getDependsOnList().contains(step)) {
+                longest = Math.max(longest, remainingMillis(definition, next));
+            }
+        }
+        return definition.getSteps(step).getEstimatedMillis() + longest;
+    }
+
+    /** Time from the submission, or the due time, in which a workflow should end. */
+    static long objectiveMillis(Workflow workflow) {
+        WorkflowDefinition definition = workflow.definition();
+        long longest = 0;
+        for (int step = 0; step < definition.getStepsCount(); step++) {
+            longest = Math.max(longest, remainingMillis(definition, step));
+        }
+        return Math.round(workflow.queue().getSlackFactor() * longest)
+                + workflow.queue().getCompletionTargetMillis();
+    }
+
+    static WaitingTask.LoadKind loadKind(StepDefinition step) {
+        if (step.getLasting()) {
+            return WaitingTask.LoadKind.SERVING;
+        }
+        return step.getImage().isEmpty()
+                ? WaitingTask.LoadKind.PLAIN
+                : WaitingTask.LoadKind.FILLING;
+    }
+
+    /** What a task reserves; an opportunistic one reserves no processors. */
+    static Resources resources(StepDefinition step) {
+        ResourceVector vector = step.getResources();
+        return Resources.of(
+                step.getOpportunistic() ? 0 : vector.getProcessorMillis(),
+                vector.getMemoryMebibytes(),
+                vector.getAccelerators());
+    }
+
+    static long startMillis(Workflow workflow, int occurrence) {
+        return workflow.definition().getOccurrences() == 0
+                ? workflow.acceptedAtMillis()
+                : workflow.dueMillis(occurrence);
+    }
+
+    static long lateMillis(Workflow workflow, int occurrence) {
+        return startMillis(workflow, occurrence) + LATE_FACTOR * objectiveMillis(workflow);
+    }
+
+    static List<Integer> steps(Workflow workflow) {
+        return java.util.stream.IntStream.range(0, workflow.definition().getStepsCount())
+                .boxed()
+                .toList();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/control/workflow/WorkerView.java
@@ -0,0 +1,136 @@
+package org.yuccabank.control.workflow;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.yuccabank.protocol.PeerConnection;
+import org.yuccabank.protocol.generated.ActiveRun;
+import org.yuccabank.protocol.generated.EndedRun;
+import org.yuccabank.protocol.generated.RunAddress;
+import org.yuccabank.protocol.generated.WorkerDirectives;
+import org.yuccabank.protocol.generated.WorkerIdentity;
+import org.yuccabank.protocol.generated.WorkerReport;
+
+/**
+ * What the leader knows about the worker of one host from the reports of the agent beside it.
+ * Confined to the thread of the replica. Times are those of a steady clock.
+ */
+final class WorkerView {
+
+    private WorkerReport report;
+    private PeerConnection connection;
+    private long reportedAtMillis;
+    private long leaseEndMillis;
+    private long listedAtMillis = Long.MIN_VALUE / 2;
+    private final Map<RunAddress, ActiveRun> active = new LinkedHashMap<>();
+    private final Map<RunAddress, String> checkpoints = new HashMap<>();
+
+    WorkerView(WorkerReport report) {
+        this.report = report;
+    }
+
+    /**
+     * Takes a report.
+     *
+     * @return false if it is older than one taken before
+     */
+    boolean update(WorkerReport newer, PeerConnection from, long nowMillis, long leaseMillis) {
+        boolean sameIncarnation = newer.getWorker().equals(report.getWorker());
+        if (newer.getWorker().getBornMillis() < report.getWorker().getBornMillis()) {
+            return false;
+        }
+        if (!sameIncarnation) {
+            checkpoints.clear();
+            listedAtMillis = Long.MIN_VALUE / 2;
+        }
+        report = newer;
+        connection = from;
+        reportedAtMillis = nowMillis;
+        leaseEndMillis = nowMillis + leaseMillis;
+        active.clear();
+        if (newer.getListed()) {
+            listedAtMillis = nowMillis;
+            newer.getActiveList().forEach(this::note);
+        }
+        return true;
+    }
+
+    private void note(ActiveRun run) {
+        active.put(run.getRun(), run);
+        if (!run.getCheckpoint().isEmpty()) {
+            checkpoints.put(run.getRun(), run.getCheckpoint());
+        }
+    }
+
+    WorkerIdentity worker() {
+        return report.getWorker();
+    }
+
+    WorkerReport report() {
+        return report;
+    }
+
+    boolean isOlderThan(long nowMillis, long limitMillis) {
+        return nowMillis - reportedAtMillis > limitMillis;
+    }
+
+    /** Every lease that the worker may hold has ended. */
+    boolean isLeaseOver(long nowMillis) {
+        return nowMillis > leaseEndMillis;
+    }
+
+    boolean isUsable(long nowMillis, long limitMillis) {
+        return report.getWorkerPresent()
+                && !report.getDraining()
+                && !report.getLeaving()
+                && nowMillis - listedAtMillis <= limitMillis;
+    }
+
+    boolean isListed() {
+        return report.getListed();
+    }
+
+    Set<RunAddress> mentionedRuns() {
+        Set<RunAddress> mentioned = new HashSet<>(active.keySet());
+        report.getEndedList().forEach(ended -> mentioned.add(ended.getRun()));
+        return mentioned;
+    }
+
+    Set<RunAddress> activeRuns() {
+        return active.keySet();
+    }
+
+    String checkpoint(RunAddress run) {
+        return checkpoints.getOrDefault(run, "");
+    }
+
+    void forget(RunAddress run) {
+        checkpoints.remove(run);
+    }
+
+    /** Ends that the worker listed, in the order of their numbers. */
+    Iterable<EndedRun> numberedEnds() {
+        return report.getEndedList().stream()
+                .filter(ended -> ended.getNumber() > 0)
+                .sorted(Comparator.comparingLong(EndedRun::getNumber))
+                .toList();
+    }
+
+    Optional<PeerConnection> connection() {
+        return Optional.ofNullable(connection).filter(PeerConnection::isOpen);
+    }
+
+    void push(WorkerDirectives directives) {
+        connection()
+                .ifPresent(
+                        open ->
+                                open.send(
+                                        org.yuccabank.protocol.generated.Envelope.newBuilder()
+                                                .setWorkerDirectives(directives)
+                                                .build()));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -0,0 +1,545 @@
+package org.yuccabank.control.workflow;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import org.yuccabank.control.Proposer;
+import org.yuccabank.event.Event;
+import org.yuccabank.event.EventLog;
+import org.yuccabank.policy.workflow.FeasibleFirstOrder;
+import org.yuccabank.policy.workflow.SeparatingChoice;
+import org.yuccabank.protocol.PeerConnection;
+import org.yuccabank.protocol.generated.AcceptWorkflow;
+import org.yuccabank.protocol.generated.Assignment;
+import org.yuccabank.protocol.generated.CancelWorkflowById;
+import org.yuccabank.protocol.generated.CommandResult;
+import org.yuccabank.protocol.generated.EndedRun;
+import org.yuccabank.protocol.generated.FleetConfiguration;
+import org.yuccabank.protocol.generated.RunAddress;
+import org.yuccabank.protocol.generated.RunEnding;
+import org.yuccabank.protocol.generated.SchedulingRound;
+import org.yuccabank.protocol.generated.StateCommand;
+import org.yuccabank.protocol.generated.WorkerDirectives;
+import org.yuccabank.protocol.generated.WorkerIdentity;
+import org.yuccabank.protocol.generated.WorkerReport;
+import org.yuccabank.protocol.generated.WorkflowCommand;
+import org.yuccabank.protocol.generated.WorkflowDefinition;
+import org.yuccabank.protocol.generated.WorkflowPhase;
+import org.yuccabank.protocol.generated.WorkflowReply;
+import org.yuccabank.protocol.generated.WorkflowReply.Verdict;
+import org.yuccabank.protocol.generated.WorkflowRequest;
+import org.yuccabank.replication.ReplicaMember;
+import org.yuccabank.replication.ReplicaService;
+import org.yuccabank.state.ReplicatedState;
+import org.yuccabank.state.workflow.Workflow;
+import org.yuccabank.state.workflow.WorkflowRecords;
+import org.yuccabank.state.workflow.WorkflowTask;
+
+/**
+ * The leader's part for workflows: accepts requests, follows the workers and assigns tasks.
+ *
+ * <p>Invariants: a start is ordered only after its assignment is committed; an end is acknowledged
+ * to a worker only after it is committed; a run of a silent worker is ended only after every lease
+ * that the worker may hold is over. Confined to the thread of the replica.
+ */
+public final class WorkflowLeader {
+
+    /**
+     * A worker whose newest list of runs is older gets no tasks: two report intervals and a bit.
+     */
+    private static final long USABLE_MILLIS = 1_500;
+
+    /** Final workflows are kept this long for those who ask for their state. */
+    private static final long RETENTION_MILLIS = 15 * 60_000;
+
+    /** Bounds the size of one round in the log. */
+    private static final int MAXIMUM_ROUND_ENTRIES = 500;
+
+    /** Added to a lease for the time that a directive needs and the resolution of timers. */
+    private static final long LEASE_MARGIN_MILLIS = 150;
+
+    private final ReplicaService replica;
+    private final ReplicatedState state;
+    private final Proposer proposer;
+    private final long leaseMillis;
+    private final WorkflowPlanner planner =
+            new WorkflowPlanner(new FeasibleFirstOrder(), new SeparatingChoice());
+    private final Map<String, WorkerView> workers = new LinkedHashMap<>();
+    private final Map<RunAddress, EndedRun> pendingEnds = new LinkedHashMap<>();
+    private final WorkflowLog log = new WorkflowLog();
+    private long term;
+    private long ledSinceMillis;
+    private boolean roundInProgress;
+    private boolean roundWanted;
+
+    private WorkflowLeader(
+            ReplicaService replica, ReplicatedState state, Proposer proposer, long leaseMillis) {
+        this.replica = replica;
+        this.state = state;
+        this.proposer = proposer;
+        this.leaseMillis = leaseMillis;
+    }
+
+    /**
+     * Creates the part of a replica.
+     *
+     * @param replica the replica
+     * @param state its state machine
+     * @param proposer proposes commands
+     * @param leaseMillis longest time for which a worker may run tasks after the report whose
+     *     answer renewed the lease, with the drift of its clock
+     * @return the leader's part
+     */
+    public static WorkflowLeader of(
+            ReplicaService replica, ReplicatedState state, Proposer proposer, long leaseMillis) {
+        Objects.requireNonNull(replica, "replica is null");
+        Objects.requireNonNull(state, "state is null");
+        return new WorkflowLeader(replica, state, proposer, leaseMillis + LEASE_MARGIN_MILLIS);
+    }
+
+    private WorkflowRecords records() {
+        return state.records().workflows();
+    }
+
+    private static long steadyMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    /**
+     * Forgets what only the former leader knew.
+     *
+     * @param newTerm the present term
+     */
+    public void leadershipChanged(long newTerm) {
+        term = newTerm;
+        ledSinceMillis = steadyMillis();
+        workers.clear();
+        pendingEnds.clear();
+        roundInProgress = false;
+        roundWanted = false;
+    }
+
+    /**
+     * Registers gauges of the workflows.
+     *
+     * @param metrics the registry
+     */
+    public void registerMetrics(MetricRegistry metrics) {
+        Gauge<Integer> known = () -> records().workflows().size();
+        Gauge<Integer> seen = workers::size;
+        metrics.register("workflows", known);
+        metrics.register("workers", seen);
+    }
+
+    /**
+     * Answers a request that only reads, after leadership was confirmed.
+     *
+     * @param request the request
+     * @return the answer, empty if the request changes the state
+     */
+    public Optional<WorkflowReply> read(WorkflowRequest request) {
+        return switch (request.getRequestCase()) {
+            case CONFIGURATION -> Optional.of(configuration());
+            case STATE -> Optional.of(workflowState(request));
+            default -> Optional.empty();
+        };
+    }
+
+    private WorkflowReply configuration() {
+        return records()
+                .configuration()
+                .map(
+                        found ->
+                                reply(Verdict.ACCEPTED, "")
+                                        .setDocument(found.getDocument())
+                                        .setVersion(found.getVersion())
+                                        .build())
+                .orElseGet(() -> reply(Verdict.REFUSED, "no configuration yet").build());
+    }
+
+    private WorkflowReply workflowState(WorkflowRequest request) {
+        Optional<FleetConfiguration> configuration = records().configuration();
+        if (configuration.isEmpty()) {
+            return reply(Verdict.REFUSED, "no configuration yet").build();
+        }
+        Optional<QueueMatch> match = QueueMatch.find(configuration.get(), request.getAddress());
+        if (match.isEmpty()) {
+            return reply(Verdict.UNKNOWN_QUEUE, "no queue has this host name and path").build();
+        }
+        if (match.get().workflowId().isEmpty()) {
+            return reply(Verdict.ACCEPTED, "")
+                    .setQueueAnswer(true)
+                    .setPending(pending(match.get().queue().getName()))
+                    .build();
+        }
+        return records()
+                .workflow(match.get().workflowId())
+                .map(found -> reply(Verdict.ACCEPTED, "").setPhase(found.phase()).build())
+                .orElseGet(() -> reply(Verdict.UNKNOWN_WORKFLOW, "no such workflow").build());
+    }
+
+    private int pending(String queueName) {
+        return Math.toIntExact(
+                records().workflows().stream()
+                        .filter(each -> each.queue().getName().equals(queueName))
+                        .filter(each -> each.phase() == WorkflowPhase.WORKFLOW_QUEUED)
+                        .count());
+    }
+
+    /**
+     * Carries out a request that changes the state.
+     *
+     * @param request the request
+     * @return completes with the answer once the change is durable
+     */
+    public CompletionStage<WorkflowReply> change(WorkflowRequest request) {
+        return switch (request.getRequestCase()) {
+            case SUBMIT -> submit(request);
+            case CANCEL -> cancel(request);
+            case REPLACE -> replace(request.getReplace().getConfiguration());
+            default ->
+                    CompletableFuture.completedFuture(
+                            reply(Verdict.INVALID, "the request is empty").build());
+        };
+    }
+
+    private CompletionStage<WorkflowReply> submit(WorkflowRequest request) {
+        Optional<FleetConfiguration> configuration = records().configuration();
+        if (configuration.isEmpty()) {
+            return done(reply(Verdict.REFUSED, "no configuration yet"));
+        }
+        Optional<QueueMatch> match = QueueMatch.find(configuration.get(), request.getAddress());
+        if (match.isEmpty() || match.get().workflowId().isEmpty()) {
+            return done(reply(Verdict.UNKNOWN_QUEUE, "no queue has this host name and path"));
+        }
+        String workflowId = match.get().workflowId();
+        if (records().workflow(workflowId).isPresent()) {
+            return done(reply(Verdict.ACCEPTED, "accepted before"));
+        }
+        WorkflowDefinition definition =
+                request.getSubmit().toBuilder().setWorkflowId(workflowId).build();
+        AcceptWorkflow accept =
+                AcceptWorkflow.newBuilder()
+                        .setDefinition(definition)
+                        .setQueue(match.get().queue())
+                        .build();
+        log.accepting(definition, match.get().queue(), records().configuration().get());
+        return propose(WorkflowCommand.newBuilder().setAccept(accept))
+                .thenApply(result -> committed(result, workflowId));
+    }
+
+    private CompletionStage<WorkflowReply> cancel(WorkflowRequest request) {
+        Optional<QueueMatch> match =
+                records()
+                        .configuration()
+                        .flatMap(found -> QueueMatch.find(found, request.getAddress()));
+        if (match.isEmpty()) {
+            return done(reply(Verdict.UNKNOWN_QUEUE, "no queue has this host name and path"));
+        }
+        String workflowId = match.get().workflowId();
+        Optional<Workflow> workflow = records().workflow(workflowId);
+        if (workflow.isEmpty()) {
+            return done(reply(Verdict.UNKNOWN_WORKFLOW, "no such workflow"));
+        }
+        if (workflow.get().isFinal()) {
+            return done(reply(Verdict.ACCEPTED, "ended before"));
+        }
+        CancelWorkflowById cancel =
+                CancelWorkflowById.newBuilder().setWorkflowId(workflowId).build();
+        return propose(WorkflowCommand.newBuilder().setCancel(cancel))
+                .thenApply(
+                        result -> {
+                            WorkflowReply answer = committed(result, workflowId);
+                            pushStops(workflow.get());
+                            return answer;
+                        });
+    }
+
+    private CompletionStage<WorkflowReply> replace(FleetConfiguration configuration) {
+        EventLog.information(
+                Event.CONFIGURATION_APPLIED,
+                "version",
+                configuration.getVersion(),
+                "held",
+                records().configuration().map(FleetConfiguration::getVersion).orElse(0L));
+        return propose(WorkflowCommand.newBuilder().setConfiguration(configuration))
+                .thenApply(result -> committed(result, "configuration"));
+    }
+
+    private CompletionStage<CommandResult> propose(WorkflowCommand.Builder command) {
+        return proposer.propose(StateCommand.newBuilder().setWorkflow(command));
+    }
+
+    private WorkflowReply committed(CommandResult result, String subject) {
+        return switch (result.getVerdict()) {
+            case ACCEPTED -> {
+                wantRound();
+                yield reply(Verdict.ACCEPTED, "").build();
+            }
+            case NOT_LEADER ->
+                    reply(Verdict.NOT_LEADER, result.getMessage())
+                            .setLeaderAddress(result.getLeaderAddress())
+                            .build();
+            default -> {
+                EventLog.warning(
+                        Event.OUTCOME_UNKNOWN, "subject", subject, "reason", result.getMessage());
+                yield reply(Verdict.UNCERTAIN, result.getMessage()).build();
+            }
+        };
+    }
+
+    private static WorkflowReply.Builder reply(Verdict verdict, String message) {
+        return WorkflowReply.newBuilder().setVerdict(verdict).setMessage(message);
+    }
+
+    private static CompletionStage<WorkflowReply> done(WorkflowReply.Builder reply) {
+        return CompletableFuture.completedFuture(reply.build());
+    }
+
+    /**
+     * Takes the report of an agent, after leadership was confirmed.
+     *
+     * @param report the report
+     * @param from connection on which directives can be sent
+     * @return what the agent should do
+     */
+    public WorkerDirectives report(WorkerReport report, PeerConnection from) {
+        long now = steadyMillis();
+        WorkerView view = workers.get(report.getHostId());
+        if (view == null) {
+            view = new WorkerView(report);
+            workers.put(report.getHostId(), view);
+        }
+        WorkerIdentity before = view.worker();
+        WorkerReport valid =
+                report.getTerm() == term ? report : report.toBuilder().setListed(false).build();
+        if (!view.update(valid, from, now, leaseMillis)) {
+            return directives(view, report.getSequence()).build();
+        }
+        if (!before.equals(view.worker())) {
+            log.workerReplaced(before, view.worker());
+            endAll(before, RunEnding.RUN_WORKER_LOST, "a new incarnation has started");
+        }
+        if (report.getLeaving()) {
+            endAll(view.worker(), RunEnding.RUN_WORKER_LOST, "the worker has left");
+        }
+        valid.getEndedList().forEach(this::noteEnd);
+        wantRound();
+        return directives(view, report.getSequence()).build();
+    }
+
+    private void noteEnd(EndedRun ended) {
+        if (records().openRun(ended.getRun()).isPresent()) {
+            pendingEnds.putIfAbsent(ended.getRun(), ended);
+        }
+    }
+
+    private void endAll(WorkerIdentity worker, RunEnding ending, String reason) {
+        for (WorkflowTask task : Set.copyOf(records().openRuns(worker))) {
+            EndedRun ended =
+                    EndedRun.newBuilder()
+                            .setRun(task.run())
+                            .setEnding(ending)
+                            .setCheckpoint(savedCheckpoint(task))
+                            .setReason(reason)
+                            .build();
+            noteEnd(ended);
+        }
+    }
+
+    private String savedCheckpoint(WorkflowTask task) {
+        return workers.values().stream()
+                .map(view -> view.checkpoint(task.run()))
+                .filter(saved -> !saved.isEmpty())
+                .findFirst()
+                .orElse("");
+    }
+
+    private WorkerDirectives.Builder directives(WorkerView view, long answeredSequence) {
+        WorkerDirectives.Builder directives =
+                WorkerDirectives.newBuilder()
+                        .setTerm(term)
+                        .setWorker(view.worker())
+                        .setAnswersSequence(answeredSequence);
+        replica.status().members().stream()
+                .map(ReplicaMember::address)
+                .forEach(directives::addControlAddresses);
+        for (EndedRun ended : view.numberedEnds()) {
+            if (records().openRun(ended.getRun()).isPresent()) {
+                break;
+            }
+            directives.setAcknowledgedNumber(ended.getNumber());
+        }
+        for (EndedRun ended : view.report().getEndedList()) {
+            if (records().openRun(ended.getRun()).isEmpty()) {
+                directives.addSettled(ended.getRun());
+            }
+        }
+        addOrders(view, directives);
+        return directives;
+    }
+
+    private void addOrders(WorkerView view, WorkerDirectives.Builder directives) {
+        Set<RunAddress> mentioned = view.mentionedRuns();
+        for (WorkflowTask task : records().openRuns(view.worker())) {
+            if (isToStop(task, view)) {
+                directives.addStops(task.run());
+            } else if (view.isListed() && !mentioned.contains(task.run())) {
+                directives.addStarts(WorkflowOrders.start(task));
+            }
+        }
+        for (RunAddress run : view.activeRuns()) {
+            if (records().openRun(run).isEmpty()) {
+                directives.addStops(run);
+            }
+        }
+    }
+
+    /** A leaving worker keeps only the tasks that lose their work when they are stopped. */
+    private static boolean isToStop(WorkflowTask task, WorkerView view) {
+        if (task.workflow().isFinal()) {
+            return true;
+        }
+        boolean lasting = task.workflow().step(task.address().getStep()).getLasting();
+        return view.report().getDraining() && lasting;
+    }
+
+    private void pushStops(Workflow workflow) {
+        Set<WorkerIdentity> touched =
+                workflow.allTasks().stream()
+                        .flatMap(task -> task.worker().stream())
+                        .collect(java.util.stream.Collectors.toSet());
+        pushTo(touched);
+    }
+
+    private void pushTo(Set<WorkerIdentity> touched) {
+        for (WorkerView view : workers.values()) {
+            if (touched.contains(view.worker())) {
+                view.push(directives(view, 0).build());
+            }
+        }
+    }
+
+    /** Runs what is due with time. Called regularly. */
+    public void tick() {
+        if (!replica.isLeader()) {
+            return;
+        }
+        long now = steadyMillis();
+        for (WorkerView view : workers.values()) {
+            if (view.isLeaseOver(now) && !records().openRuns(view.worker()).isEmpty()) {
+                log.workerLost(view.worker(), records().openRuns(view.worker()).size());
+                endAll(view.worker(), RunEnding.RUN_WORKER_LOST, "the lease is over");
+            }
+        }
+        if (now - ledSinceMillis > leaseMillis) {
+            endRunsOfUnknownWorkers();
+        }
+        wantRound();
+    }
+
+    /** After a full lease under this leader, a worker that did not report runs nothing. */
+    private void endRunsOfUnknownWorkers() {
+        Set<WorkerIdentity> known =
+                workers.values().stream()
+                        .map(WorkerView::worker)
+                        .collect(java.util.stream.Collectors.toSet());
+        for (WorkerIdentity worker : Set.copyOf(records().workersWithOpenRuns())) {
+            if (!known.contains(worker)) {
+                log.workerLost(worker, records().openRuns(worker).size());
+                endAll(worker, RunEnding.RUN_WORKER_LOST, "the worker is unknown");
+            }
+        }
+    }
+
+    private void wantRound() {
+        roundWanted = true;
+        if (!roundInProgress && replica.isLeader()) {
+            runRound();
+        }
+    }
+
+    private void runRound() {
+        roundWanted = false;
+        long now = steadyMillis();
+        List<EndedRun> ended = pendingEnds.values().stream().limit(MAXIMUM_ROUND_ENTRIES).toList();
+        List<WorkerReport> usable =
+                workers.values().stream()
+                        .filter(view -> view.isUsable(now, USABLE_MILLIS))
+                        .map(WorkerView::report)
+                        .toList();
+        long wallMillis = System.currentTimeMillis();
+        List<Assignment> planned = planner.plan(records(), usable, wallMillis);
+        List<Assignment> assigned =
+                planned.subList(0, Math.min(planned.size(), MAXIMUM_ROUND_ENTRIES));
+        List<String> forgotten = forgotten(wallMillis);
+        if (ended.isEmpty() && assigned.isEmpty() && forgotten.isEmpty()) {
+            return;
+        }
+        log.round(ended, assigned);
+        SchedulingRound round =
+                SchedulingRound.newBuilder()
+                        .addAllEnded(ended)
+                        .addAllAssigned(assigned)
+                        .addAllForgotten(forgotten)
+                        .build();
+        roundInProgress = true;
+        long roundTerm = term;
+        propose(WorkflowCommand.newBuilder().setRound(round))
+                .whenComplete((result, error) -> endRound(round, roundTerm, result));
+    }
+
+    private List<String> forgotten(long nowMillis) {
+        List<String> forgotten = new ArrayList<>();
+        for (Workflow workflow : records().workflows()) {
+            if (workflow.isFinal() && nowMillis - workflow.endedAtMillis() > RETENTION_MILLIS) {
+                forgotten.add(workflow.id());
+            }
+            if (forgotten.size() >= MAXIMUM_ROUND_ENTRIES) {
+                break;
+            }
+        }
+        return forgotten;
+    }
+
+    private void endRound(SchedulingRound round, long roundTerm, CommandResult result) {
+        if (roundTerm != term) {
+            return;
+        }
+        roundInProgress = false;
+        boolean committed =
+                result != null
+                        && result.getVerdict()
+                                == org.yuccabank.protocol.generated.CommandResult.Verdict.ACCEPTED;
+        if (!committed) {
+            return;
+        }
+        Set<WorkerIdentity> touched = new java.util.HashSet<>();
+        round.getAssignedList().forEach(each -> touched.add(each.getWorker()));
+        for (EndedRun ended : round.getEndedList()) {
+            pendingEnds.remove(ended.getRun());
+            workers.values().forEach(view -> view.forget(ended.getRun()));
+        }
+        if (!round.getEndedList().isEmpty()) {
+            workers.values().stream()
+                    .filter(view -> mentions(view, round.getEndedList()))
+                    .forEach(view -> touched.add(view.worker()));
+        }
+        pushTo(touched);
+        wantRound();
+    }
+
+    private static boolean mentions(WorkerView view, List<EndedRun> ended) {
+        Set<RunAddress> mentioned = view.mentionedRuns();
+        return ended.stream().anyMatch(each -> mentioned.contains(each.getRun()));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowOrders.java
@@ -0,0 +1,39 @@
+package org.yuccabank.control.workflow;
+
+import org.yuccabank.policy.workflow.WaitingTask;
+import org.yuccabank.protocol.generated.StartRun;
+import org.yuccabank.protocol.generated.StepDefinition;
+import org.yuccabank.state.workflow.Workflow;
+import org.yuccabank.state.workflow.WorkflowTask;
+
+/** Builds the orders for agents from the records. Has no state. */
+final class WorkflowOrders {
+
+    private WorkflowOrders() {}
+
+    /** The start of the open run of a task; the members of a gang share one checkpoint. */
+    static StartRun start(WorkflowTask task) {
+        Workflow workflow = task.workflow();
+        StepDefinition step = workflow.step(task.address().getStep());
+        return StartRun.newBuilder()
+                .setRun(task.run())
+                .setPayload(workflow.definition().getPayload())
+                .setCheckpoint(checkpoint(task, step))
+                .setLatencyTargetMillis(step.getLatencyTargetMillis())
+                .setFilling(StepEstimates.loadKind(step) == WaitingTask.LoadKind.FILLING)
+                .build();
+    }
+
+    private static String checkpoint(WorkflowTask task, StepDefinition step) {
+        if (!step.getGang()) {
+            return task.checkpoint();
+        }
+        return task
+                .workflow()
+                .tasks(task.address().getOccurrence(), task.address().getStep())
+                .stream()
+                .map(WorkflowTask::checkpoint)
+                .max(String::compareTo)
+                .orElse("");
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowPlanner.java
@@ -0,0 +1,223 @@
+package org.yuccabank.control.workflow;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.yuccabank.model.Resources;
+import org.yuccabank.policy.workflow.TaskOrder;
+import org.yuccabank.policy.workflow.WaitingTask;
+import org.yuccabank.policy.workflow.WorkerChoice;
+import org.yuccabank.policy.workflow.WorkerRoom;
+import org.yuccabank.protocol.generated.Assignment;
+import org.yuccabank.protocol.generated.ResourceVector;
+import org.yuccabank.protocol.generated.RunAddress;
+import org.yuccabank.protocol.generated.StepDefinition;
+import org.yuccabank.protocol.generated.WorkerIdentity;
+import org.yuccabank.protocol.generated.WorkerReport;
+import org.yuccabank.state.workflow.Workflow;
+import org.yuccabank.state.workflow.WorkflowRecords;
+import org.yuccabank.state.workflow.WorkflowTask;
+
+/**
+ * Plans which waiting tasks start where, from the records and what the workers report.
+ *
+ * <p>Invariants: open runs count against the capacity of their worker until their end is recorded;
+ * a task starts only when its occurrence is due and the steps before it are done; a gang starts as
+ * a whole. Has no state of its own.
+ */
+final class WorkflowPlanner {
+
+    private final TaskOrder order;
+    private final WorkerChoice choice;
+
+    WorkflowPlanner(TaskOrder order, WorkerChoice choice) {
+        this.order = order;
+        this.choice = choice;
+    }
+
+    /** A waiting task with the record that it stands for. */
+    private record Candidate(WaitingTask waiting, WorkflowTask task) {}
+
+    /**
+     * Plans assignments.
+     *
+     * @param records the replicated records
+     * @param usable reports of the workers that may get tasks
+     * @param nowMillis present time, in milliseconds since 1970
+     * @return the assignments, in the order of their importance
+     */
+    List<Assignment> plan(
+            WorkflowRecords records, Collection<WorkerReport> usable, long nowMillis) {
+        Map<String, List<Candidate>> candidates = candidates(records, nowMillis);
+        if (candidates.isEmpty() || usable.isEmpty()) {
+            return List.of();
+        }
+        Map<String, WorkerIdentity> identities = new HashMap<>();
+        Map<String, WorkerRoom> rooms = new LinkedHashMap<>();
+        for (WorkerReport report : usable) {
+            String key = key(report.getWorker());
+            identities.put(key, report.getWorker());
+            rooms.put(key, room(key, report, records));
+        }
+        Map<WaitingTask, WorkflowTask> tasks =
+                candidates.values().stream()
+                        .flatMap(List::stream)
+                        .collect(Collectors.toMap(Candidate::waiting, Candidate::task));
+        List<Assignment> plan = new ArrayList<>();
+        Map<String, List<WaitingTask>> gangs = new HashMap<>();
+        for (WaitingTask waiting : order.order(List.copyOf(tasks.keySet()), nowMillis)) {
+            WorkflowTask task = tasks.get(waiting);
+            StepDefinition step = task.workflow().step(task.address().getStep());
+            if (step.getGang()) {
+                List<WaitingTask> members =
+                        gangs.computeIfAbsent(waiting.stepKey(), key -> new ArrayList<>());
+                members.add(waiting);
+                if (members.size() == step.getTaskCount()) {
+                    plan.addAll(placeGang(members, tasks, rooms, identities));
+                }
+            } else {
+                place(waiting, rooms)
+                        .ifPresent(
+                                key ->
+                                        plan.add(
+                                                assignment(
+                                                        task,
+                                                        task.attempts() + 1,
+                                                        identities.get(key))));
+            }
+        }
+        return plan;
+    }
+
+    private Optional<String> place(WaitingTask waiting, Map<String, WorkerRoom> rooms) {
+        Optional<WorkerRoom> chosen = choice.choose(waiting, rooms.values());
+        chosen.ifPresent(
+                room -> room.reserve(waiting.stepKey(), waiting.resources(), waiting.loadKind()));
+        return chosen.map(WorkerRoom::workerId);
+    }
+
+    /** Reservations of a gang that does not fit stay until the end of the round. */
+    private List<Assignment> placeGang(
+            List<WaitingTask> members,
+            Map<WaitingTask, WorkflowTask> tasks,
+            Map<String, WorkerRoom> rooms,
+            Map<String, WorkerIdentity> identities) {
+        int attempt =
+                members.stream().mapToInt(each -> tasks.get(each).attempts()).max().orElse(0) + 1;
+        List<Assignment> placed = new ArrayList<>();
+        for (WaitingTask member : members) {
+            Optional<String> key = place(member, rooms);
+            if (key.isEmpty()) {
+                return List.of();
+            }
+            placed.add(assignment(tasks.get(member), attempt, identities.get(key.get())));
+        }
+        return placed;
+    }
+
+    private static Assignment assignment(WorkflowTask task, int attempt, WorkerIdentity worker) {
+        return Assignment.newBuilder()
+                .setRun(RunAddress.newBuilder().setTask(task.address()).setAttempt(attempt))
+                .setWorker(worker)
+                .build();
+    }
+
+    private static Map<String, List<Candidate>> candidates(
+            WorkflowRecords records, long nowMillis) {
+        Map<String, List<Candidate>> found = new LinkedHashMap<>();
+        for (Workflow workflow : records.workflows()) {
+            if (workflow.isFinal()) {
+                continue;
+            }
+            for (int occurrence = 0; occurrence < workflow.occurrenceCount(); occurrence++) {
+                if (workflow.dueMillis(occurrence) > nowMillis) {
+                    break;
+                }
+                for (int step : StepEstimates.steps(workflow)) {
+                    if (!workflow.isDone(occurrence, step) && workflow.isReady(occurrence, step)) {
+                        addWaiting(found, workflow, occurrence, step);
+                    }
+                }
+            }
+        }
+        return found;
+    }
+
+    private static void addWaiting(
+            Map<String, List<Candidate>> found, Workflow workflow, int occurrence, int number) {
+        List<WorkflowTask> tasks = workflow.tasks(occurrence, number);
+        StepDefinition step = workflow.step(number);
+        boolean held = step.getGang() && tasks.stream().anyMatch(task -> task.worker().isPresent());
+        if (held) {
+            return;
+        }
+        String key = stepKey(workflow, occurrence, number);
+        long start = StepEstimates.startMillis(workflow, occurrence);
+        long objective = StepEstimates.objectiveMillis(workflow);
+        long remaining = StepEstimates.remainingMillis(workflow.definition(), number);
+        WaitingTask.Constraints constraints =
+                new WaitingTask.Constraints(
+                        workflow.queue().getService(),
+                        text(step.getRequiredLabel()),
+                        text(step.getPreferredRack()),
+                        step.getMostPerWorker());
+        for (WorkflowTask task : tasks) {
+            if (task.isWaiting()) {
+                WaitingTask waiting =
+                        new WaitingTask(
+                                key,
+                                task.address().getIndex(),
+                                StepEstimates.resources(step),
+                                StepEstimates.loadKind(step),
+                                workflow.queue().getPriority(),
+                                start + objective,
+                                StepEstimates.lateMillis(workflow, occurrence),
+                                step.getLasting() ? 0 : remaining,
+                                constraints);
+                found.computeIfAbsent(key, each -> new ArrayList<>())
+                        .add(new Candidate(waiting, task));
+            }
+        }
+    }
+
+    private static WorkerRoom room(String key, WorkerReport report, WorkflowRecords records) {
+        ResourceVector capacity = report.getCapacity();
+        WorkerRoom room =
+                new WorkerRoom(
+                        key,
+                        report.getService(),
+                        report.getRack(),
+                        Set.copyOf(report.getLabelsList()),
+                        Resources.of(
+                                capacity.getProcessorMillis(),
+                                capacity.getMemoryMebibytes(),
+                                capacity.getAccelerators()));
+        for (WorkflowTask task : records.openRuns(report.getWorker())) {
+            int number = task.address().getStep();
+            StepDefinition step = task.workflow().step(number);
+            room.reserve(
+                    stepKey(task.workflow(), task.address().getOccurrence(), number),
+                    StepEstimates.resources(step),
+                    StepEstimates.loadKind(step));
+        }
+        return room;
+    }
+
+    private static String stepKey(Workflow workflow, int occurrence, int step) {
+        return workflow.id() + "." + occurrence + "." + step;
+    }
+
+    private static Optional<String> text(String value) {
+        return value.isEmpty() ? Optional.empty() : Optional.of(value);
+    }
+
+    private static String key(WorkerIdentity worker) {
+        return worker.getWorkerId() + "/" + worker.getBornMillis();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/control/workflow/package-info.java
@@ -0,0 +1,2 @@
+/** What the leader does for workflows: accepts them, places their tasks and follows the workers. */
+package org.yuccabank.control.workflow;
--- /dev/null
+++ b/src/main/java/org/yuccabank/entry/workflow/WorkflowGateway.java
@@ -0,0 +1,169 @@
+package org.yuccabank.entry.workflow;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.yuccabank.event.Event;
+import org.yuccabank.event.EventLog;
+import org.yuccabank.protocol.LeaderClient;
+import org.yuccabank.protocol.PeerException;
+import org.yuccabank.protocol.PeerHandler;
+import org.yuccabank.protocol.PeerSecurity;
+import org.yuccabank.protocol.PeerTimings;
+import org.yuccabank.protocol.PeerTransport;
+import org.yuccabank.protocol.generated.Envelope;
+import org.yuccabank.protocol.generated.Hello;
+import org.yuccabank.protocol.generated.Role;
+import org.yuccabank.protocol.generated.WorkflowReply;
+import org.yuccabank.protocol.generated.WorkflowReply.Verdict;
+import org.yuccabank.protocol.generated.WorkflowRequest;
+import reactor.core.publisher.Mono;
+
+/**
+ * Sends workflow requests to the leader and tells truthfully what became of them.
+ *
+ * <p>Invariant: a request is answered as refused only if no attempt of it can have reached a
+ * leader. Requests are idempotent by the identifier of the workflow or the version of the
+ * configuration, so an attempt without an answer is repeated while there is time. Thread-safe.
+ */
+public final class WorkflowGateway {
+
+    /** Longest time of one attempt: a healthy leader answers in tens of milliseconds. */
+    private static final Duration ATTEMPT_LIMIT = Duration.ofMillis(900);
+
+    /** When a caller should come back while no leader is known: about one election. */
+    private static final long RETRY_AFTER_MILLIS = 1_000;
+
+    /** A process is ready if it had contact to a leader within this time. */
+    private static final long READY_MILLIS = 2_500;
+
+    private static final Duration PROBE_INTERVAL = Duration.ofMillis(500);
+    private static final Duration PROBE_LIMIT = Duration.ofMillis(1_000);
+
+    private final PeerTransport transport;
+    private final LeaderClient leader;
+    private volatile long contactMillis = Long.MIN_VALUE / 2;
+    private volatile reactor.core.Disposable probes = reactor.core.Disposables.disposed();
+
+    private WorkflowGateway(PeerTransport transport, List<InetSocketAddress> controlAddresses) {
+        this.transport = transport;
+        leader = LeaderClient.of(transport, controlAddresses, PeerHandler.none());
+    }
+
+    /**
+     * Creates and starts a gateway.
+     *
+     * @param processId identifier of the process
+     * @param dataCentre data centre of the process
+     * @param controlAddresses addresses of control processes, at least one
+     * @return the gateway
+     */
+    public static WorkflowGateway start(
+            String processId, String dataCentre, List<InetSocketAddress> controlAddresses) {
+        Hello greeting =
+                Hello.newBuilder()
+                        .setProcessId(processId)
+                        .setRole(Role.ENTRY)
+                        .setDataCentre(dataCentre)
+                        .setIncarnation(System.currentTimeMillis())
+                        .build();
+        PeerTransport transport =
+                PeerTransport.start(
+                        greeting, () -> 0, PeerTimings.standard(), PeerSecurity.off(), 1);
+        WorkflowGateway gateway = new WorkflowGateway(transport, controlAddresses);
+        gateway.probe();
+        return gateway;
+    }
+
+    /** Stops the gateway. */
+    public void stop() {
+        probes.dispose();
+        leader.stop();
+        transport.stop();
+    }
+
+    /** Keeps the readiness of an idle process up to date. */
+    private void probe() {
+        WorkflowRequest request =
+                WorkflowRequest.newBuilder()
+                        .setConfiguration(
+                                org.yuccabank.protocol.generated.ConfigurationQuery
+                                        .getDefaultInstance())
+                        .build();
+        probes =
+                Mono.defer(() -> send(request, PROBE_LIMIT))
+                        .delaySubscription(PROBE_INTERVAL)
+                        .repeat()
+                        .subscribe();
+    }
+
+    /**
+     * Tells whether requests can be served.
+     *
+     * @return true if the leader answered a short time ago
+     */
+    public boolean isReady() {
+        return steadyMillis() - contactMillis < READY_MILLIS;
+    }
+
+    private static long steadyMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param request the request
+     * @param limit time in which the answer is wanted
+     * @return the leader's answer; {@link Verdict#REFUSED} if the request has certainly not been
+     *     accepted, {@link Verdict#UNCERTAIN} if it may have been
+     */
+    public Mono<WorkflowReply> send(WorkflowRequest request, Duration limit) {
+        long deadlineMillis = steadyMillis() + limit.toMillis();
+        return attempt(request, deadlineMillis, false);
+    }
+
+    private Mono<WorkflowReply> attempt(
+            WorkflowRequest request, long deadlineMillis, boolean inDoubt) {
+        long leftMillis = deadlineMillis - steadyMillis();
+        if (leftMillis <= 0) {
+            return Mono.just(giveUp(inDoubt, "no leader answered in time"));
+        }
+        Duration timeout = Duration.ofMillis(Math.min(leftMillis, ATTEMPT_LIMIT.toMillis()));
+        Envelope message = Envelope.newBuilder().setWorkflowRequest(request).build();
+        return leader.request(message, timeout)
+                .flatMap(answer -> onAnswer(answer, request, deadlineMillis, inDoubt))
+                .onErrorResume(
+                        PeerException.class,
+                        error ->
+                                error.isInDoubt()
+                                        ? attempt(request, deadlineMillis, true)
+                                        : attempt(request, deadlineMillis, inDoubt));
+    }
+
+    private Mono<WorkflowReply> onAnswer(
+            Envelope answer, WorkflowRequest request, long deadlineMillis, boolean inDoubt) {
+        if (!answer.hasWorkflowReply()) {
+            EventLog.warning(
+                    Event.OUTCOME_UNKNOWN, "reason", answer.getProtocolError().getMessage());
+            return Mono.just(giveUp(true, answer.getProtocolError().getMessage()));
+        }
+        contactMillis = steadyMillis();
+        WorkflowReply reply = answer.getWorkflowReply();
+        if (reply.getVerdict() == Verdict.UNCERTAIN) {
+            return attempt(request, deadlineMillis, true);
+        }
+        boolean untrue = inDoubt && reply.getVerdict() == Verdict.REFUSED;
+        return Mono.just(untrue ? giveUp(true, reply.getMessage()) : reply);
+    }
+
+    private static WorkflowReply giveUp(boolean inDoubt, String reason) {
+        EventLog.warning(inDoubt ? Event.OUTCOME_UNKNOWN : Event.REQUEST_REFUSED, "reason", reason);
+        return WorkflowReply.newBuilder()
+                .setVerdict(inDoubt ? Verdict.UNCERTAIN : Verdict.REFUSED)
+                .setRetryAfterMillis(RETRY_AFTER_MILLIS)
+                .setMessage(reason)
+                .build();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/entry/workflow/package-info.java
@@ -0,0 +1,2 @@
+/** The way of workflow requests from an entry or control host to the leader. */
+package org.yuccabank.entry.workflow;
--- a/src/main/java/org/yuccabank/event/Event.java
+++ b/src/main/java/org/yuccabank/event/Event.java
@@ -62,6 +62,16 @@
     JOB_PARKED(603),
     /** A task failed. */
     TASK_FAILED(604),
+    /** A workflow is accepted. */
+    WORKFLOW_ACCEPTED(610),
+    /** A run of a task was assigned to a worker. */
+    RUN_ASSIGNED(611),
+    /** A run ended other than done. */
+    RUN_ENDED(612),
+    /** A worker refused an order or gave no answer to it. */
+    ORDER_UNSETTLED(613),
+    /** The speed of the filling tasks of a worker changed. */
+    FILLING_PACED(614),
     /** A host announced itself. */
     HOST_JOINED(700),
     /** A host has not reported for the suspicion time. */
@@ -74,6 +84,12 @@
     TARGET_LEAVING(704),
     /** A host gets only probes because everything it starts fails. */
     HOST_QUARANTINED(705),
+    /** A worker was silent for its whole lease; its tasks are placed again. */
+    WORKER_LOST(706),
+    /** A worker started anew; the runs of its former incarnation are over. */
+    WORKER_REPLACED(707),
+    /** The list of what a worker runs is not to be had. */
+    WORKER_UNREACHABLE(708),
     /** A credential was refused. */
     CREDENTIAL_REFUSED(800),
     /** Keys were loaded again. */
--- /dev/null
+++ b/src/main/java/org/yuccabank/policy/workflow/WaitingTask.java
@@ -0,0 +1,62 @@
+package org.yuccabank.policy.workflow;
+
+import java.util.Objects;
+import java.util.Optional;
+import org.yuccabank.model.Resources;
+
+/**
+ * A task that may start now. Immutable.
+ *
+ * @param stepKey names the step of one occurrence, shared by the tasks of the step
+ * @param index number of the task in its step
+ * @param resources what the task reserves
+ * @param loadKind how the task affects others on its worker
+ * @param priority priority of the queue, 0 comes first
+ * @param deadlineMillis until when the workflow should end, in milliseconds since 1970
+ * @param lateMillis after which the workflow is worth nothing, in milliseconds since 1970
+ * @param remainingMillis estimated time of the longest chain from this task to the end
+ * @param constraints where the task may run
+ */
+public record WaitingTask(
+        String stepKey,
+        int index,
+        Resources resources,
+        LoadKind loadKind,
+        int priority,
+        long deadlineMillis,
+        long lateMillis,
+        long remainingMillis,
+        Constraints constraints) {
+
+    /** Checks the parts. */
+    public WaitingTask {
+        Objects.requireNonNull(stepKey, "stepKey is null");
+        Objects.requireNonNull(resources, "resources is null");
+        Objects.requireNonNull(loadKind, "loadKind is null");
+        Objects.requireNonNull(constraints, "constraints is null");
+    }
+
+    /** How a task affects the others on its worker. */
+    public enum LoadKind {
+        /** Lasts and has to keep its tail latency. */
+        SERVING,
+        /** May slow down serving tasks beside it. */
+        FILLING,
+        /** Neither. */
+        PLAIN
+    }
+
+    /**
+     * Where a task may run. Immutable.
+     *
+     * @param service name of the service whose workers run it
+     * @param requiredLabel label that the worker must have, if any
+     * @param preferredRack rack of its data, if any
+     * @param mostPerWorker most tasks of its step on one worker, 0 for no limit
+     */
+    public record Constraints(
+            String service,
+            Optional<String> requiredLabel,
+            Optional<String> preferredRack,
+            int mostPerWorker) {}
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/policy/workflow/WorkerRoom.java
@@ -0,0 +1,127 @@
+package org.yuccabank.policy.workflow;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import org.yuccabank.model.Resources;
+
+/**
+ * What a worker offers while a round of placements is planned.
+ *
+ * <p>Invariant: the reservations never exceed the capacity through {@link #reserve}. Not
+ * thread-safe.
+ */
+public final class WorkerRoom {
+
+    private final String workerId;
+    private final String service;
+    private final String rack;
+    private final Set<String> labels;
+    private final Resources capacity;
+    private final Map<String, Integer> tasksOfStep = new HashMap<>();
+    private Resources free;
+    private int serving;
+    private int filling;
+
+    /**
+     * Creates the room of an empty worker.
+     *
+     * @param workerId identifier of the worker
+     * @param service service that the worker belongs to
+     * @param rack rack of the worker
+     * @param labels labels of the worker
+     * @param capacity everything it has
+     */
+    public WorkerRoom(
+            String workerId, String service, String rack, Set<String> labels, Resources capacity) {
+        this.workerId = workerId;
+        this.service = service;
+        this.rack = rack;
+        this.labels = Set.copyOf(labels);
+        this.capacity = capacity;
+        this.free = capacity;
+    }
+
+    /**
+     * Reserves room for a task, whether it fits or not.
+     *
+     * @param stepKey step of the task
+     * @param resources what it reserves
+     * @param loadKind how it affects others
+     */
+    public void reserve(String stepKey, Resources resources, WaitingTask.LoadKind loadKind) {
+        free = free.minus(resources);
+        tasksOfStep.merge(stepKey, 1, Integer::sum);
+        serving += loadKind == WaitingTask.LoadKind.SERVING ? 1 : 0;
+        filling += loadKind == WaitingTask.LoadKind.FILLING ? 1 : 0;
+    }
+
+    /**
+     * Tells whether a task may run here.
+     *
+     * @param task the task
+     * @return true if every constraint holds and there is room
+     */
+    public boolean admits(WaitingTask task) {
+        WaitingTask.Constraints constraints = task.constraints();
+        return constraints.service().equals(service)
+                && constraints.requiredLabel().map(labels::contains).orElse(true)
+                && (constraints.mostPerWorker() == 0
+                        || tasksOfStep.getOrDefault(task.stepKey(), 0)
+                                < constraints.mostPerWorker())
+                && fits(task.resources());
+    }
+
+    private boolean fits(Resources wanted) {
+        return wanted.processorMillis() <= free.processorMillis()
+                && wanted.memoryMebibytes() <= free.memoryMebibytes()
+                && wanted.accelerators() <= free.accelerators();
+    }
+
+    /**
+     * Share of the processors that is not reserved.
+     *
+     * @return 0 to 1, below 0 if the worker is overcommitted
+     */
+    public double freeShare() {
+        return capacity.processorMillis() == 0
+                ? 0
+                : (double) free.processorMillis() / capacity.processorMillis();
+    }
+
+    /**
+     * Identifier of the worker.
+     *
+     * @return the identifier
+     */
+    public String workerId() {
+        return workerId;
+    }
+
+    /**
+     * Rack of the worker.
+     *
+     * @return the rack
+     */
+    public String rack() {
+        return rack;
+    }
+
+    /**
+     * Serving tasks on the worker.
+     *
+     * @return the count
+     */
+    public int serving() {
+        return serving;
+    }
+
+    /**
+     * Filling tasks on the worker.
+     *
+     * @return the count
+     */
+    public int filling() {
+        return filling;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/policy/workflow/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions about workflows: order of waiting tasks, placement, admission and pacing. Pure. */
+package org.yuccabank.policy.workflow;
--- a/src/main/java/org/yuccabank/state/ReplicatedState.java
+++ b/src/main/java/org/yuccabank/state/ReplicatedState.java
@@ -74,6 +74,10 @@
                             command.getIncarnationSeen().getHostId(),
                             command.getIncarnationSeen().getIncarnation(),
                             moment.index());
+            case WORKFLOW -> {
+                state.workflows().apply(command.getWorkflow(), moment.nowMillis());
+                yield Results.accepted(moment.index());
+            }
             case COMMAND_NOT_SET -> Results.of(Verdict.REJECTED, "the command is empty");
         };
     }
--- a/src/main/java/org/yuccabank/state/SystemState.java
+++ b/src/main/java/org/yuccabank/state/SystemState.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.yuccabank.protocol.generated.CommandResult;
+import org.yuccabank.protocol.generated.FleetConfiguration;
 import org.yuccabank.protocol.generated.RulesVersion;
 import org.yuccabank.rules.ParsedRules;
 import org.yuccabank.rules.RulesParser;
@@ -24,6 +25,7 @@
 import org.yuccabank.state.generated.StateSnapshot;
 import org.yuccabank.state.generated.TaskRecord;
 import org.yuccabank.state.generated.TaskRecordPhase;
+import org.yuccabank.state.workflow.WorkflowRecords;
 
 /**
  * The records of the replicated state.
@@ -63,6 +65,7 @@
     private final Map<String, RememberedResult> results = new LinkedHashMap<>();
     private final Map<String, HostRecord> hosts = new LinkedHashMap<>();
     private Optional<ParsedRules> parsedRules = Optional.empty();
+    private WorkflowRecords workflows = new WorkflowRecords();
     private long appliedIndex;
 
     /**
@@ -92,6 +95,15 @@
         return parsedRules;
     }
 
+    /**
+     * The configuration of queues and the workflows.
+     *
+     * @return the records
+     */
+    public WorkflowRecords workflows() {
+        return workflows;
+    }
+
     void addRules(RulesVersion version, ParsedRules parsed) {
         rules.add(version);
         parsedRules = Optional.of(parsed);
@@ -322,6 +334,9 @@
                 .addAllAudit(audit)
                 .addAllResults(results.values())
                 .addAllHosts(hosts.values())
+                .setConfiguration(
+                        workflows.configuration().orElse(FleetConfiguration.getDefaultInstance()))
+                .addAllWorkflows(workflows.toRecords())
                 .build();
     }
 
@@ -340,6 +355,8 @@
         state.audit.addAll(snapshot.getAuditList());
         snapshot.getResultsList().forEach(state::remember);
         snapshot.getHostsList().forEach(state::putHost);
+        state.workflows =
+                WorkflowRecords.of(snapshot.getConfiguration(), snapshot.getWorkflowsList());
         return state;
     }
 }
--- /dev/null
+++ b/src/main/java/org/yuccabank/state/workflow/Workflow.java
@@ -0,0 +1,283 @@
+package org.yuccabank.state.workflow;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.yuccabank.protocol.generated.QueueDefinition;
+import org.yuccabank.protocol.generated.StepDefinition;
+import org.yuccabank.protocol.generated.TaskAddress;
+import org.yuccabank.protocol.generated.WorkflowDefinition;
+import org.yuccabank.protocol.generated.WorkflowPhase;
+import org.yuccabank.state.generated.WorkflowRecord;
+import org.yuccabank.state.generated.WorkflowTaskRecord;
+
+/**
+ * A workflow: steps of tasks that run once or several times.
+ *
+ * <p>Invariants: the definition and the queue are those of the acceptance; a final phase never
+ * changes; a step is ready only when every task of the steps it depends on is done. Confined to the
+ * thread of the replica.
+ */
+public final class Workflow {
+
+    private final WorkflowDefinition definition;
+    private final QueueDefinition queue;
+    private final long acceptedAtMillis;
+    private final List<Occurrence> occurrences = new ArrayList<>();
+    private WorkflowPhase phase = WorkflowPhase.WORKFLOW_QUEUED;
+    private long endedAtMillis;
+
+    /** Tasks of one occurrence, by step and index. */
+    private static final class Occurrence {
+
+        private final WorkflowTask[][] tasks;
+        private final int[] doneTasks;
+
+        private Occurrence(Workflow workflow, int number) {
+            int steps = workflow.definition.getStepsCount();
+            tasks = new WorkflowTask[steps][];
+            doneTasks = new int[steps];
+            for (int step = 0; step < steps; step++) {
+                tasks[step] = new WorkflowTask[workflow.step(step).getTaskCount()];
+                for (int index = 0; index < tasks[step].length; index++) {
+                    TaskAddress address =
+                            TaskAddress.newBuilder()
+                                    .setWorkflowId(workflow.id())
+                                    .setOccurrence(number)
+                                    .setStep(step)
+                                    .setIndex(index)
+                                    .build();
+                    tasks[step][index] = new WorkflowTask(workflow, address);
+                }
+            }
+        }
+    }
+
+    Workflow(WorkflowDefinition definition, QueueDefinition queue, long acceptedAtMillis) {
+        this.definition = definition;
+        this.queue = queue;
+        this.acceptedAtMillis = acceptedAtMillis;
+        for (int number = 0; number < occurrenceCount(); number++) {
+            occurrences.add(new Occurrence(this, number));
+        }
+    }
+
+    /**
+     * Identifier that the caller chose.
+     *
+     * @return the identifier
+     */
+    public String id() {
+        return definition.getWorkflowId();
+    }
+
+    /**
+     * What the caller submitted.
+     *
+     * @return the definition
+     */
+    public WorkflowDefinition definition() {
+        return definition;
+    }
+
+    /**
+     * The queue as it was configured when the workflow was accepted.
+     *
+     * @return the queue
+     */
+    public QueueDefinition queue() {
+        return queue;
+    }
+
+    /**
+     * When the workflow was accepted, by the clock of the leader of that time.
+     *
+     * @return milliseconds since 1970
+     */
+    public long acceptedAtMillis() {
+        return acceptedAtMillis;
+    }
+
+    /**
+     * How far the workflow is.
+     *
+     * @return the phase
+     */
+    public WorkflowPhase phase() {
+        return phase;
+    }
+
+    /**
+     * Tells whether no further task may start.
+     *
+     * @return true once completed, failed or cancelled
+     */
+    public boolean isFinal() {
+        return phase == WorkflowPhase.WORKFLOW_COMPLETED
+                || phase == WorkflowPhase.WORKFLOW_FAILED
+                || phase == WorkflowPhase.WORKFLOW_CANCELLED;
+    }
+
+    /**
+     * When the workflow reached its final phase.
+     *
+     * @return milliseconds since 1970, 0 before
+     */
+    public long endedAtMillis() {
+        return endedAtMillis;
+    }
+
+    /**
+     * Number of occurrences.
+     *
+     * @return the count, at least 1
+     */
+    public int occurrenceCount() {
+        return Math.max(1, definition.getOccurrences());
+    }
+
+    /**
+     * When an occurrence is due.
+     *
+     * @param occurrence number of the occurrence
+     * @return milliseconds since 1970; 0 if the workflow has no times
+     */
+    public long dueMillis(int occurrence) {
+        return definition.getOccurrences() == 0
+                ? 0
+                : definition.getFirstDueMillis() + occurrence * definition.getIntervalMillis();
+    }
+
+    /**
+     * A step.
+     *
+     * @param number number of the step
+     * @return its definition
+     */
+    public StepDefinition step(int number) {
+        return definition.getSteps(number);
+    }
+
+    /**
+     * Tells whether all steps that a step depends on are done.
+     *
+     * @param occurrence number of the occurrence
+     * @param number number of the step
+     * @return true if the tasks of the step may start
+     */
+    public boolean isReady(int occurrence, int number) {
+        return step(number).getDependsOnList().stream()
+                .allMatch(before -> isDone(occurrence, before));
+    }
+
+    /**
+     * Tells whether all tasks of a step are done.
+     *
+     * @param occurrence number of the occurrence
+     * @param number number of the step
+     * @return true if they are
+     */
+    public boolean isDone(int occurrence, int number) {
+        return occurrences.get(occurrence).doneTasks[number] == step(number).getTaskCount();
+    }
+
+    /**
+     * Tasks of a step.
+     *
+     * @param occurrence number of the occurrence
+     * @param number number of the step
+     * @return the tasks by index
+     */
+    public List<WorkflowTask> tasks(int occurrence, int number) {
+        return List.of(occurrences.get(occurrence).tasks[number]);
+    }
+
+    /**
+     * A task.
+     *
+     * @param address where it stands
+     * @return the task, empty if the workflow has no such task
+     */
+    public Optional<WorkflowTask> task(TaskAddress address) {
+        if (address.getOccurrence() >= occurrenceCount()
+                || address.getStep() >= definition.getStepsCount()
+                || address.getIndex() >= step(address.getStep()).getTaskCount()) {
+            return Optional.empty();
+        }
+        Occurrence occurrence = occurrences.get(address.getOccurrence());
+        return Optional.of(occurrence.tasks[address.getStep()][address.getIndex()]);
+    }
+
+    /**
+     * Every task of every occurrence.
+     *
+     * @return the tasks
+     */
+    public List<WorkflowTask> allTasks() {
+        List<WorkflowTask> all = new ArrayList<>();
+        for (Occurrence occurrence : occurrences) {
+            for (WorkflowTask[] step : occurrence.tasks) {
+                all.addAll(List.of(step));
+            }
+        }
+        return all;
+    }
+
+    void noteStarted() {
+        if (phase == WorkflowPhase.WORKFLOW_QUEUED) {
+            phase = WorkflowPhase.WORKFLOW_ACTIVE;
+        }
+    }
+
+    void noteDone(TaskAddress address, long nowMillis) {
+        occurrences.get(address.getOccurrence()).doneTasks[address.getStep()]++;
+        boolean all = true;
+        for (int number = 0; number < occurrenceCount(); number++) {
+            for (int step = 0; step < definition.getStepsCount(); step++) {
+                all &= isDone(number, step);
+            }
+        }
+        if (all) {
+            end(WorkflowPhase.WORKFLOW_COMPLETED, nowMillis);
+        }
+    }
+
+    void end(WorkflowPhase finalPhase, long nowMillis) {
+        if (!isFinal()) {
+            phase = finalPhase;
+            endedAtMillis = nowMillis;
+        }
+    }
+
+    WorkflowRecord toRecord() {
+        WorkflowRecord.Builder record =
+                WorkflowRecord.newBuilder()
+                        .setDefinition(definition)
+                        .setQueue(queue)
+                        .setAcceptedAtMillis(acceptedAtMillis)
+                        .setPhase(phase)
+                        .setEndedAtMillis(endedAtMillis);
+        for (WorkflowTask task : allTasks()) {
+            if (task.attempts() > 0) {
+                record.addTasks(task.toRecord());
+            }
+        }
+        return record.build();
+    }
+
+    static Workflow fromRecord(WorkflowRecord record) {
+        Workflow workflow =
+                new Workflow(
+                        record.getDefinition(), record.getQueue(), record.getAcceptedAtMillis());
+        for (WorkflowTaskRecord task : record.getTasksList()) {
+            workflow.task(task.getAddress()).orElseThrow().restore(task);
+            if (task.getDone()) {
+                TaskAddress address = task.getAddress();
+                workflow.occurrences.get(address.getOccurrence()).doneTasks[address.getStep()]++;
+            }
+        }
+        workflow.phase = record.getPhase();
+        workflow.endedAtMillis = record.getEndedAtMillis();
+        return workflow;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/state/workflow/WorkflowRecords.java
@@ -0,0 +1,245 @@
+package org.yuccabank.state.workflow;
+
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.yuccabank.protocol.generated.AcceptWorkflow;
+import org.yuccabank.protocol.generated.Assignment;
+import org.yuccabank.protocol.generated.EndedRun;
+import org.yuccabank.protocol.generated.FleetConfiguration;
+import org.yuccabank.protocol.generated.RunAddress;
+import org.yuccabank.protocol.generated.RunEnding;
+import org.yuccabank.protocol.generated.SchedulingRound;
+import org.yuccabank.protocol.generated.TaskAddress;
+import org.yuccabank.protocol.generated.WorkerIdentity;
+import org.yuccabank.protocol.generated.WorkflowCommand;
+import org.yuccabank.protocol.generated.WorkflowPhase;
+import org.yuccabank.state.generated.WorkflowRecord;
+
+/**
+ * The configuration of queues and all workflows.
+ *
+ * <p>Invariants: the version of the configuration never decreases, and other content under the same
+ * version changes nothing; an identifier names one workflow however often it is submitted; the end
+ * of a run counts once; a run of a final workflow is never opened. Confined to the thread of the
+ * replica.
+ */
+public final class WorkflowRecords {
+
+    private final Map<String, Workflow> workflows = new LinkedHashMap<>();
+    private final Map<WorkerIdentity, Set<WorkflowTask>> openRuns = new HashMap<>();
+    private FleetConfiguration configuration = FleetConfiguration.getDefaultInstance();
+
+    /**
+     * The configuration in force.
+     *
+     * @return the configuration, empty before the first one
+     */
+    public Optional<FleetConfiguration> configuration() {
+        return configuration.getVersion() == 0 ? Optional.empty() : Optional.of(configuration);
+    }
+
+    /**
+     * A workflow.
+     *
+     * @param workflowId its identifier
+     * @return the workflow, empty if it is unknown
+     */
+    public Optional<Workflow> workflow(String workflowId) {
+        return Optional.ofNullable(workflows.get(workflowId));
+    }
+
+    /**
+     * All workflows.
+     *
+     * @return the workflows in order of acceptance
+     */
+    public Collection<Workflow> workflows() {
+        return Collections.unmodifiableCollection(workflows.values());
+    }
+
+    /**
+     * Tasks whose open run is on a worker.
+     *
+     * @param worker the worker
+     * @return the tasks
+     */
+    public Set<WorkflowTask> openRuns(WorkerIdentity worker) {
+        return Collections.unmodifiableSet(openRuns.getOrDefault(worker, Set.of()));
+    }
+
+    /**
+     * Workers that have open runs.
+     *
+     * @return the workers
+     */
+    public Set<WorkerIdentity> workersWithOpenRuns() {
+        return Collections.unmodifiableSet(openRuns.keySet());
+    }
+
+    /**
+     * The task of an open run.
+     *
+     * @param run address of the run
+     * @return the task, empty if this run is not open
+     */
+    public Optional<WorkflowTask> openRun(RunAddress run) {
+        return workflow(run.getTask().getWorkflowId())
+                .flatMap(workflow -> workflow.task(run.getTask()))
+                .filter(task -> task.worker().isPresent())
+                .filter(task -> task.attempts() == run.getAttempt());
+    }
+
+    /**
+     * Applies a committed command.
+     *
+     * @param command the command
+     * @param nowMillis the time that the leader gave to it, since 1970
+     */
+    public void apply(WorkflowCommand command, long nowMillis) {
+        switch (command.getCommandCase()) {
+            case ACCEPT -> accept(command.getAccept(), nowMillis);
+            case CANCEL ->
+                    workflow(command.getCancel().getWorkflowId())
+                            .ifPresent(each -> cancel(each, nowMillis));
+            case CONFIGURATION -> replace(command.getConfiguration());
+            case ROUND -> applyRound(command.getRound(), nowMillis);
+            case COMMAND_NOT_SET -> {}
+        }
+    }
+
+    private void accept(AcceptWorkflow accept, long nowMillis) {
+        String workflowId = accept.getDefinition().getWorkflowId();
+        workflows.computeIfAbsent(
+                workflowId,
+                key -> new Workflow(accept.getDefinition(), accept.getQueue(), nowMillis));
+    }
+
+    private static void cancel(Workflow workflow, long nowMillis) {
+        workflow.end(WorkflowPhase.WORKFLOW_CANCELLED, nowMillis);
+    }
+
+    private void replace(FleetConfiguration replacement) {
+        if (replacement.getVersion() > configuration.getVersion()) {
+            configuration = replacement;
+        }
+    }
+
+    private void applyRound(SchedulingRound round, long nowMillis) {
+        round.getEndedList().forEach(ended -> end(ended, nowMillis));
+        round.getAssignedList().forEach(this::assign);
+        round.getForgottenList().forEach(this::forget);
+    }
+
+    private void end(EndedRun ended, long nowMillis) {
+        Optional<WorkflowTask> open = openRun(ended.getRun());
+        if (open.isEmpty()) {
+            return;
+        }
+        WorkflowTask task = open.get();
+        close(task);
+        boolean success = ended.getEnding() == RunEnding.RUN_DONE;
+        boolean failed = ended.getEnding() == RunEnding.RUN_FAILED;
+        task.end(success, failed, ended.getCheckpoint());
+        Workflow workflow = task.workflow();
+        if (success) {
+            workflow.noteDone(task.address(), nowMillis);
+        }
+        if (failed && isBudgetSpent(task)) {
+            workflow.end(WorkflowPhase.WORKFLOW_FAILED, nowMillis);
+        }
+    }
+
+    /** The failures of a gang count together, as one member's failure ends all of them. */
+    private static boolean isBudgetSpent(WorkflowTask task) {
+        Workflow workflow = task.workflow();
+        TaskAddress address = task.address();
+        if (workflow.step(address.getStep()).getLasting()) {
+            return false;
+        }
+        int failures = task.failures();
+        if (workflow.step(address.getStep()).getGang()) {
+            failures =
+                    workflow.tasks(address.getOccurrence(), address.getStep()).stream()
+                            .mapToInt(WorkflowTask::failures)
+                            .sum();
+        }
+        return failures >= Math.max(1, workflow.queue().getMostAttempts());
+    }
+
+    private void close(WorkflowTask task) {
+        WorkerIdentity worker = task.worker().orElseThrow();
+        Set<WorkflowTask> tasks = openRuns.get(worker);
+        tasks.remove(task);
+        if (tasks.isEmpty()) {
+            openRuns.remove(worker);
+        }
+    }
+
+    private void assign(Assignment assignment) {
+        TaskAddress address = assignment.getRun().getTask();
+        Optional<WorkflowTask> found =
+                workflow(address.getWorkflowId())
+                        .filter(workflow -> !workflow.isFinal())
+                        .flatMap(workflow -> workflow.task(address))
+                        .filter(WorkflowTask::isWaiting)
+                        .filter(task -> assignment.getRun().getAttempt() > task.attempts());
+        found.ifPresent(
+                task -> {
+                    task.assign(assignment.getRun().getAttempt(), assignment.getWorker());
+                    task.workflow().noteStarted();
+                    open(task);
+                });
+    }
+
+    private void open(WorkflowTask task) {
+        openRuns.computeIfAbsent(task.worker().orElseThrow(), key -> new LinkedHashSet<>())
+                .add(task);
+    }
+
+    private void forget(String workflowId) {
+        Workflow workflow = workflows.get(workflowId);
+        boolean open =
+                workflow != null
+                        && workflow.allTasks().stream().anyMatch(each -> each.worker().isPresent());
+        if (workflow != null && workflow.isFinal() && !open) {
+            workflows.remove(workflowId);
+        }
+    }
+
+    /**
+     * All workflows for a snapshot.
+     *
+     * @return the records
+     */
+    public List<WorkflowRecord> toRecords() {
+        return workflows.values().stream().map(Workflow::toRecord).toList();
+    }
+
+    /**
+     * Reads the content of a snapshot.
+     *
+     * @param configuration the configuration in force
+     * @param records the workflows
+     * @return the state
+     */
+    public static WorkflowRecords of(
+            FleetConfiguration configuration, List<WorkflowRecord> records) {
+        WorkflowRecords restored = new WorkflowRecords();
+        restored.configuration = configuration;
+        for (WorkflowRecord record : records) {
+            Workflow workflow = Workflow.fromRecord(record);
+            restored.workflows.put(workflow.id(), workflow);
+            workflow.allTasks().stream()
+                    .filter(task -> task.worker().isPresent())
+                    .forEach(restored::open);
+        }
+        return restored;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/yuccabank/state/workflow/WorkflowTask.java
@@ -0,0 +1,142 @@
+package org.yuccabank.state.workflow;
+
+import java.util.Optional;
+import org.yuccabank.protocol.generated.RunAddress;
+import org.yuccabank.protocol.generated.TaskAddress;
+import org.yuccabank.protocol.generated.WorkerIdentity;
+import org.yuccabank.state.generated.WorkflowTaskRecord;
+
+/**
+ * One task of a workflow.
+ *
+ * <p>Invariants: at most one run is open; attempt numbers only rise; a task that is done has no
+ * open run and gets none. Confined to the thread of the replica.
+ */
+public final class WorkflowTask {
+
+    private final Workflow workflow;
+    private final TaskAddress address;
+    private boolean done;
+    private int attempts;
+    private int failures;
+    private String checkpoint = "";
+    private WorkerIdentity worker;
+
+    WorkflowTask(Workflow workflow, TaskAddress address) {
+        this.workflow = workflow;
+        this.address = address;
+    }
+
+    /**
+     * The workflow of the task.
+     *
+     * @return the workflow
+     */
+    public Workflow workflow() {
+        return workflow;
+    }
+
+    /**
+     * Where the task stands in its workflow.
+     *
+     * @return the address
+     */
+    public TaskAddress address() {
+        return address;
+    }
+
+    /**
+     * Tells whether the task has ended with success.
+     *
+     * @return true if it needs no further run
+     */
+    public boolean isDone() {
+        return done;
+    }
+
+    /**
+     * Number of the newest run.
+     *
+     * @return the attempt, 0 if the task was never assigned
+     */
+    public int attempts() {
+        return attempts;
+    }
+
+    /**
+     * Runs that ended as failed.
+     *
+     * @return the count
+     */
+    public int failures() {
+        return failures;
+    }
+
+    /**
+     * The newest saved progress.
+     *
+     * @return the checkpoint, empty if there is none
+     */
+    public String checkpoint() {
+        return checkpoint;
+    }
+
+    /**
+     * The worker of the open run.
+     *
+     * @return the worker, empty if no run is open
+     */
+    public Optional<WorkerIdentity> worker() {
+        return Optional.ofNullable(worker);
+    }
+
+    /**
+     * Address of the newest run.
+     *
+     * @return the address
+     */
+    public RunAddress run() {
+        return RunAddress.newBuilder().setTask(address).setAttempt(attempts).build();
+    }
+
+    /**
+     * Tells whether the task waits for a worker.
+     *
+     * @return true if it is neither done nor running
+     */
+    public boolean isWaiting() {
+        return !done && worker == null;
+    }
+
+    void assign(int attempt, WorkerIdentity to) {
+        attempts = attempt;
+        worker = to;
+    }
+
+    void end(boolean success, boolean failed, String saved) {
+        worker = null;
+        done |= success;
+        failures += failed ? 1 : 0;
+        checkpoint = saved.isEmpty() ? checkpoint : saved;
+    }
+
+    WorkflowTaskRecord toRecord() {
+        WorkflowTaskRecord.Builder record =
+                WorkflowTaskRecord.newBuilder()
+                        .setAddress(address)
+                        .setDone(done)
+                        .setAttempts(attempts)
+                        .setFailures(failures)
+                        .setCheckpoint(checkpoint);
+        worker().ifPresent(record::setWorker);
+        return record.build();
+    }
+
+    void restore(WorkflowTaskRecord record) {
+        done = record.getDone();
+        attempts = record.getAttempts();
+        failures = record.getFailures();
+        checkpoint = record.getCheckpoint();
+        worker = record.hasWorker() ? record.getWorker() : null;
+    }
+}
