--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -321,6 +321,7 @@
             term = directives.getTerm();
             wantList();
         }
+        leader.learnMembers(directives.getControlAddressesList());
         runs.acknowledge(directives.getAcknowledgedNumber());
         runs.settle(directives.getSettledList());
         for (StartRun order : directives.getStartsList()) {
--- a/src/main/java/org/yuccabank/control/ControlConfiguration.java
+++ b/src/main/java/org/yuccabank/control/ControlConfiguration.java
@@ -21,6 +21,8 @@
  * @param leaseMillis duration of a task's lease
  * @param clockDriftShare greatest difference of two clock rates, 0.1 for 10 %
  * @param timing times of the replication protocol
+ * @param joinAddresses where a replica that is not a voter asks to become one; empty if it never
+ *     asks
  */
 public record ControlConfiguration(
         String processId,
@@ -33,7 +35,36 @@
         InetSocketAddress administrationAddress,
         long leaseMillis,
         double clockDriftShare,
-        ReplicaTiming timing) {
+        ReplicaTiming timing,
+        List<InetSocketAddress> joinAddresses) {
+
+    /** A configuration of a replica that never asks for a vote. */
+    public ControlConfiguration(
+            String processId,
+            String dataCentre,
+            String group,
+            String replicaId,
+            List<ReplicaMember> members,
+            Path dataDirectory,
+            InetSocketAddress protocolAddress,
+            InetSocketAddress administrationAddress,
+            long leaseMillis,
+            double clockDriftShare,
+            ReplicaTiming timing) {
+        this(
+                processId,
+                dataCentre,
+                group,
+                replicaId,
+                members,
+                dataDirectory,
+                protocolAddress,
+                administrationAddress,
+                leaseMillis,
+                clockDriftShare,
+                timing,
+                List.of());
+    }
 
     /** Checks the parts. */
     public ControlConfiguration {
@@ -42,6 +73,7 @@
         Objects.requireNonNull(dataDirectory, "dataDirectory is null");
         Objects.requireNonNull(protocolAddress, "protocolAddress is null");
         members = List.copyOf(members);
+        joinAddresses = List.copyOf(joinAddresses);
         if (leaseMillis < 1) {
             throw new IllegalArgumentException("leaseMillis must be positive");
         }
--- a/src/main/java/org/yuccabank/control/ControlService.java
+++ b/src/main/java/org/yuccabank/control/ControlService.java
@@ -3,6 +3,8 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.CompletionStage;
@@ -15,6 +17,7 @@
 import org.yuccabank.event.EventLog;
 import org.yuccabank.http.AdministrationServer;
 import org.yuccabank.policy.placement.PlacementPolicy;
+import org.yuccabank.protocol.LeaderClient;
 import org.yuccabank.protocol.PeerAddress;
 import org.yuccabank.protocol.PeerClient;
 import org.yuccabank.protocol.PeerHandler;
@@ -24,9 +27,12 @@
 import org.yuccabank.protocol.PeerTransport;
 import org.yuccabank.protocol.generated.Envelope;
 import org.yuccabank.protocol.generated.Hello;
+import org.yuccabank.protocol.generated.JoinRequest;
 import org.yuccabank.protocol.generated.ReplicaMessage;
 import org.yuccabank.protocol.generated.Role;
 import org.yuccabank.protocol.generated.RulesVersion;
+import org.yuccabank.protocol.generated.WorkflowRequest;
+import org.yuccabank.replication.ReplicaMember;
 import org.yuccabank.replication.ReplicaService;
 import org.yuccabank.replication.ReplicaSettings;
 import org.yuccabank.replication.ReplicaStatus;
@@ -45,6 +51,11 @@
     private static final long ROUND_MILLIS = 50;
     private static final long TRANSFER_LIMIT_MILLIS = 2_000;
 
+    /** Time between two requests of a replica that is not a voter yet. */
+    private static final long JOIN_MILLIS = 250;
+
+    private static final Duration JOIN_LIMIT = Duration.ofMillis(1_000);
+
     private final ControlConfiguration configuration;
     private final MetricRegistry metrics = new MetricRegistry();
     private final ReplicatedState state = ReplicatedState.empty();
@@ -53,6 +64,7 @@
     private final ReplicaService replica;
     private final LeaderLogic leader;
     private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+    private final LeaderClient joinClient;
     private volatile long configurationVersion;
     private PeerServer server;
     private AdministrationServer administration;
@@ -83,6 +95,11 @@
                         configuration.timing(),
                         ReplicaSettings.DEFAULT_SNAPSHOT_ENTRIES);
         replica = ReplicaService.of(settings, state, this::sendToReplica);
+        List<InetSocketAddress> joinAddresses =
+                configuration.joinAddresses().isEmpty()
+                        ? List.of(configuration.protocolAddress())
+                        : configuration.joinAddresses();
+        joinClient = LeaderClient.of(transport, joinAddresses, PeerHandler.none());
         leader =
                 LeaderLogic.of(
                         configuration,
@@ -129,6 +146,8 @@
                         () -> replica.status().stopReason().isEmpty());
         timer.scheduleWithFixedDelay(
                 this::runRound, ROUND_MILLIS, ROUND_MILLIS, TimeUnit.MILLISECONDS);
+        timer.scheduleWithFixedDelay(
+                this::joinIfNeeded, JOIN_MILLIS, JOIN_MILLIS, TimeUnit.MILLISECONDS);
         EventLog.information(
                 Event.ROLE_STARTED,
                 "role",
@@ -170,6 +189,53 @@
         return null;
     }
 
+    /** A replica without a vote asks the leader for one until no former member is left. */
+    private void joinIfNeeded() {
+        List<ReplicaMember> members = replica.status().members();
+        String address = text(configuration.protocolAddress());
+        boolean voter =
+                members.stream()
+                        .anyMatch(
+                                member ->
+                                        member.voter()
+                                                && member.replicaId()
+                                                        .equals(configuration.replicaId()));
+        boolean twin =
+                members.stream()
+                        .anyMatch(
+                                member ->
+                                        member.address().equals(address)
+                                                && !member.replicaId()
+                                                        .equals(configuration.replicaId()));
+        if ((voter && !twin) || configuration.joinAddresses().isEmpty()) {
+            return;
+        }
+        JoinRequest join =
+                JoinRequest.newBuilder()
+                        .setReplicaId(configuration.replicaId())
+                        .setAddress(address)
+                        .build();
+        Envelope request =
+                Envelope.newBuilder()
+                        .setWorkflowRequest(WorkflowRequest.newBuilder().setJoin(join))
+                        .build();
+        joinClient
+                .request(request, JOIN_LIMIT)
+                .subscribe(
+                        answer -> {},
+                        error ->
+                                EventLog.warning(
+                                        Event.MEMBERSHIP_CHANGED,
+                                        "step",
+                                        "join",
+                                        "problem",
+                                        error.getMessage()));
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getHostString() + ":" + address.getPort();
+    }
+
     private void sendToReplica(String address, ReplicaMessage message) {
         if (address.isEmpty()) {
             return;
--- /dev/null
+++ b/src/main/java/org/yuccabank/control/workflow/MembershipKeeper.java
@@ -0,0 +1,61 @@
+package org.yuccabank.control.workflow;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import org.yuccabank.event.Event;
+import org.yuccabank.event.EventLog;
+import org.yuccabank.protocol.generated.JoinRequest;
+import org.yuccabank.replication.ProposalOutcome;
+import org.yuccabank.replication.ReplicaMember;
+import org.yuccabank.replication.ReplicaService;
+
+/**
+ * Admits replicas that lost their disk, or that are new, as members of the group.
+ *
+ * <p>Invariants: a replica gets a vote only after it has caught up; the former member at the same
+ * address is removed only after its successor has a vote, so that the group never needs a vote that
+ * nobody can give. One change is in progress at a time. Confined to the thread of the replica.
+ */
+final class MembershipKeeper {
+
+    private final ReplicaService replica;
+
+    MembershipKeeper(ReplicaService replica) {
+        this.replica = replica;
+    }
+
+    /** Makes the next change that the replica needs; the replica repeats the request. */
+    void admit(JoinRequest join) {
+        List<ReplicaMember> members = replica.status().members();
+        Optional<ReplicaMember> self =
+                members.stream()
+                        .filter(member -> member.replicaId().equals(join.getReplicaId()))
+                        .findFirst();
+        if (self.isEmpty()) {
+            log(replica.addLearner(join.getReplicaId(), join.getAddress()), "add", join);
+        } else if (!self.get().voter()) {
+            log(replica.promote(join.getReplicaId()), "promote", join);
+        } else {
+            members.stream()
+                    .filter(member -> member.address().equals(join.getAddress()))
+                    .filter(member -> !member.replicaId().equals(join.getReplicaId()))
+                    .findFirst()
+                    .ifPresent(former -> log(replica.remove(former.replicaId()), "replace", join));
+        }
+    }
+
+    private static void log(
+            CompletionStage<ProposalOutcome> change, String step, JoinRequest join) {
+        change.whenComplete(
+                (outcome, error) ->
+                        EventLog.information(
+                                Event.MEMBERSHIP_CHANGED,
+                                "step",
+                                step,
+                                "replica",
+                                join.getReplicaId(),
+                                "outcome",
+                                error == null ? outcome.getClass().getSimpleName() : error));
+    }
+}
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -76,6 +76,7 @@
     private final Map<String, WorkerView> workers = new LinkedHashMap<>();
     private final Map<RunAddress, EndedRun> pendingEnds = new LinkedHashMap<>();
     private final WorkflowLog log = new WorkflowLog();
+    private final MembershipKeeper membership;
     private long term;
     private long ledSinceMillis;
     private boolean roundInProgress;
@@ -87,6 +88,7 @@
         this.state = state;
         this.proposer = proposer;
         this.leaseMillis = leaseMillis;
+        membership = new MembershipKeeper(replica);
     }
 
     /**
@@ -155,15 +157,20 @@
     }
 
     private WorkflowReply configuration() {
-        return records()
-                .configuration()
-                .map(
-                        found ->
-                                reply(Verdict.ACCEPTED, "")
-                                        .setDocument(found.getDocument())
-                                        .setVersion(found.getVersion())
-                                        .build())
-                .orElseGet(() -> reply(Verdict.REFUSED, "no configuration yet").build());
+        WorkflowReply.Builder answer =
+                records()
+                        .configuration()
+                        .map(
+                                found ->
+                                        reply(Verdict.ACCEPTED, "")
+                                                .setDocument(found.getDocument())
+                                                .setVersion(found.getVersion()))
+                        .orElseGet(() -> reply(Verdict.REFUSED, "no configuration yet"));
+        return answer.addAllControlAddresses(memberAddresses()).build();
+    }
+
+    private List<String> memberAddresses() {
+        return replica.status().members().stream().map(ReplicaMember::address).distinct().toList();
     }
 
     private WorkflowReply workflowState(WorkflowRequest request) {
@@ -206,6 +213,10 @@
             case SUBMIT -> submit(request);
             case CANCEL -> cancel(request);
             case REPLACE -> replace(request.getReplace().getConfiguration());
+            case JOIN -> {
+                membership.admit(request.getJoin());
+                yield done(reply(Verdict.ACCEPTED, ""));
+            }
             default ->
                     CompletableFuture.completedFuture(
                             reply(Verdict.INVALID, "the request is empty").build());
@@ -370,9 +381,7 @@
                         .setTerm(term)
                         .setWorker(view.worker())
                         .setAnswersSequence(answeredSequence);
-        replica.status().members().stream()
-                .map(ReplicaMember::address)
-                .forEach(directives::addControlAddresses);
+        directives.addAllControlAddresses(memberAddresses());
         for (EndedRun ended : view.numberedEnds()) {
             if (records().openRun(ended.getRun()).isPresent()) {
                 break;
--- a/src/main/java/org/yuccabank/entry/workflow/WorkflowGateway.java
+++ b/src/main/java/org/yuccabank/entry/workflow/WorkflowGateway.java
@@ -151,6 +151,9 @@
         }
         contactMillis = steadyMillis();
         WorkflowReply reply = answer.getWorkflowReply();
+        if (reply.getControlAddressesCount() > 0) {
+            leader.learnMembers(reply.getControlAddressesList());
+        }
         if (reply.getVerdict() == Verdict.UNCERTAIN) {
             return attempt(request, deadlineMillis, true);
         }
--- a/src/main/java/org/yuccabank/protocol/LeaderClient.java
+++ b/src/main/java/org/yuccabank/protocol/LeaderClient.java
@@ -3,10 +3,12 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.yuccabank.protocol.generated.CommandResult;
 import org.yuccabank.protocol.generated.CommandResult.Verdict;
@@ -25,14 +27,16 @@
 
     private final PeerTransport transport;
     private final PeerHandler handler;
-    private final List<InetSocketAddress> addresses;
+    private final List<InetSocketAddress> configuredAddresses;
+    private volatile List<InetSocketAddress> addresses;
     private final Map<InetSocketAddress, PeerClient> clients = new ConcurrentHashMap<>();
     private volatile InetSocketAddress likelyLeader;
 
     private LeaderClient(
             PeerTransport transport, List<InetSocketAddress> addresses, PeerHandler handler) {
         this.transport = transport;
-        this.addresses = List.copyOf(addresses);
+        this.configuredAddresses = List.copyOf(addresses);
+        this.addresses = configuredAddresses;
         this.handler = handler;
         this.likelyLeader = this.addresses.get(0);
     }
@@ -66,6 +70,21 @@
         return attempt(request, order(likelyLeader), 0, deadlineNanos);
     }
 
+    /**
+     * Takes the addresses of the present members of the group. The configured addresses stay in
+     * use, as members may return there.
+     *
+     * @param members addresses as they stand in the membership
+     */
+    public void learnMembers(List<String> members) {
+        Set<InetSocketAddress> known = new LinkedHashSet<>();
+        members.forEach(member -> known.add(PeerAddress.parse(member)));
+        known.addAll(configuredAddresses);
+        if (!Set.copyOf(addresses).equals(known)) {
+            addresses = List.copyOf(known);
+        }
+    }
+
     private Mono<Envelope> attempt(
             Envelope request, List<InetSocketAddress> order, int position, long deadlineNanos) {
         Duration left = Duration.ofNanos(deadlineNanos - System.nanoTime());
--- a/src/main/java/org/yuccabank/replication/DiskStorage.java
+++ b/src/main/java/org/yuccabank/replication/DiskStorage.java
@@ -61,7 +61,20 @@
         return openLog(state, parseSnapshot(snapshotBytes.get()));
     }
 
+    /** The identifier in the file "state", empty if there is none. */
+    static Optional<String> storedReplicaId(StorageDirectory directory) throws IOException {
+        Optional<byte[]> bytes = readChecked(directory, STATE);
+        return bytes.isPresent()
+                ? Optional.of(HardState.parseFrom(bytes.get()).getReplicaId())
+                : Optional.empty();
+    }
+
     private Optional<byte[]> readChecked(String name) throws IOException {
+        return readChecked(directory, name);
+    }
+
+    private static Optional<byte[]> readChecked(StorageDirectory directory, String name)
+            throws IOException {
         Optional<StorageFile> found = directory.open(name);
         if (found.isEmpty()) {
             return Optional.empty();
--- a/src/main/java/org/yuccabank/replication/ReplicaService.java
+++ b/src/main/java/org/yuccabank/replication/ReplicaService.java
@@ -1,6 +1,7 @@
 package org.yuccabank.replication;
 
 import java.io.IOException;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
@@ -106,6 +107,20 @@
         return opened.map(this::run);
     }
 
+    /**
+     * The identifier of the replica that a directory belongs to.
+     *
+     * @param directory directory of the durable state
+     * @return the identifier, empty if the directory holds no state; or why it cannot be read
+     */
+    public static Result<Optional<String>> storedReplicaId(Path directory) {
+        try (StorageDirectory opened = FileDirectory.open(directory)) {
+            return Result.success(DiskStorage.storedReplicaId(opened));
+        } catch (IOException exception) {
+            return Result.failure(Place.of(directory.toString()), exception.toString());
+        }
+    }
+
     private Result<StorageDirectory> openDirectory() {
         try {
             return Result.success(FileDirectory.open(settings.directory()));
