--- a/src/main/java/org/yuccabank/agent/workflow/RunTable.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunTable.java
@@ -75,9 +75,11 @@
         }
         for (EndedRun each : ended) {
             seen.add(each.getRun());
+            if (each.getNumber() <= acknowledgedNumber) {
+                continue;
+            }
             RunEntry entry = entries.computeIfAbsent(each.getRun(), RunEntry::found);
-            if (each.getNumber() > acknowledgedNumber
-                    && entry.end().map(EndedRun::getNumber).orElse(0L) == 0) {
+            if (entry.end().map(EndedRun::getNumber).orElse(0L) == 0) {
                 entry.endAs(each);
                 changed = true;
             }
--- a/src/main/java/org/yuccabank/policy/workflow/SeparatingChoice.java
+++ b/src/main/java/org/yuccabank/policy/workflow/SeparatingChoice.java
@@ -5,35 +5,51 @@
 import java.util.Optional;
 
 /**
- * Keeps tasks that serve and tasks that fill on different workers while there is room, and spreads
- * the rest. Answers the load in which filling tasks slow down serving ones. Immutable.
+ * Keeps tasks that fill away from workers with tasks that serve, and packs the others so that whole
+ * workers stay free for filling. Answers the load in which filling tasks multiply the tail latency
+ * of serving ones beside them. Immutable.
+ *
+ * <p>A filling task waits rather than join serving tasks, unless every worker of its service has
+ * some.
  */
 public final class SeparatingChoice implements WorkerChoice {
 
     private static final Comparator<WorkerRoom> MOST_FREE =
             Comparator.comparingDouble(WorkerRoom::freeShare).reversed();
 
+    private static final Comparator<WorkerRoom> MOST_SERVING =
+            Comparator.comparingInt(WorkerRoom::serving).reversed();
+
     private static final Comparator<WorkerRoom> FOR_SERVING =
             Comparator.comparingInt(WorkerRoom::filling)
-                    .thenComparing(Comparator.comparingInt(WorkerRoom::serving).reversed())
-                    .thenComparing(MOST_FREE);
+                    .thenComparing(MOST_SERVING)
+                    .thenComparing(WorkerRoom::freeShare);
 
     private static final Comparator<WorkerRoom> FOR_FILLING =
             Comparator.comparingInt(WorkerRoom::serving).thenComparing(MOST_FREE);
 
+    private static final Comparator<WorkerRoom> FOR_PLAIN =
+            Comparator.comparing((WorkerRoom room) -> room.serving() == 0).thenComparing(MOST_FREE);
+
     @Override
     public Optional<WorkerRoom> choose(WaitingTask task, Collection<WorkerRoom> rooms) {
         Comparator<WorkerRoom> order =
                 switch (task.loadKind()) {
                     case SERVING -> FOR_SERVING;
                     case FILLING -> FOR_FILLING;
-                    case PLAIN -> MOST_FREE;
+                    case PLAIN -> FOR_PLAIN;
                 };
         Optional<String> rack = task.constraints().preferredRack();
         Comparator<WorkerRoom> near =
                 Comparator.comparing(room -> rack.isPresent() && !rack.get().equals(room.rack()));
+        boolean mayMix = rooms.stream().allMatch(room -> room.serving() > 0);
         return rooms.stream()
                 .filter(room -> room.admits(task))
+                .filter(room -> mayMix || !wouldMix(task, room))
                 .min(near.thenComparing(order).thenComparing(WorkerRoom::workerId));
     }
+
+    private static boolean wouldMix(WaitingTask task, WorkerRoom room) {
+        return task.loadKind() == WaitingTask.LoadKind.FILLING && room.serving() > 0;
+    }
 }
