--- a/src/main/java/org/yuccabank/agent/workflow/RunTable.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunTable.java
@@ -121,10 +121,15 @@
     List<ActiveRun> active() {
         return entries.values().stream()
                 .filter(entry -> entry.stage() != RunEntry.Stage.ENDED)
-                .map(RunEntry::listed)
+                .map(RunTable::reported)
                 .toList();
     }
 
+    private static ActiveRun reported(RunEntry entry) {
+        boolean slowed = entry.percent() != FillerPacing.FULL_SPEED;
+        return slowed ? entry.listed().toBuilder().setSlowed(true).build() : entry.listed();
+    }
+
     List<EndedRun> ended() {
         return entries.values().stream().flatMap(entry -> entry.end().stream()).toList();
     }
--- /dev/null
+++ b/src/main/java/org/yuccabank/control/workflow/RunWatch.java
@@ -0,0 +1,96 @@
+package org.yuccabank.control.workflow;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.yuccabank.event.Event;
+import org.yuccabank.event.EventLog;
+import org.yuccabank.policy.workflow.RunProgress;
+import org.yuccabank.policy.workflow.WorkerTrust;
+import org.yuccabank.protocol.generated.ActiveRun;
+import org.yuccabank.protocol.generated.EndedRun;
+import org.yuccabank.protocol.generated.RunAddress;
+import org.yuccabank.protocol.generated.RunEnding;
+import org.yuccabank.protocol.generated.StepDefinition;
+import org.yuccabank.state.workflow.WorkflowTask;
+
+/**
+ * Follows the progress of open runs and the ends on each worker, and tells which runs should start
+ * again elsewhere. Confined to the thread of the replica; times are those of a steady clock.
+ */
+final class RunWatch {
+
+    private final Map<RunAddress, RunProgress> progress = new HashMap<>();
+    private final Set<RunAddress> restarts = new HashSet<>();
+    private final WorkerTrust trust = new WorkerTrust();
+
+    /** Takes the reported progress of an open run. */
+    void active(ActiveRun run, WorkflowTask task, long nowMillis) {
+        StepDefinition step = task.workflow().step(task.address().getStep());
+        if (restarts.contains(run.getRun()) || step.getGang()) {
+            return;
+        }
+        RunProgress followed =
+                progress.computeIfAbsent(
+                        run.getRun(), key -> new RunProgress(step.getEstimatedMillis()));
+        followed.report(run.getPercent(), !run.getSlowed(), nowMillis);
+        RunProgress.Advice advice = followed.advise(step.getCheckpointing());
+        if (advice != RunProgress.Advice.KEEP) {
+            String workerId = task.worker().orElseThrow().getWorkerId();
+            trust.failed(workerId, task.address().getWorkflowId(), nowMillis);
+            restarts.add(run.getRun());
+            EventLog.information(
+                    Event.RUN_RESTARTED,
+                    "run",
+                    WorkflowLog.text(run.getRun()),
+                    "worker",
+                    workerId,
+                    "reason",
+                    advice,
+                    "percent",
+                    run.getPercent());
+        }
+    }
+
+    /** Takes the end of an open run. */
+    void ended(EndedRun ended, WorkflowTask task, long nowMillis) {
+        progress.remove(ended.getRun());
+        restarts.remove(ended.getRun());
+        boolean lasting = task.workflow().step(task.address().getStep()).getLasting();
+        String workerId = task.worker().orElseThrow().getWorkerId();
+        if (ended.getEnding() == RunEnding.RUN_DONE) {
+            trust.succeeded(workerId);
+        } else if (ended.getEnding() == RunEnding.RUN_FAILED && !lasting) {
+            trust.failed(workerId, task.address().getWorkflowId(), nowMillis);
+        }
+    }
+
+    boolean isToRestart(RunAddress run) {
+        return restarts.contains(run);
+    }
+
+    /**
+     * What a worker may get. When more than half of the workers seem sick, the fault is not theirs
+     * and all are used.
+     */
+    WorkerTrust.Standing standing(
+            String workerId, Collection<String> allWorkerIds, long nowMillis) {
+        long sick =
+                allWorkerIds.stream()
+                        .filter(
+                                each ->
+                                        trust.standing(each, nowMillis)
+                                                != WorkerTrust.Standing.TRUSTED)
+                        .count();
+        return 2 * sick > allWorkerIds.size()
+                ? WorkerTrust.Standing.TRUSTED
+                : trust.standing(workerId, nowMillis);
+    }
+
+    void clear() {
+        progress.clear();
+        restarts.clear();
+    }
+}
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -17,8 +17,10 @@
 import org.yuccabank.event.EventLog;
 import org.yuccabank.policy.workflow.FeasibleFirstOrder;
 import org.yuccabank.policy.workflow.SeparatingChoice;
+import org.yuccabank.policy.workflow.WorkerTrust;
 import org.yuccabank.protocol.PeerConnection;
 import org.yuccabank.protocol.generated.AcceptWorkflow;
+import org.yuccabank.protocol.generated.ActiveRun;
 import org.yuccabank.protocol.generated.Assignment;
 import org.yuccabank.protocol.generated.CancelWorkflowById;
 import org.yuccabank.protocol.generated.CommandResult;
@@ -76,6 +78,7 @@
     private final Map<String, WorkerView> workers = new LinkedHashMap<>();
     private final Map<RunAddress, EndedRun> pendingEnds = new LinkedHashMap<>();
     private final WorkflowLog log = new WorkflowLog();
+    private final RunWatch watch = new RunWatch();
     private final MembershipKeeper membership;
     private long term;
     private long ledSinceMillis;
@@ -126,6 +129,7 @@
         ledSinceMillis = steadyMillis();
         workers.clear();
         pendingEnds.clear();
+        watch.clear();
         roundInProgress = false;
         roundWanted = false;
     }
@@ -343,14 +347,18 @@
         if (report.getLeaving()) {
             endAll(view.worker(), RunEnding.RUN_WORKER_LOST, "the worker has left");
         }
+        for (ActiveRun active : valid.getActiveList()) {
+            records().openRun(active.getRun()).ifPresent(task -> watch.active(active, task, now));
+        }
         valid.getEndedList().forEach(this::noteEnd);
         wantRound();
         return directives(view, report.getSequence()).build();
     }
 
     private void noteEnd(EndedRun ended) {
-        if (records().openRun(ended.getRun()).isPresent()) {
-            pendingEnds.putIfAbsent(ended.getRun(), ended);
+        Optional<WorkflowTask> task = records().openRun(ended.getRun());
+        if (task.isPresent() && pendingEnds.putIfAbsent(ended.getRun(), ended) == null) {
+            watch.ended(ended, task.get(), steadyMillis());
         }
     }
 
@@ -414,8 +422,8 @@
     }
 
     /** A leaving worker keeps only the tasks that lose their work when they are stopped. */
-    private static boolean isToStop(WorkflowTask task, WorkerView view) {
-        if (task.workflow().isFinal()) {
+    private boolean isToStop(WorkflowTask task, WorkerView view) {
+        if (task.workflow().isFinal() || watch.isToRestart(task.run())) {
             return true;
         }
         boolean lasting = task.workflow().step(task.address().getStep()).getLasting();
@@ -481,13 +489,8 @@
         roundWanted = false;
         long now = steadyMillis();
         List<EndedRun> ended = pendingEnds.values().stream().limit(MAXIMUM_ROUND_ENTRIES).toList();
-        List<WorkerReport> usable =
-                workers.values().stream()
-                        .filter(view -> view.isUsable(now, USABLE_MILLIS))
-                        .map(WorkerView::report)
-                        .toList();
         long wallMillis = System.currentTimeMillis();
-        List<Assignment> planned = planner.plan(records(), usable, wallMillis);
+        List<Assignment> planned = planner.plan(records(), offers(now), wallMillis);
         List<Assignment> assigned =
                 planned.subList(0, Math.min(planned.size(), MAXIMUM_ROUND_ENTRIES));
         List<String> forgotten = forgotten(wallMillis);
@@ -507,6 +510,23 @@
                 .whenComplete((result, error) -> endRound(round, roundTerm, result));
     }
 
+    private List<WorkerOffer> offers(long now) {
+        List<WorkerReport> usable =
+                workers.values().stream()
+                        .filter(view -> view.isUsable(now, USABLE_MILLIS))
+                        .map(WorkerView::report)
+                        .toList();
+        List<String> ids = usable.stream().map(each -> each.getWorker().getWorkerId()).toList();
+        return usable.stream()
+                .map(
+                        report ->
+                                new WorkerOffer(
+                                        report,
+                                        watch.standing(report.getWorker().getWorkerId(), ids, now)))
+                .filter(offer -> offer.standing() != WorkerTrust.Standing.AVOIDED)
+                .toList();
+    }
+
     private List<String> forgotten(long nowMillis) {
         List<String> forgotten = new ArrayList<>();
         for (Workflow workflow : records().workflows()) {
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLog.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLog.java
@@ -67,7 +67,7 @@
         return worker.getWorkerId() + "/" + worker.getBornMillis();
     }
 
-    private static String text(RunAddress run) {
+    static String text(RunAddress run) {
         TaskAddress task = run.getTask();
         return task.getWorkflowId()
                 + "."
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowPlanner.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowPlanner.java
@@ -14,6 +14,7 @@
 import org.yuccabank.policy.workflow.WaitingTask;
 import org.yuccabank.policy.workflow.WorkerChoice;
 import org.yuccabank.policy.workflow.WorkerRoom;
+import org.yuccabank.policy.workflow.WorkerTrust;
 import org.yuccabank.protocol.generated.Assignment;
 import org.yuccabank.protocol.generated.ResourceVector;
 import org.yuccabank.protocol.generated.RunAddress;
@@ -48,22 +49,26 @@
      * Plans assignments.
      *
      * @param records the replicated records
-     * @param usable reports of the workers that may get tasks
+     * @param offers the workers that may get tasks
      * @param nowMillis present time, in milliseconds since 1970
      * @return the assignments, in the order of their importance
      */
-    List<Assignment> plan(
-            WorkflowRecords records, Collection<WorkerReport> usable, long nowMillis) {
+    List<Assignment> plan(WorkflowRecords records, Collection<WorkerOffer> offers, long nowMillis) {
         Map<String, List<Candidate>> candidates = candidates(records, nowMillis);
-        if (candidates.isEmpty() || usable.isEmpty()) {
+        if (candidates.isEmpty() || offers.isEmpty()) {
             return List.of();
         }
         Map<String, WorkerIdentity> identities = new HashMap<>();
         Map<String, WorkerRoom> rooms = new LinkedHashMap<>();
-        for (WorkerReport report : usable) {
+        for (WorkerOffer offer : offers) {
+            WorkerReport report = offer.report();
             String key = key(report.getWorker());
             identities.put(key, report.getWorker());
-            rooms.put(key, room(key, report, records));
+            WorkerRoom room = room(key, report, records);
+            if (offer.standing() == WorkerTrust.Standing.PROBE) {
+                room.limitToProbe();
+            }
+            rooms.put(key, room);
         }
         Map<WaitingTask, WorkflowTask> tasks =
                 candidates.values().stream()
--- a/src/main/java/org/yuccabank/event/Event.java
+++ b/src/main/java/org/yuccabank/event/Event.java
@@ -72,6 +72,8 @@
     ORDER_UNSETTLED(613),
     /** The speed of the filling tasks of a worker changed. */
     FILLING_PACED(614),
+    /** A run stands still or is too slow, and starts again elsewhere. */
+    RUN_RESTARTED(615),
     /** A host announced itself. */
     HOST_JOINED(700),
     /** A host has not reported for the suspicion time. */
--- a/src/main/java/org/yuccabank/policy/workflow/WorkerRoom.java
+++ b/src/main/java/org/yuccabank/policy/workflow/WorkerRoom.java
@@ -22,6 +22,8 @@
     private Resources free;
     private int serving;
     private int filling;
+    private int tasks;
+    private boolean probed;
 
     /**
      * Creates the room of an empty worker.
@@ -51,11 +53,17 @@
      */
     public void reserve(String stepKey, Resources resources, WaitingTask.LoadKind loadKind) {
         free = free.minus(resources);
+        tasks++;
         tasksOfStep.merge(stepKey, 1, Integer::sum);
         serving += loadKind == WaitingTask.LoadKind.SERVING ? 1 : 0;
         filling += loadKind == WaitingTask.LoadKind.FILLING ? 1 : 0;
     }
 
+    /** Lets the worker have one task at a time. */
+    public void limitToProbe() {
+        probed = true;
+    }
+
     /**
      * Tells whether a task may run here.
      *
@@ -64,7 +72,8 @@
      */
     public boolean admits(WaitingTask task) {
         WaitingTask.Constraints constraints = task.constraints();
-        return constraints.service().equals(service)
+        return !(probed && tasks > 0)
+                && constraints.service().equals(service)
                 && constraints.requiredLabel().map(labels::contains).orElse(true)
                 && (constraints.mostPerWorker() == 0
                         || tasksOfStep.getOrDefault(task.stepKey(), 0)
