--- /dev/null
+++ b/src/test/java/org/yuccabank/agent/workflow/RunTableTest.java
@@ -0,0 +1,96 @@
+package org.yuccabank.agent.workflow;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.testng.annotations.Test;
+import org.yuccabank.protocol.generated.ActiveRun;
+import org.yuccabank.protocol.generated.EndedRun;
+import org.yuccabank.protocol.generated.RunAddress;
+import org.yuccabank.protocol.generated.RunEnding;
+import org.yuccabank.protocol.generated.StartRun;
+import org.yuccabank.protocol.generated.TaskAddress;
+
+/** Holds how the agent settles what truly ran. */
+public final class RunTableTest {
+
+    private static final RunAddress RUN =
+            RunAddress.newBuilder()
+                    .setTask(TaskAddress.newBuilder().setWorkflowId("a"))
+                    .setAttempt(1)
+                    .build();
+    private static final StartRun ORDER = StartRun.newBuilder().setRun(RUN).build();
+
+    private static EndedRun done(long number) {
+        return EndedRun.newBuilder()
+                .setRun(RUN)
+                .setEnding(RunEnding.RUN_DONE)
+                .setNumber(number)
+                .build();
+    }
+
+    /** Guards against "not started" for a start that is carried out late. */
+    @Test
+    public void shouldCallRunUnstartedOnlyIfListAfterStopLacksIt() {
+        RunTable table = new RunTable();
+        RunEntry entry = table.order(ORDER).orElseThrow();
+        entry.setStage(RunEntry.Stage.DOUBTFUL);
+        assertFalse(table.list(List.of(), List.of(), 50));
+        entry.checkSince(100);
+        assertFalse(table.list(List.of(), List.of(), 100), "requested before the stop was known");
+        assertTrue(table.list(List.of(), List.of(), 101));
+        assertEquals(table.ended().get(0).getEnding(), RunEnding.RUN_NOT_STARTED);
+    }
+
+    /** Guards against an end that is lost because the start was in doubt. */
+    @Test
+    public void shouldReportEndOfRunInDoubt() {
+        RunTable table = new RunTable();
+        table.order(ORDER).orElseThrow().checkSince(100);
+        assertTrue(table.list(List.of(), List.of(done(7)), 200));
+        assertEquals(table.ended(), List.of(done(7)));
+    }
+
+    /** Guards against a run that a late list brings back after its end was acknowledged. */
+    @Test
+    public void shouldForgetAcknowledgedEndForGood() {
+        RunTable table = new RunTable();
+        table.order(ORDER);
+        table.list(List.of(), List.of(done(7)), 10);
+        table.acknowledge(7);
+        table.list(List.of(), List.of(done(7)), 20);
+        assertTrue(table.entries().isEmpty());
+    }
+
+    /** Guards against a second start call for a run that is known. */
+    @Test
+    public void shouldOrderRunOnce() {
+        RunTable table = new RunTable();
+        assertTrue(table.order(ORDER).isPresent());
+        assertTrue(table.order(ORDER).isEmpty());
+    }
+
+    /** Guards against runs of a former agent that the new one does not report. */
+    @Test
+    public void shouldReportRunsItDidNotOrder() {
+        RunTable table = new RunTable();
+        ActiveRun active = ActiveRun.newBuilder().setRun(RUN).setPercent(40).build();
+        table.list(List.of(active), List.of(), 10);
+        assertEquals(table.active(), List.of(active));
+    }
+
+    /** Guards against a lease that reaches past the leader's last answer. */
+    @Test
+    public void shouldEndLeaseAfterLeadersLastAnswer() {
+        WorkerLease lease = new WorkerLease(5_000);
+        assertTrue(lease.endOnWorkerClock(0).isEmpty());
+        lease.sample(100_000, 1_000);
+        lease.grant(2_000);
+        assertEquals(lease.endOnWorkerClock(2_500).orElseThrow(), 106_000);
+        lease.sample(104_000, 5_000);
+        assertEquals(lease.endOnWorkerClock(5_500).orElseThrow(), 106_000);
+        assertTrue(lease.endOnWorkerClock(7_000).isEmpty());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/yuccabank/platform/PlatformPathTest.java
@@ -0,0 +1,205 @@
+package org.yuccabank.platform;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Set;
+import java.util.TreeSet;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+/** Plays the whole path from client to minion with stand-ins, through the platform's calls. */
+public final class PlatformPathTest {
+
+    private static final int LIMIT_SECONDS = 20;
+    private static final String MANIFEST =
+            "{\"version\":3,\"routes\":[{\"name\":\"q\",\"host\":\"127.0.0.1\","
+                    + "\"path_prefix\":\"/jobs/\",\"timeout_ms\":3000,\"service\":\"s\","
+                    + "\"max_attempts\":2,\"slack_factor\":1.5}],"
+                    + "\"services\":[{\"name\":\"s\"}]}";
+
+    private final HttpClient http = HttpClient.newHttpClient();
+    private final int[] ports = new int[6];
+    private PlatformRole control;
+    private PlatformRole entry;
+    private PlatformRole agent;
+    private StandInMinion minion;
+    private int sequence;
+
+    @BeforeClass
+    public void startRoles() throws Exception {
+        for (int index = 0; index < ports.length; index++) {
+            ports[index] = freePort();
+        }
+        Path directory = Files.createTempDirectory("platform");
+        minion = new StandInMinion(new InetSocketAddress("127.0.0.1", ports[5]), 1_000);
+        control = ControlRole.start(settings(directory, ports[3])).get();
+        entry = EntryRole.start(settings(directory, ports[3]));
+        agent = AgentRole.start(settings(directory, ports[4]));
+        await(() -> call("POST", ports[3], "/api/config/replace", MANIFEST).statusCode(), 200);
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private PlatformSettings settings(Path directory, int ownPort) throws IOException {
+        String text =
+                String.join(
+                        "\n",
+                        "node_name: \"host-" + ownPort + "\"",
+                        "ip: \"127.0.0.1\"",
+                        "zone: \"z\"",
+                        "bootstrap: true",
+                        "unknown_field: 7",
+                        "data_dir: \"" + directory + "/data\"",
+                        "internal_ports: [" + ports[0] + ", " + (ports[0] + 2) + "]",
+                        "seeds: [\"127.0.0.1:" + ports[3] + "\"]",
+                        "bind_addrs:",
+                        "  frontend: \"127.0.0.1:" + ports[1] + "\"",
+                        "  ready: \"127.0.0.1:" + ports[2] + "\"",
+                        "  control_plane: \"127.0.0.1:" + ownPort + "\"",
+                        "app: \"127.0.0.1:" + ports[5] + "\"",
+                        "bounds: {hold_max_ms: 6000}");
+        Path file = Files.writeString(directory.resolve(ownPort + ".yaml"), text);
+        return PlatformSettings.read(file).get();
+    }
+
+    @AfterClass(alwaysRun = true)
+    public void stopRoles() {
+        agent.stop();
+        entry.stop();
+        control.stop();
+        minion.stop();
+    }
+
+    /** A value that may take a while to come. */
+    private interface Value {
+        int get() throws IOException, InterruptedException;
+    }
+
+    private static void await(Value value, int expected) throws Exception {
+        long end = System.nanoTime() + Duration.ofSeconds(LIMIT_SECONDS).toNanos();
+        int seen = value.get();
+        while (seen != expected && System.nanoTime() < end) {
+            Thread.sleep(100);
+            seen = value.get();
+        }
+        assertEquals(seen, expected);
+    }
+
+    private HttpResponse<String> call(String method, int port, String path, String body)
+            throws IOException, InterruptedException {
+        HttpRequest request =
+                HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
+                        .timeout(Duration.ofSeconds(5))
+                        .method(method, HttpRequest.BodyPublishers.ofString(body))
+                        .build();
+        return http.send(request, HttpResponse.BodyHandlers.ofString());
+    }
+
+    private void beat() throws Exception {
+        String report =
+                "{\"service\":\"s\",\"address\":\"127.0.0.1:1\",\"zone\":\"z\",\"state\":\"ready\","
+                        + "\"capacity\":{\"cpu\":8000,\"mem_mb\":8000},\"labels\":[\"a\",\"r1\"],"
+                        + "\"clock_ms\":1,\"born\":1000,\"sequence\":"
+                        + ++sequence
+                        + "}";
+        String path = "/api/minions/m-1/heartbeat";
+        assertEquals(call("POST", ports[4], path, report).statusCode(), 200);
+    }
+
+    private void awaitState(String workflowId, String state) throws Exception {
+        await(
+                () -> {
+                    String body = call("GET", ports[1], "/jobs/" + workflowId, "").body();
+                    return body.contains("\"" + state + "\"") ? 1 : 0;
+                },
+                1);
+    }
+
+    /** Guards against a path that does not carry a job from the client to the minion and back. */
+    @Test
+    public void shouldRunStepsInOrderAndOnce() throws Exception {
+        beat();
+        String job =
+                "{\"spec\":\"x\",\"steps\":[{\"count\":3,\"cpu\":500,\"mem_mb\":10,"
+                        + "\"estimate_ms\":60},{\"count\":1,\"cpu\":500,\"depends_on\":[0]}]}";
+        assertEquals(call("POST", ports[1], "/jobs/0123456789abcdef", job).statusCode(), 200);
+        assertEquals(call("POST", ports[1], "/jobs/0123456789abcdef", job).statusCode(), 200);
+        awaitState("0123456789abcdef", "completed");
+        Set<String> ran = new TreeSet<>();
+        minion.starts().stream().filter(each -> each.startsWith("0123")).forEach(ran::add);
+        assertEquals(ran.size(), 4);
+        assertTrue(ran.contains("0123456789abcdef.0.1.0#1"));
+        long distinct = minion.starts().stream().filter(each -> each.startsWith("0123")).count();
+        assertEquals(distinct, 4, "each task started once");
+    }
+
+    /** Guards against a second run of a task whose start was carried out and not answered. */
+    @Test(dependsOnMethods = "shouldRunStepsInOrderAndOnce")
+    public void shouldSettleUnansweredStartByList() throws Exception {
+        beat();
+        minion.answerStarts(false);
+        String job = "{\"steps\":[{\"count\":1,\"cpu\":500,\"mem_mb\":10,\"estimate_ms\":60}]}";
+        assertEquals(call("POST", ports[1], "/jobs/aaaaaaaaaaaaaaaa", job).statusCode(), 200);
+        awaitState("aaaaaaaaaaaaaaaa", "completed");
+        minion.answerStarts(true);
+        long starts = minion.starts().stream().filter(each -> each.startsWith("aaaa")).count();
+        assertEquals(starts, 1);
+    }
+
+    /** Guards against a job that is taken for accepted although it was refused. */
+    @Test
+    public void shouldRefuseBadInputClearly() throws Exception {
+        String path = "/jobs/bbbbbbbbbbbbbbbb";
+        assertEquals(call("POST", ports[1], path, "{\"steps\":[").statusCode(), 400);
+        assertEquals(call("POST", ports[1], path, "{\"steps\":[]}").statusCode(), 400);
+        String loop = "{\"steps\":[{\"count\":1,\"depends_on\":[0]}]}";
+        assertEquals(call("POST", ports[1], path, loop).statusCode(), 400);
+        assertEquals(call("GET", ports[1], path, "").statusCode(), 410);
+        assertEquals(call("GET", ports[1], "/other/x", "").statusCode(), 404);
+    }
+
+    /** Guards against a manifest that is acknowledged although it is invalid. */
+    @Test
+    public void shouldRefuseInvalidManifests() throws Exception {
+        String path = "/api/config/replace";
+        String cut = MANIFEST.substring(0, MANIFEST.length() - 5);
+        String unknown = MANIFEST.replace("\"service\":\"s\"", "\"service\":\"t\"");
+        String instant = MANIFEST.replace("3000", "0");
+        for (String invalid : new String[] {cut, unknown, instant}) {
+            assertEquals(call("POST", ports[3], path, invalid).statusCode(), 400, invalid);
+        }
+        assertEquals(call("POST", ports[3], path, MANIFEST).statusCode(), 200);
+        HttpResponse<String> read = call("GET", ports[3], "/api/config/read", "");
+        assertEquals(read.body(), MANIFEST);
+    }
+
+    /** Guards against a foreign status report that takes the place of the worker. */
+    @Test
+    public void shouldRefuseForeignStatusReports() throws Exception {
+        String path = "/api/minions/m-1/heartbeat";
+        assertEquals(call("POST", ports[4], path, "\u0000\u0001").statusCode(), 400);
+        assertEquals(call("POST", ports[4], path, "{\"state\":\"odd\"}").statusCode(), 400);
+    }
+
+    /** Guards against an entry that is in rotation and can serve nobody. */
+    @Test
+    public void shouldBeReadyWithLeader() throws Exception {
+        await(() -> call("GET", ports[2], "/api/readyz", "").statusCode(), 200);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/yuccabank/policy/workflow/WorkflowPolicyTest.java
@@ -0,0 +1,161 @@
+package org.yuccabank.policy.workflow;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.testng.annotations.Test;
+import org.yuccabank.model.Resources;
+import org.yuccabank.policy.workflow.WaitingTask.LoadKind;
+
+/** Replays the loads that the decisions about workflows answer. */
+public final class WorkflowPolicyTest {
+
+    private static final Resources CAPACITY = Resources.of(16_000, 64_000, 0);
+    private static final Resources TASK = Resources.of(2_000, 1_000, 0);
+
+    private static WorkerRoom room(String workerId) {
+        return new WorkerRoom(workerId, "service", "rack", Set.of("a", "rack"), CAPACITY);
+    }
+
+    private static WaitingTask task(String step, LoadKind kind, int priority, long deadline) {
+        return new WaitingTask(
+                step,
+                0,
+                TASK,
+                kind,
+                priority,
+                deadline,
+                3 * deadline,
+                1_000,
+                new WaitingTask.Constraints("service", Optional.empty(), Optional.empty(), 0));
+    }
+
+    /** Guards against filling tasks that join serving ones while another worker has none. */
+    @Test
+    public void shouldLetFillingTaskWaitRatherThanJoinServingOnes() {
+        WorkerRoom serving = room("serving");
+        serving.reserve("s", TASK, LoadKind.SERVING);
+        WorkerRoom full = room("full");
+        for (int count = 0; count < 8; count++) {
+            full.reserve("f", TASK, LoadKind.FILLING);
+        }
+        WaitingTask filling = task("f", LoadKind.FILLING, 2, 5_000);
+        assertTrue(new SeparatingChoice().choose(filling, List.of(serving, full)).isEmpty());
+        assertEquals(
+                new SeparatingChoice().choose(filling, List.of(serving)).orElseThrow(), serving);
+    }
+
+    /** Guards against plain tasks that take the workers which filling tasks need. */
+    @Test
+    public void shouldPutPlainTaskBesideServingOnes() {
+        WorkerRoom serving = room("serving");
+        serving.reserve("s", TASK, LoadKind.SERVING);
+        WorkerRoom empty = room("empty");
+        WaitingTask plain = task("p", LoadKind.PLAIN, 0, 5_000);
+        assertEquals(
+                new SeparatingChoice().choose(plain, List.of(empty, serving)).orElseThrow(),
+                serving);
+    }
+
+    /** Guards against a worker that is asked for more than it has. */
+    @Test
+    public void shouldAdmitNothingBeyondCapacity() {
+        WorkerRoom room = room("a");
+        WaitingTask plain = task("p", LoadKind.PLAIN, 0, 5_000);
+        for (int count = 0; count < 8; count++) {
+            assertTrue(room.admits(plain));
+            room.reserve("p", TASK, LoadKind.PLAIN);
+        }
+        assertTrue(new SeparatingChoice().choose(plain, List.of(room)).isEmpty());
+    }
+
+    /** Guards against late work that takes the place of work which can still end in time. */
+    @Test
+    public void shouldStartWhatCanEndInTimeBeforeWhatIsLate() {
+        WaitingTask late = task("late", LoadKind.PLAIN, 0, 1_000);
+        WaitingTask inTime = task("in time", LoadKind.PLAIN, 2, 9_000);
+        List<WaitingTask> ordered = new FeasibleFirstOrder().order(List.of(late, inTime), 2_000);
+        assertEquals(ordered, List.of(inTime, late));
+    }
+
+    /** Guards against a serving task over its target for longer than a few figures. */
+    @Test
+    public void shouldStopFillingTasksWithinThreeSecondsOfMissedTarget() {
+        FillerPacing pacing = new FillerPacing();
+        List<FillerPacing.Served> missed = List.of(new FillerPacing.Served(40, 20));
+        int percent = FillerPacing.FULL_SPEED;
+        for (long now = 0; now <= 2_500; now += 400) {
+            percent = pacing.decide(missed, now);
+        }
+        assertEquals(percent, 0);
+    }
+
+    /** Guards against speed that never comes back after a short disturbance. */
+    @Test
+    public void shouldGiveSpeedBackInSteps() {
+        FillerPacing pacing = new FillerPacing();
+        pacing.decide(List.of(new FillerPacing.Served(40, 20)), 0);
+        List<FillerPacing.Served> kept = List.of(new FillerPacing.Served(5, 20));
+        int percent = 0;
+        for (long now = 1_000; now <= 6_000; now += 1_000) {
+            percent = pacing.decide(kept, now);
+        }
+        assertEquals(percent, FillerPacing.FULL_SPEED);
+    }
+
+    /** Guards against a worker that fails everything and keeps drawing work. */
+    @Test
+    public void shouldAvoidWorkerThatFailsSeveralWorkflows() {
+        WorkerTrust trust = new WorkerTrust();
+        trust.failed("w", "a", 0);
+        trust.failed("w", "b", 10);
+        trust.failed("w", "b", 20);
+        assertEquals(trust.standing("w", 100), WorkerTrust.Standing.AVOIDED);
+        assertEquals(trust.standing("w", 5_000), WorkerTrust.Standing.PROBE);
+        trust.succeeded("w");
+        assertEquals(trust.standing("w", 5_000), WorkerTrust.Standing.TRUSTED);
+    }
+
+    /** Guards against a hopeless workflow that takes good workers out of use. */
+    @Test
+    public void shouldTrustWorkerOnWhichOneWorkflowFails() {
+        WorkerTrust trust = new WorkerTrust();
+        for (int count = 0; count < 9; count++) {
+            trust.failed("w", "hopeless", count);
+        }
+        assertEquals(trust.standing("w", 100), WorkerTrust.Standing.TRUSTED);
+    }
+
+    /** Guards against a task that stands still on a sick worker until its workflow is late. */
+    @Test
+    public void shouldNoticeRunThatStandsStill() {
+        RunProgress progress = new RunProgress(1_000);
+        for (long now = 0; now <= 2_400; now += 400) {
+            progress.report(30, true, now);
+        }
+        assertEquals(progress.advise(false), RunProgress.Advice.STANDS_STILL);
+    }
+
+    /** Guards against restarts of runs that are only slowed down on purpose. */
+    @Test
+    public void shouldKeepRunThatIsSlowedDown() {
+        RunProgress progress = new RunProgress(1_000);
+        for (long now = 0; now <= 4_000; now += 400) {
+            progress.report(30, false, now);
+        }
+        assertEquals(progress.advise(false), RunProgress.Advice.KEEP);
+    }
+
+    /** Guards against tasks on a worker that became several times slower. */
+    @Test
+    public void shouldNoticeRunThatIsMuchTooSlow() {
+        RunProgress progress = new RunProgress(2_000);
+        for (int step = 0; step <= 5; step++) {
+            progress.report(3 * step, true, 400L * step);
+        }
+        assertEquals(progress.advise(true), RunProgress.Advice.TOO_SLOW);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/yuccabank/state/workflow/WorkflowRecordsTest.java
@@ -0,0 +1,144 @@
+package org.yuccabank.state.workflow;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+import static org.yuccabank.state.workflow.WorkflowFixtures.WORKER;
+import static org.yuccabank.state.workflow.WorkflowFixtures.accept;
+import static org.yuccabank.state.workflow.WorkflowFixtures.assign;
+import static org.yuccabank.state.workflow.WorkflowFixtures.cancel;
+import static org.yuccabank.state.workflow.WorkflowFixtures.end;
+import static org.yuccabank.state.workflow.WorkflowFixtures.run;
+import static org.yuccabank.state.workflow.WorkflowFixtures.step;
+
+import com.google.protobuf.ByteString;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.yuccabank.protocol.generated.FleetConfiguration;
+import org.yuccabank.protocol.generated.RunEnding;
+import org.yuccabank.protocol.generated.WorkflowCommand;
+import org.yuccabank.protocol.generated.WorkflowPhase;
+
+/** Holds the rules of the replicated workflows. */
+public final class WorkflowRecordsTest {
+
+    private WorkflowRecords records;
+
+    @BeforeMethod
+    public void createRecords() {
+        records = new WorkflowRecords();
+    }
+
+    private void apply(WorkflowCommand... commands) {
+        for (WorkflowCommand command : commands) {
+            records.apply(command, 1_000);
+        }
+    }
+
+    private WorkflowPhase phase(String workflowId) {
+        return records.workflow(workflowId).orElseThrow().phase();
+    }
+
+    private static WorkflowCommand configuration(long version, String document) {
+        return WorkflowCommand.newBuilder()
+                .setConfiguration(
+                        FleetConfiguration.newBuilder()
+                                .setVersion(version)
+                                .setDocument(ByteString.copyFromUtf8(document)))
+                .build();
+    }
+
+    /** Guards against a lost or doubled job after a resent submission. */
+    @Test
+    public void shouldKeepOneWorkflowHoweverOftenItIsAccepted() {
+        apply(accept("a", step(1)), assign(run("a", 0, 0, 1)), accept("a", step(9)));
+        assertEquals(records.workflows().size(), 1);
+        assertEquals(records.openRuns(WORKER).size(), 1);
+        assertEquals(records.workflow("a").orElseThrow().step(0).getTaskCount(), 1);
+    }
+
+    /** Guards against an older or equal version that changes the configuration in force. */
+    @Test
+    public void shouldKeepHighestConfiguration() {
+        apply(configuration(5, "five"), configuration(4, "four"), configuration(5, "other"));
+        FleetConfiguration held = records.configuration().orElseThrow();
+        assertEquals(held.getVersion(), 5);
+        assertEquals(held.getDocument().toStringUtf8(), "five");
+    }
+
+    /** Guards against a start before the steps it depends on are done. */
+    @Test
+    public void shouldMakeStepReadyOnlyWhenAllTasksBeforeAreDone() {
+        apply(accept("a", step(2), step(1, 0)), assign(run("a", 0, 0, 1), run("a", 0, 1, 1)));
+        apply(end(run("a", 0, 0, 1), RunEnding.RUN_DONE));
+        Workflow workflow = records.workflow("a").orElseThrow();
+        assertFalse(workflow.isReady(0, 1));
+        apply(end(run("a", 0, 1, 1), RunEnding.RUN_DONE));
+        assertTrue(workflow.isReady(0, 1));
+        assertEquals(phase("a"), WorkflowPhase.WORKFLOW_ACTIVE);
+    }
+
+    /** Guards against an end that is reported twice and counts twice. */
+    @Test
+    public void shouldCountEndOfRunOnce() {
+        apply(accept("a", step(1)), assign(run("a", 0, 0, 1)));
+        apply(end(run("a", 0, 0, 1), RunEnding.RUN_FAILED));
+        apply(assign(run("a", 0, 0, 2)), end(run("a", 0, 0, 1), RunEnding.RUN_FAILED));
+        assertEquals(phase("a"), WorkflowPhase.WORKFLOW_ACTIVE);
+        apply(end(run("a", 0, 0, 2), RunEnding.RUN_FAILED));
+        assertEquals(phase("a"), WorkflowPhase.WORKFLOW_FAILED);
+    }
+
+    /** Guards against ends that are no fault of the task and use up its attempts. */
+    @Test
+    public void shouldCountOnlyFailuresAgainstBudget() {
+        apply(accept("a", step(1)));
+        for (int attempt = 1; attempt <= 5; attempt++) {
+            apply(assign(run("a", 0, 0, attempt)));
+            apply(end(run("a", 0, 0, attempt), RunEnding.RUN_WORKER_LOST));
+        }
+        assertEquals(phase("a"), WorkflowPhase.WORKFLOW_ACTIVE);
+    }
+
+    /** Guards against a start after a cancelling that was acknowledged. */
+    @Test
+    public void shouldOpenNoRunOfCancelledWorkflow() {
+        apply(accept("a", step(1)), cancel("a"), assign(run("a", 0, 0, 1)));
+        assertEquals(phase("a"), WorkflowPhase.WORKFLOW_CANCELLED);
+        assertTrue(records.openRuns(WORKER).isEmpty());
+    }
+
+    /** Guards against two runs of one task at a time. */
+    @Test
+    public void shouldNotAssignTaskThatRuns() {
+        apply(accept("a", step(1)), assign(run("a", 0, 0, 1)), assign(run("a", 0, 0, 2)));
+        assertTrue(records.openRun(run("a", 0, 0, 1)).isPresent());
+        assertTrue(records.openRun(run("a", 0, 0, 2)).isEmpty());
+    }
+
+    /** Guards against a lasting task that is given up after a few failures. */
+    @Test
+    public void shouldRestartLastingTaskHoweverOftenItFails() {
+        apply(accept("a", step(1).setLasting(true)));
+        for (int attempt = 1; attempt <= 5; attempt++) {
+            apply(assign(run("a", 0, 0, attempt)));
+            apply(end(run("a", 0, 0, attempt), RunEnding.RUN_FAILED));
+        }
+        assertEquals(phase("a"), WorkflowPhase.WORKFLOW_ACTIVE);
+    }
+
+    /** Guards against state that a snapshot loses. */
+    @Test
+    public void shouldRestoreEverythingFromSnapshot() {
+        apply(configuration(3, "three"), accept("a", step(2), step(1, 0)));
+        apply(assign(run("a", 0, 0, 1), run("a", 0, 1, 1)));
+        apply(end(run("a", 0, 0, 1), RunEnding.RUN_DONE));
+        WorkflowRecords restored =
+                WorkflowRecords.of(records.configuration().orElseThrow(), records.toRecords());
+        assertEquals(restored.toRecords(), records.toRecords());
+        assertEquals(restored.configuration(), records.configuration());
+        assertEquals(restored.openRuns(WORKER).size(), 1);
+        restored.apply(end(run("a", 0, 1, 1), RunEnding.RUN_DONE), 2_000);
+        assertTrue(restored.workflow("a").orElseThrow().isReady(0, 1));
+    }
+}
