Write structured logs to standard output and explain one request from them

Cause: an engineer on call has only logs, and those were words on standard error without bounds. Change: on the platform each event is one JSON object on standard output, written by a thread of its own, at most 200 lines an event and second with a count of what is left out; yuccabank explain sorts the lines of many processes about one identifier and marks the longest pause.

--- a/src/main/java/org/yuccabank/command/Commands.java
+++ b/src/main/java/org/yuccabank/command/Commands.java
@@ -34,6 +34,7 @@
         commands.add(new RulesCheckCommand());
         commands.add(new RulesDiffCommand());
         commands.addAll(OperatorCommands.all());
+        commands.add(new ExplainCommand());
         commands.add(new SettingsCheckCommand());
         commands.add(new VersionCommand());
         return List.copyOf(commands);
--- /dev/null
+++ b/src/main/java/org/yuccabank/event/EventFormat.java
@@ -0,0 +1,30 @@
+package org.yuccabank.event;
+
+/** Turns an event into one line of the log. Implementations are immutable. */
+@FunctionalInterface
+interface EventFormat {
+
+    /**
+     * Formats an event.
+     *
+     * @param event the event
+     * @param leftOut lines of this event that were left out before this one
+     * @param details alternating names and values
+     * @return one line
+     */
+    String format(Event event, long leftOut, Object... details);
+
+    /** Words for people: {@code YB-601 LEASE_EXPIRED task=t-1}. */
+    static EventFormat text() {
+        return (event, leftOut, details) -> {
+            StringBuilder text = new StringBuilder("YB-").append(event.number());
+            text.append(' ').append(event.name());
+            for (int index = 0; index + 1 < details.length; index += 2) {
+                text.append(' ').append(details[index]).append('=').append(details[index + 1]);
+            }
+            return leftOut == 0
+                    ? text.toString()
+                    : text.append(" leftOut=").append(leftOut).toString();
+        };
+    }
+}
--- a/src/main/java/org/yuccabank/event/EventLog.java
+++ b/src/main/java/org/yuccabank/event/EventLog.java
@@ -1,13 +1,37 @@
 package org.yuccabank.event;
 
+import java.time.InstantSource;
 import java.util.Objects;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
+import org.tinylog.configuration.Configuration;
 
 /** Writes numbered events to the log. Safe for use by several threads. */
 public final class EventLog {
 
+    /** A burst of one event may not take more of a small host than about 30 KB a second. */
+    private static final int LINES_PER_SECOND = 200;
+
+    private static final EventRates RATES = new EventRates(LINES_PER_SECOND);
+    private static volatile EventFormat format = EventFormat.text();
+
     private EventLog() {}
 
+    /**
+     * Writes one JSON object a line to standard output from now on, by a thread of the logging
+     * library. Has to be called before the first event.
+     *
+     * @param process name of the process, written into each line
+     */
+    public static void useJson(String process) {
+        Configuration.set("writer", "console");
+        Configuration.set("writer.stream", "out");
+        Configuration.set("writer.format", "{message}");
+        Configuration.set("writingthread", "true");
+        format = new JsonEventFormat(process, InstantSource.system());
+    }
+
     /**
      * Logs an event of normal operation.
      *
@@ -15,7 +39,10 @@
      * @param details alternating names and values, such as {@code "host", "host-1"}
      */
     public static void information(Event event, Object... details) {
-        Logger.info(() -> format(event, details));
+        OptionalLong leftOut = admit(event);
+        if (leftOut.isPresent()) {
+            Logger.info(() -> format.format(event, leftOut.getAsLong(), details));
+        }
     }
 
     /**
@@ -25,27 +52,33 @@
      * @param details alternating names and values
      */
     public static void warning(Event event, Object... details) {
-        Logger.warn(() -> format(event, details));
+        OptionalLong leftOut = admit(event);
+        if (leftOut.isPresent()) {
+            Logger.warn(() -> format.format(event, leftOut.getAsLong(), details));
+        }
     }
 
     /**
-     * Logs an event that stops a part of the system.
+     * Logs a failure of the program itself.
      *
      * @param event the event
-     * @param cause the exception behind it
+     * @param cause what was thrown
      * @param details alternating names and values
      */
     public static void error(Event event, Throwable cause, Object... details) {
-        Logger.error(cause, format(event, details));
+        OptionalLong leftOut = admit(event);
+        if (leftOut.isPresent()) {
+            Logger.error(cause, format.format(event, leftOut.getAsLong(), details));
+        }
+    }
+
+    private static OptionalLong admit(Event event) {
+        Objects.requireNonNull(event, "event is null");
+        return RATES.admit(event, TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
     }
 
     static String format(Event event, Object... details) {
         Objects.requireNonNull(event, "event is null");
-        StringBuilder text = new StringBuilder("YB-").append(event.number());
-        text.append(' ').append(event.name());
-        for (int index = 0; index + 1 < details.length; index += 2) {
-            text.append(' ').append(details[index]).append('=').append(details[index + 1]);
-        }
-        return text.toString();
+        return EventFormat.text().format(event, 0, details);
     }
 }
--- /dev/null
+++ b/src/main/java/org/yuccabank/event/JsonEventFormat.java
@@ -0,0 +1,51 @@
+package org.yuccabank.event;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Instant;
+import java.time.InstantSource;
+
+/** One JSON object a line, for programs that read logs. Immutable; thread-safe. */
+final class JsonEventFormat implements EventFormat {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final String process;
+    private final InstantSource clock;
+
+    JsonEventFormat(String process, InstantSource clock) {
+        this.process = process;
+        this.clock = clock;
+    }
+
+    @Override
+    public String format(Event event, long leftOut, Object... details) {
+        Instant now = clock.instant();
+        ObjectNode line =
+                MAPPER.createObjectNode()
+                        .put("time", now.toString())
+                        .put("process", process)
+                        .put("number", event.number())
+                        .put("event", event.name());
+        for (int index = 0; index + 1 < details.length; index += 2) {
+            put(line, String.valueOf(details[index]), details[index + 1]);
+        }
+        if (leftOut > 0) {
+            line.put("leftOut", leftOut);
+        }
+        try {
+            return MAPPER.writeValueAsString(line);
+        } catch (JsonProcessingException exception) {
+            throw new IllegalStateException("a tree of values can always be written", exception);
+        }
+    }
+
+    private static void put(ObjectNode line, String name, Object value) {
+        if (value instanceof Integer || value instanceof Long) {
+            line.put(name, ((Number) value).longValue());
+        } else {
+            line.put(name, String.valueOf(value));
+        }
+    }
+}
