--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -1,6 +1,7 @@
 package org.yuccabank.agent.workflow;
 
 import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -117,6 +118,15 @@
         return agent;
     }
 
+    /**
+     * Replaces the configured addresses of control processes.
+     *
+     * @param addresses the addresses
+     */
+    public void useControlAddresses(List<InetSocketAddress> addresses) {
+        leader.useAddresses(addresses);
+    }
+
     /** Stops the agent; the worker's lease runs out unless another agent takes over. */
     public void stop() {
         stopped = true;
--- /dev/null
+++ b/src/main/java/org/yuccabank/control/workflow/AdmissionDesk.java
@@ -0,0 +1,81 @@
+package org.yuccabank.control.workflow;
+
+import java.util.Collection;
+import java.util.OptionalLong;
+import org.yuccabank.policy.workflow.BacklogAdmission;
+import org.yuccabank.policy.workflow.WaitingTask;
+import org.yuccabank.protocol.generated.QueueDefinition;
+import org.yuccabank.protocol.generated.StepDefinition;
+import org.yuccabank.protocol.generated.WorkflowDefinition;
+import org.yuccabank.state.workflow.Workflow;
+import org.yuccabank.state.workflow.WorkflowRecords;
+import org.yuccabank.state.workflow.WorkflowTask;
+
+/** Measures the backlog that new work would meet. Has no state. */
+final class AdmissionDesk {
+
+    private static final double CORE_MILLIS = 1_000.0;
+
+    private AdmissionDesk() {}
+
+    /**
+     * Decides on a submission.
+     *
+     * @return empty to accept it; else after how many milliseconds the caller should come back
+     */
+    static OptionalLong refuse(
+            WorkflowDefinition definition,
+            QueueDefinition queue,
+            WorkflowRecords records,
+            Collection<WorkerOffer> offers,
+            WorkMeter meter,
+            long nowMillis) {
+        boolean filling =
+                definition.getStepsList().stream()
+                        .anyMatch(
+                                step ->
+                                        StepEstimates.loadKind(step)
+                                                == WaitingTask.LoadKind.FILLING);
+        if (!filling || definition.getOccurrences() > 0) {
+            return OptionalLong.empty();
+        }
+        double ratio = meter.ratio(queue);
+        long objective = StepEstimates.objectiveMillis(definition, queue, ratio);
+        double ahead = 0;
+        double density = meter.freshDensity(definition, queue);
+        for (Workflow workflow : records.workflows()) {
+            boolean first =
+                    !workflow.isFinal()
+                            && workflow.queue().getService().equals(queue.getService())
+                            && workflow.queue().getPriority() <= queue.getPriority()
+                            && !workflow.step(0).getLasting()
+                            && meter.valueDensity(workflow, 0) >= density
+                            && StepEstimates.lateMillis(workflow, 0, meter.ratio(workflow.queue()))
+                                    > nowMillis;
+            ahead += first ? meter.waitingWork(workflow, 0) : 0;
+        }
+        BacklogAdmission.Backlog backlog =
+                new BacklogAdmission.Backlog(ahead, fillingCores(records, offers));
+        return BacklogAdmission.refuse(
+                backlog,
+                Math.round(ratio * StepEstimates.longestChainMillis(definition)),
+                StepEstimates.LATE_FACTOR * objective);
+    }
+
+    /** Cores of the workers without serving tasks; filling tasks run only there. */
+    private static double fillingCores(WorkflowRecords records, Collection<WorkerOffer> offers) {
+        double millis = 0;
+        for (WorkerOffer offer : offers) {
+            boolean serving =
+                    records.openRuns(offer.report().getWorker()).stream()
+                            .map(AdmissionDesk::step)
+                            .anyMatch(StepDefinition::getLasting);
+            millis += serving ? 0 : offer.report().getCapacity().getProcessorMillis();
+        }
+        return millis / CORE_MILLIS;
+    }
+
+    private static StepDefinition step(WorkflowTask task) {
+        return task.workflow().step(task.address().getStep());
+    }
+}
--- a/src/main/java/org/yuccabank/control/workflow/RunWatch.java
+++ b/src/main/java/org/yuccabank/control/workflow/RunWatch.java
@@ -4,10 +4,13 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.yuccabank.event.Event;
 import org.yuccabank.event.EventLog;
 import org.yuccabank.policy.workflow.RunProgress;
+import org.yuccabank.policy.workflow.RunTimes;
 import org.yuccabank.policy.workflow.WorkerTrust;
 import org.yuccabank.protocol.generated.ActiveRun;
 import org.yuccabank.protocol.generated.EndedRun;
@@ -25,6 +28,7 @@
     private final Map<RunAddress, RunProgress> progress = new HashMap<>();
     private final Set<RunAddress> restarts = new HashSet<>();
     private final WorkerTrust trust = new WorkerTrust();
+    private final RunTimes times = new RunTimes();
 
     /** Takes the reported progress of an open run. */
     void active(ActiveRun run, WorkflowTask task, long nowMillis) {
@@ -36,7 +40,8 @@
                 progress.computeIfAbsent(
                         run.getRun(), key -> new RunProgress(step.getEstimatedMillis()));
         followed.report(run.getPercent(), !run.getSlowed(), nowMillis);
-        RunProgress.Advice advice = followed.advise(step.getCheckpointing());
+        RunProgress.Advice advice =
+                followed.advise(step.getCheckpointing(), times.usualMillis(stepKey(task)));
         if (advice != RunProgress.Advice.KEEP) {
             String workerId = task.worker().orElseThrow().getWorkerId();
             trust.failed(workerId, task.address().getWorkflowId(), nowMillis);
@@ -56,9 +61,21 @@
 
     /** Takes the end of an open run. */
     void ended(EndedRun ended, WorkflowTask task, long nowMillis) {
-        progress.remove(ended.getRun());
+        Optional<RunProgress> followed = Optional.ofNullable(progress.remove(ended.getRun()));
         restarts.remove(ended.getRun());
-        boolean lasting = task.workflow().step(task.address().getStep()).getLasting();
+        StepDefinition step = task.workflow().step(task.address().getStep());
+        boolean lasting = step.getLasting();
+        if (ended.getEnding() == RunEnding.RUN_DONE) {
+            followed.map(RunProgress::wholeMillis)
+                    .filter(OptionalDouble::isPresent)
+                    .ifPresent(
+                            whole ->
+                                    times.done(
+                                            stepKey(task),
+                                            task.workflow().queue().getName(),
+                                            whole.getAsDouble(),
+                                            step.getEstimatedMillis()));
+        }
         String workerId = task.worker().orElseThrow().getWorkerId();
         if (ended.getEnding() == RunEnding.RUN_DONE) {
             trust.succeeded(workerId);
@@ -67,6 +84,19 @@
         }
     }
 
+    /** Run times of a queue against their estimates. */
+    double runTimeRatio(String queueName) {
+        return times.ratio(queueName);
+    }
+
+    private static String stepKey(WorkflowTask task) {
+        return task.address().getWorkflowId()
+                + "."
+                + task.address().getOccurrence()
+                + "."
+                + task.address().getStep();
+    }
+
     boolean isToRestart(RunAddress run) {
         return restarts.contains(run);
     }
--- a/src/main/java/org/yuccabank/control/workflow/StepEstimates.java
+++ b/src/main/java/org/yuccabank/control/workflow/StepEstimates.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.yuccabank.model.Resources;
 import org.yuccabank.policy.workflow.WaitingTask;
+import org.yuccabank.protocol.generated.QueueDefinition;
 import org.yuccabank.protocol.generated.ResourceVector;
 import org.yuccabank.protocol.generated.StepDefinition;
 import org.yuccabank.protocol.generated.WorkflowDefinition;
@@ -12,7 +13,7 @@
 final class StepEstimates {
 
     /** A workflow that takes longer than this many times its objective is worth nothing. */
-    private static final int LATE_FACTOR = 3;
+    static final int LATE_FACTOR = 3;
 
     private StepEstimates() {}
 
@@ -27,15 +28,24 @@
         return definition.getSteps(step).getEstimatedMillis() + longest;
     }
 
-    /** Time from the submission, or the due time, in which a workflow should end. */
-    static long objectiveMillis(Workflow workflow) {
-        WorkflowDefinition definition = workflow.definition();
+    /** Estimated time of the longest chain of steps. */
+    static long longestChainMillis(WorkflowDefinition definition) {
         long longest = 0;
         for (int step = 0; step < definition.getStepsCount(); step++) {
             longest = Math.max(longest, remainingMillis(definition, step));
         }
-        return Math.round(workflow.queue().getSlackFactor() * longest)
-                + workflow.queue().getCompletionTargetMillis();
+        return longest;
+    }
+
+    /** Time from the submission, or the due time, in which a workflow should end. */
+    static long objectiveMillis(
+            WorkflowDefinition definition, QueueDefinition queue, double runTimeRatio) {
+        double chainMillis = runTimeRatio * longestChainMillis(definition);
+        return Math.round(queue.getSlackFactor() * chainMillis) + queue.getCompletionTargetMillis();
+    }
+
+    static long objectiveMillis(Workflow workflow, double runTimeRatio) {
+        return objectiveMillis(workflow.definition(), workflow.queue(), runTimeRatio);
     }
 
     static WaitingTask.LoadKind loadKind(StepDefinition step) {
@@ -62,8 +72,9 @@
                 : workflow.dueMillis(occurrence);
     }
 
-    static long lateMillis(Workflow workflow, int occurrence) {
-        return startMillis(workflow, occurrence) + LATE_FACTOR * objectiveMillis(workflow);
+    static long lateMillis(Workflow workflow, int occurrence, double runTimeRatio) {
+        return startMillis(workflow, occurrence)
+                + LATE_FACTOR * objectiveMillis(workflow, runTimeRatio);
     }
 
     static List<Integer> steps(Workflow workflow) {
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -26,6 +27,7 @@
 import org.yuccabank.protocol.generated.CommandResult;
 import org.yuccabank.protocol.generated.EndedRun;
 import org.yuccabank.protocol.generated.FleetConfiguration;
+import org.yuccabank.protocol.generated.QueueDefinition;
 import org.yuccabank.protocol.generated.RunAddress;
 import org.yuccabank.protocol.generated.RunEnding;
 import org.yuccabank.protocol.generated.SchedulingRound;
@@ -242,6 +244,13 @@
         }
         WorkflowDefinition definition =
                 request.getSubmit().toBuilder().setWorkflowId(workflowId).build();
+        OptionalLong comeBack = comeBack(definition, match.get().queue());
+        if (comeBack.isPresent()) {
+            log.refusing(definition, match.get().queue(), comeBack.getAsLong());
+            return done(
+                    reply(Verdict.REFUSED, "the backlog is too long")
+                            .setRetryAfterMillis(comeBack.getAsLong()));
+        }
         AcceptWorkflow accept =
                 AcceptWorkflow.newBuilder()
                         .setDefinition(definition)
@@ -252,6 +261,16 @@
                 .thenApply(result -> committed(result, workflowId));
     }
 
+    private OptionalLong comeBack(WorkflowDefinition definition, QueueDefinition queue) {
+        return AdmissionDesk.refuse(
+                definition,
+                queue,
+                records(),
+                offers(steadyMillis()),
+                WorkMeter.of(records(), watch::runTimeRatio),
+                System.currentTimeMillis());
+    }
+
     private CompletionStage<WorkflowReply> cancel(WorkflowRequest request) {
         Optional<QueueMatch> match =
                 records()
@@ -490,7 +509,8 @@
         long now = steadyMillis();
         List<EndedRun> ended = pendingEnds.values().stream().limit(MAXIMUM_ROUND_ENTRIES).toList();
         long wallMillis = System.currentTimeMillis();
-        List<Assignment> planned = planner.plan(records(), offers(now), wallMillis);
+        List<Assignment> planned =
+                planner.plan(records(), offers(now), watch::runTimeRatio, wallMillis);
         List<Assignment> assigned =
                 planned.subList(0, Math.min(planned.size(), MAXIMUM_ROUND_ENTRIES));
         List<String> forgotten = forgotten(wallMillis);
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLog.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLog.java
@@ -32,6 +32,19 @@
                 configuration.getVersion());
     }
 
+    void refusing(WorkflowDefinition definition, QueueDefinition queue, long comeBackMillis) {
+        EventLog.information(
+                Event.REQUEST_REFUSED,
+                "workflow",
+                definition.getWorkflowId(),
+                "queue",
+                queue.getName(),
+                "reason",
+                "the backlog is too long",
+                "comeBackMillis",
+                comeBackMillis);
+    }
+
     void workerReplaced(WorkerIdentity before, WorkerIdentity now) {
         EventLog.information(Event.WORKER_REPLACED, "worker", text(now), "before", text(before));
     }
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowPlanner.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowPlanner.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.ToDoubleFunction;
 import java.util.stream.Collectors;
 import org.yuccabank.model.Resources;
 import org.yuccabank.policy.workflow.TaskOrder;
@@ -50,11 +51,17 @@
      *
      * @param records the replicated records
      * @param offers the workers that may get tasks
+     * @param runTimeRatios run times of a queue against their estimates
      * @param nowMillis present time, in milliseconds since 1970
      * @return the assignments, in the order of their importance
      */
-    List<Assignment> plan(WorkflowRecords records, Collection<WorkerOffer> offers, long nowMillis) {
-        Map<String, List<Candidate>> candidates = candidates(records, nowMillis);
+    List<Assignment> plan(
+            WorkflowRecords records,
+            Collection<WorkerOffer> offers,
+            ToDoubleFunction<String> runTimeRatios,
+            long nowMillis) {
+        WorkMeter meter = WorkMeter.of(records, runTimeRatios);
+        Map<String, List<Candidate>> candidates = candidates(records, meter, nowMillis);
         if (candidates.isEmpty() || offers.isEmpty()) {
             return List.of();
         }
@@ -134,7 +141,7 @@
     }
 
     private static Map<String, List<Candidate>> candidates(
-            WorkflowRecords records, long nowMillis) {
+            WorkflowRecords records, WorkMeter meter, long nowMillis) {
         Map<String, List<Candidate>> found = new LinkedHashMap<>();
         for (Workflow workflow : records.workflows()) {
             if (workflow.isFinal()) {
@@ -146,7 +153,7 @@
                 }
                 for (int step : StepEstimates.steps(workflow)) {
                     if (!workflow.isDone(occurrence, step) && workflow.isReady(occurrence, step)) {
-                        addWaiting(found, workflow, occurrence, step);
+                        addWaiting(found, workflow, occurrence, step, meter);
                     }
                 }
             }
@@ -155,7 +162,11 @@
     }
 
     private static void addWaiting(
-            Map<String, List<Candidate>> found, Workflow workflow, int occurrence, int number) {
+            Map<String, List<Candidate>> found,
+            Workflow workflow,
+            int occurrence,
+            int number,
+            WorkMeter meter) {
         List<WorkflowTask> tasks = workflow.tasks(occurrence, number);
         StepDefinition step = workflow.step(number);
         boolean held = step.getGang() && tasks.stream().anyMatch(task -> task.worker().isPresent());
@@ -164,8 +175,11 @@
         }
         String key = stepKey(workflow, occurrence, number);
         long start = StepEstimates.startMillis(workflow, occurrence);
-        long objective = StepEstimates.objectiveMillis(workflow);
-        long remaining = StepEstimates.remainingMillis(workflow.definition(), number);
+        double ratio = meter.ratio(workflow);
+        long objective = StepEstimates.objectiveMillis(workflow, ratio);
+        long remaining =
+                Math.round(ratio * StepEstimates.remainingMillis(workflow.definition(), number));
+        double density = meter.valueDensity(workflow, occurrence);
         WaitingTask.Constraints constraints =
                 new WaitingTask.Constraints(
                         workflow.queue().getService(),
@@ -182,8 +196,9 @@
                                 StepEstimates.loadKind(step),
                                 workflow.queue().getPriority(),
                                 start + objective,
-                                StepEstimates.lateMillis(workflow, occurrence),
+                                StepEstimates.lateMillis(workflow, occurrence, ratio),
                                 step.getLasting() ? 0 : remaining,
+                                density,
                                 constraints);
                 found.computeIfAbsent(key, each -> new ArrayList<>())
                         .add(new Candidate(waiting, task));
--- a/src/main/java/org/yuccabank/entry/workflow/WorkflowGateway.java
+++ b/src/main/java/org/yuccabank/entry/workflow/WorkflowGateway.java
@@ -76,6 +76,15 @@
         return gateway;
     }
 
+    /**
+     * Replaces the configured addresses of control processes.
+     *
+     * @param addresses the addresses
+     */
+    public void useControlAddresses(List<InetSocketAddress> addresses) {
+        leader.useAddresses(addresses);
+    }
+
     /** Stops the gateway. */
     public void stop() {
         probes.dispose();
@@ -95,7 +104,15 @@
                 Mono.defer(() -> send(request, PROBE_LIMIT))
                         .delaySubscription(PROBE_INTERVAL)
                         .repeat()
-                        .subscribe();
+                        .subscribe(
+                                reply -> {},
+                                error ->
+                                        EventLog.warning(
+                                                Event.CONNECTION_CLOSED,
+                                                "peer",
+                                                "leader",
+                                                "problem",
+                                                error.getMessage()));
     }
 
     /**
--- a/src/main/java/org/yuccabank/event/Event.java
+++ b/src/main/java/org/yuccabank/event/Event.java
@@ -18,6 +18,10 @@
     DRAIN_TIMEOUT(103),
     /** An unexpected exception was caught at the edge of a service. */
     INTERNAL_ERROR(104),
+    /** Changed settings are in force. */
+    SETTINGS_RELOADED(105),
+    /** Changed settings are not valid and change nothing. */
+    SETTINGS_REFUSED(106),
     /** A connection was opened. */
     CONNECTION_OPENED(200),
     /** A connection ended. */
--- a/src/main/java/org/yuccabank/policy/workflow/FeasibleFirstOrder.java
+++ b/src/main/java/org/yuccabank/policy/workflow/FeasibleFirstOrder.java
@@ -4,9 +4,9 @@
 import java.util.List;
 
 /**
- * Orders by whether the workflow can still end in time, then by priority, then by the time that is
- * left beyond the longest remaining chain. Answers the overload in which ordering by deadline alone
- * spends the capacity on work that is late already. Immutable.
+ * Orders by whether the workflow can still end in time, then by priority, then by the value of each
+ * core-second that the workflow still needs. Answers the overload in which an order by deadline
+ * alone starts much and ends little in time. Immutable.
  */
 public final class FeasibleFirstOrder implements TaskOrder {
 
@@ -22,16 +22,14 @@
                 .sorted(
                         Comparator.comparing((WaitingTask task) -> hope(task, nowMillis))
                                 .thenComparingInt(WaitingTask::priority)
-                                .thenComparingLong(FeasibleFirstOrder::latestStart)
+                                .thenComparing(
+                                        Comparator.comparingDouble(WaitingTask::valueDensity)
+                                                .reversed())
                                 .thenComparing(WaitingTask::stepKey)
                                 .thenComparingInt(WaitingTask::index))
                 .toList();
     }
 
-    private static long latestStart(WaitingTask task) {
-        return task.deadlineMillis() - task.remainingMillis();
-    }
-
     private static Hope hope(WaitingTask task, long nowMillis) {
         long end = nowMillis + task.remainingMillis();
         if (end <= task.deadlineMillis()) {
--- a/src/main/java/org/yuccabank/policy/workflow/RunProgress.java
+++ b/src/main/java/org/yuccabank/policy/workflow/RunProgress.java
@@ -1,5 +1,7 @@
 package org.yuccabank.policy.workflow;
 
+import java.util.OptionalDouble;
+
 /**
  * Progress of one run, and whether it should be started again elsewhere. Answers the load in which
  * tasks on some workers stand still or are several times slower than their mates. Not thread-safe.
@@ -25,8 +27,8 @@
     /** A rate is judged after this time. */
     private static final long RATE_MILLIS = 1_200;
 
-    /** A new start has to save this factor, as the estimate may be far off. */
-    private static final double SLOW_FACTOR = 3.0;
+    /** A new start has to save this factor, as mates differ by up to a half. */
+    private static final double SLOW_FACTOR = 2.5;
 
     private static final int WHOLE = 100;
 
@@ -66,13 +68,27 @@
         }
     }
 
+    /**
+     * Time of a whole run at the rate seen so far.
+     *
+     * @return milliseconds, empty while the rate is not known
+     */
+    public OptionalDouble wholeMillis() {
+        long elapsed = seenMillis - firstMillis;
+        int gained = percent - firstPercent;
+        return elapsed < RATE_MILLIS || gained <= 0
+                ? OptionalDouble.empty()
+                : OptionalDouble.of((double) WHOLE * elapsed / gained);
+    }
+
     /**
      * Advises on the run.
      *
      * @param keepsProgress whether a new start resumes from the progress
+     * @param usualMillis time of a whole run of its mates, empty if it is not known
      * @return what to do with the run
      */
-    public Advice advise(boolean keepsProgress) {
+    public Advice advise(boolean keepsProgress, OptionalDouble usualMillis) {
         if (percent < 0 || percent >= WHOLE) {
             return Advice.KEEP;
         }
@@ -80,14 +96,13 @@
         if (seenMillis - changedMillis > stillLimit) {
             return Advice.STANDS_STILL;
         }
-        long elapsed = seenMillis - firstMillis;
-        int gained = percent - firstPercent;
-        if (elapsed < RATE_MILLIS || gained <= 0) {
+        OptionalDouble whole = wholeMillis();
+        if (whole.isEmpty() || usualMillis.isEmpty()) {
             return Advice.KEEP;
         }
-        double remainingMillis = (double) (WHOLE - percent) * elapsed / gained;
-        double leftShare = keepsProgress ? (double) (WHOLE - percent) / WHOLE : 1;
-        boolean saves = remainingMillis > SLOW_FACTOR * leftShare * estimatedMillis;
-        return saves ? Advice.TOO_SLOW : Advice.KEEP;
+        double leftShare = (double) (WHOLE - percent) / WHOLE;
+        double remaining = leftShare * whole.getAsDouble();
+        double fresh = (keepsProgress ? leftShare : 1) * usualMillis.getAsDouble();
+        return remaining > SLOW_FACTOR * fresh ? Advice.TOO_SLOW : Advice.KEEP;
     }
 }
--- a/src/main/java/org/yuccabank/policy/workflow/WaitingTask.java
+++ b/src/main/java/org/yuccabank/policy/workflow/WaitingTask.java
@@ -15,6 +15,8 @@
  * @param deadlineMillis until when the workflow should end, in milliseconds since 1970
  * @param lateMillis after which the workflow is worth nothing, in milliseconds since 1970
  * @param remainingMillis estimated time of the longest chain from this task to the end
+ * @param valueDensity value of ending the workflow in time for each core-second that it still
+ *     needs, 1 for a workflow of the usual size that has not started
  * @param constraints where the task may run
  */
 public record WaitingTask(
@@ -26,6 +28,7 @@
         long deadlineMillis,
         long lateMillis,
         long remainingMillis,
+        double valueDensity,
         Constraints constraints) {
 
     /** Checks the parts. */
--- a/src/main/java/org/yuccabank/protocol/LeaderClient.java
+++ b/src/main/java/org/yuccabank/protocol/LeaderClient.java
@@ -27,7 +27,7 @@
 
     private final PeerTransport transport;
     private final PeerHandler handler;
-    private final List<InetSocketAddress> configuredAddresses;
+    private volatile List<InetSocketAddress> configuredAddresses;
     private volatile List<InetSocketAddress> addresses;
     private final Map<InetSocketAddress, PeerClient> clients = new ConcurrentHashMap<>();
     private volatile InetSocketAddress likelyLeader;
@@ -85,6 +85,21 @@
         }
     }
 
+    /**
+     * Replaces the configured addresses.
+     *
+     * @param replacement addresses of control processes, at least one
+     */
+    public void useAddresses(List<InetSocketAddress> replacement) {
+        if (replacement.isEmpty()) {
+            throw new IllegalArgumentException("replacement is empty");
+        }
+        configuredAddresses = List.copyOf(replacement);
+        Set<InetSocketAddress> known = new LinkedHashSet<>(addresses);
+        known.addAll(replacement);
+        addresses = List.copyOf(known);
+    }
+
     private Mono<Envelope> attempt(
             Envelope request, List<InetSocketAddress> order, int position, long deadlineNanos) {
         Duration left = Duration.ofNanos(deadlineNanos - System.nanoTime());
--- a/src/test/java/org/yuccabank/policy/workflow/WorkflowPolicyTest.java
+++ b/src/test/java/org/yuccabank/policy/workflow/WorkflowPolicyTest.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.testng.annotations.Test;
 import org.yuccabank.model.Resources;
@@ -30,6 +31,7 @@
                 deadline,
                 3 * deadline,
                 1_000,
+                1.0,
                 new WaitingTask.Constraints("service", Optional.empty(), Optional.empty(), 0));
     }
 
@@ -81,6 +83,21 @@
         assertEquals(ordered, List.of(inTime, late));
     }
 
+    /** Guards against a backlog that is accepted and then worked off too late for everybody. */
+    @Test
+    public void shouldRefuseWhatWouldEndTooLateAndSayWhenToComeBack() {
+        BacklogAdmission.Backlog full = new BacklogAdmission.Backlog(600, 20);
+        assertTrue(BacklogAdmission.refuse(full, 5_000, 40_000).isEmpty());
+        assertEquals(BacklogAdmission.refuse(full, 5_000, 30_000).getAsLong(), 5_000);
+    }
+
+    /** Guards against a refusal while nothing waits. */
+    @Test
+    public void shouldAcceptWhenNothingWaits() {
+        BacklogAdmission.Backlog empty = new BacklogAdmission.Backlog(0, 0);
+        assertTrue(BacklogAdmission.refuse(empty, 9_000, 5_000).isEmpty());
+    }
+
     /** Guards against a serving task over its target for longer than a few figures. */
     @Test
     public void shouldStopFillingTasksWithinThreeSecondsOfMissedTarget() {
@@ -136,7 +153,55 @@
         for (long now = 0; now <= 2_400; now += 400) {
             progress.report(30, true, now);
         }
-        assertEquals(progress.advise(false), RunProgress.Advice.STANDS_STILL);
+        assertEquals(
+                progress.advise(false, OptionalDouble.empty()), RunProgress.Advice.STANDS_STILL);
+    }
+
+    /** Guards against restarts of healthy runs whose estimates are far too low. */
+    @Test
+    public void shouldKeepRunThatIsAsSlowAsItsMates() {
+        RunProgress progress = new RunProgress(500);
+        for (int step = 0; step <= 5; step++) {
+            progress.report(3 * step, true, 400L * step);
+        }
+        assertEquals(progress.advise(false, OptionalDouble.of(13_000)), RunProgress.Advice.KEEP);
+        assertEquals(progress.advise(false, OptionalDouble.empty()), RunProgress.Advice.KEEP);
+    }
+
+    /** Guards against an estimate that one odd run time throws off. */
+    @Test
+    public void shouldCompareWithMedianOfMates() {
+        RunTimes times = new RunTimes();
+        times.done("s", "q", 1_000, 500);
+        times.done("s", "q", 90_000, 500);
+        assertTrue(times.usualMillis("s").isEmpty());
+        times.done("s", "q", 1_100, 500);
+        assertEquals(times.usualMillis("s").getAsDouble(), 1_100.0);
+        assertTrue(times.ratio("q") > 1.9 && times.ratio("q") < 2.3, "" + times.ratio("q"));
+    }
+
+    /** Guards against overload in which much is started and little ends in time. */
+    @Test
+    public void shouldEndWhatIsNearlyDoneBeforeStartingMore() {
+        WaitingTask fresh = density("fresh", 1.0);
+        WaitingTask nearlyDone = density("nearly done", 6.0);
+        assertEquals(
+                new FeasibleFirstOrder().order(List.of(fresh, nearlyDone), 0),
+                List.of(nearlyDone, fresh));
+    }
+
+    private static WaitingTask density(String step, double valueDensity) {
+        return new WaitingTask(
+                step,
+                0,
+                TASK,
+                LoadKind.FILLING,
+                2,
+                5_000,
+                15_000,
+                1_000,
+                valueDensity,
+                new WaitingTask.Constraints("service", Optional.empty(), Optional.empty(), 0));
     }
 
     /** Guards against restarts of runs that are only slowed down on purpose. */
@@ -146,7 +211,7 @@
         for (long now = 0; now <= 4_000; now += 400) {
             progress.report(30, false, now);
         }
-        assertEquals(progress.advise(false), RunProgress.Advice.KEEP);
+        assertEquals(progress.advise(false, OptionalDouble.empty()), RunProgress.Advice.KEEP);
     }
 
     /** Guards against tasks on a worker that became several times slower. */
@@ -156,6 +221,6 @@
         for (int step = 0; step <= 5; step++) {
             progress.report(3 * step, true, 400L * step);
         }
-        assertEquals(progress.advise(true), RunProgress.Advice.TOO_SLOW);
+        assertEquals(progress.advise(true, OptionalDouble.of(2_000)), RunProgress.Advice.TOO_SLOW);
     }
 }
