--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -361,8 +361,8 @@
         }
         if (!before.equals(view.worker())) {
             log.workerReplaced(before, view.worker());
-            endAll(before, RunEnding.RUN_WORKER_LOST, "a new incarnation has started");
         }
+        endFormerIncarnations(view.worker());
         if (report.getLeaving()) {
             endAll(view.worker(), RunEnding.RUN_WORKER_LOST, "the worker has left");
         }
@@ -374,6 +374,16 @@
         return directives(view, report.getSequence()).build();
     }
 
+    /** A host runs one worker at a time, so the start of one proves the end of those before. */
+    private void endFormerIncarnations(WorkerIdentity present) {
+        for (WorkerIdentity worker : Set.copyOf(records().workersWithOpenRuns())) {
+            if (worker.getHostId().equals(present.getHostId())
+                    && worker.getBornMillis() < present.getBornMillis()) {
+                endAll(worker, RunEnding.RUN_WORKER_LOST, "a new incarnation has started");
+            }
+        }
+    }
+
     private void noteEnd(EndedRun ended) {
         Optional<WorkflowTask> task = records().openRun(ended.getRun());
         if (task.isPresent() && pendingEnds.putIfAbsent(ended.getRun(), ended) == null) {
--- a/src/test/java/org/yuccabank/platform/PlatformPathTest.java
+++ b/src/test/java/org/yuccabank/platform/PlatformPathTest.java
@@ -36,6 +36,7 @@
     private PlatformRole agent;
     private StandInMinion minion;
     private int sequence;
+    private PlatformSettings workerSettings;
 
     @BeforeClass
     public void startRoles() throws Exception {
@@ -46,7 +47,8 @@
         minion = new StandInMinion(new InetSocketAddress("127.0.0.1", ports[5]), 1_000);
         control = ControlRole.start(settings(directory, ports[3])).get();
         entry = EntryRole.start(settings(directory, ports[3]));
-        agent = AgentRole.start(settings(directory, ports[4]));
+        workerSettings = settings(directory, ports[4]);
+        agent = AgentRole.start(workerSettings);
         await(() -> call("POST", ports[3], "/api/config/replace", MANIFEST).statusCode(), 200);
     }
 
@@ -112,10 +114,16 @@
     }
 
     private void beat() throws Exception {
+        beat(1_000);
+    }
+
+    private void beat(long born) throws Exception {
         String report =
                 "{\"service\":\"s\",\"address\":\"127.0.0.1:1\",\"zone\":\"z\",\"state\":\"ready\","
                         + "\"capacity\":{\"cpu\":8000,\"mem_mb\":8000},\"labels\":[\"a\",\"r1\"],"
-                        + "\"clock_ms\":1,\"born\":1000,\"sequence\":"
+                        + "\"clock_ms\":1,\"born\":"
+                        + born
+                        + ",\"sequence\":"
                         + ++sequence
                         + "}";
         String path = "/api/minions/m-1/heartbeat";
@@ -162,6 +170,23 @@
         assertEquals(starts, 1);
     }
 
+    /** Guards against tasks of a restarted worker that wait until its former lease is over. */
+    @Test(dependsOnMethods = "shouldSettleUnansweredStartByList")
+    public void shouldRunTasksOfRestartedWorkerAgainAtOnce() throws Exception {
+        beat();
+        minion.runForever();
+        String job = "{\"steps\":[{\"count\":1,\"cpu\":500,\"mem_mb\":10,\"estimate_ms\":60}]}";
+        assertEquals(call("POST", ports[1], "/jobs/cccccccccccccccc", job).statusCode(), 200);
+        await(() -> minion.starts().contains("cccccccccccccccc.0.0.0#1") ? 1 : 0, 1);
+        minion.restart(2_000);
+        long restarted = System.nanoTime();
+        beat(2_000);
+        awaitState("cccccccccccccccc", "completed");
+        long millis = Duration.ofNanos(System.nanoTime() - restarted).toMillis();
+        assertTrue(millis < AgentRole.leaseMillis(workerSettings) / 2, millis + " ms");
+        assertTrue(minion.starts().contains("cccccccccccccccc.0.0.0#2"));
+    }
+
     /** Guards against a job that is taken for accepted although it was refused. */
     @Test
     public void shouldRefuseBadInputClearly() throws Exception {
--- a/src/test/java/org/yuccabank/platform/StandInMinion.java
+++ b/src/test/java/org/yuccabank/platform/StandInMinion.java
@@ -19,15 +19,16 @@
  */
 final class StandInMinion {
 
-    private static final long RUN_MILLIS = 60;
+    private static final long SHORT_RUN_MILLIS = 60;
 
-    private final long born;
+    private volatile long born;
     private final Map<String, Long> running = new LinkedHashMap<>();
     private final Map<Long, String> finished = new LinkedHashMap<>();
     private final List<String> starts = new CopyOnWriteArrayList<>();
     private final DisposableServer server;
     private long lastNumber;
     private volatile boolean answersStarts = true;
+    private volatile long runMillis = SHORT_RUN_MILLIS;
 
     StandInMinion(InetSocketAddress address, long born) {
         this.born = born;
@@ -44,6 +45,20 @@
         answersStarts = answer;
     }
 
+    /** Runs that are there do not end by themselves any more. */
+    void runForever() {
+        runMillis = Long.MAX_VALUE;
+    }
+
+    /** Starts anew: everything that ran is gone, and the numbers of ends begin again. */
+    synchronized void restart(long newBorn) {
+        running.clear();
+        finished.clear();
+        lastNumber = 0;
+        runMillis = SHORT_RUN_MILLIS;
+        born = newBorn;
+    }
+
     void stop() {
         server.disposeNow(Duration.ofSeconds(1));
     }
@@ -92,7 +107,7 @@
     private synchronized HttpCalls.Answer hold(Fields body) {
         finished.keySet().removeIf(number -> number <= body.number("ack_seq"));
         for (String key : new ArrayList<>(running.keySet())) {
-            if (clock() - running.get(key) >= RUN_MILLIS) {
+            if (clock() - running.get(key) >= runMillis) {
                 running.remove(key);
                 finished.put(++lastNumber, key + " done");
             }
