Give a restarted agent the orders of running tasks, and count refused starts against a worker

Cause: an agent that restarts finds runs on its worker whose latency targets it does not know, so it would pace nothing for them; a worker that refuses every start was offered the same tasks in a loop.

--- a/src/main/java/org/yuccabank/agent/workflow/RunEntry.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunEntry.java
@@ -29,7 +29,7 @@
     }
 
     private final RunAddress run;
-    private final Optional<StartRun> order;
+    private Optional<StartRun> order;
     private Stage stage;
     private long checkedSinceMillis;
     private int tries;
@@ -63,6 +63,11 @@
         return order;
     }
 
+    /** The order of a run that was found on the worker. */
+    void learnOrder(StartRun learned) {
+        order = Optional.of(learned);
+    }
+
     Stage stage() {
         return stage;
     }
--- a/src/main/java/org/yuccabank/agent/workflow/RunTable.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunTable.java
@@ -41,7 +41,11 @@
 
     /** The entry of an ordered start, empty if the run is known already. */
     Optional<RunEntry> order(StartRun order) {
-        if (entries.containsKey(order.getRun())) {
+        RunEntry known = entries.get(order.getRun());
+        if (known != null) {
+            if (known.order().isEmpty()) {
+                known.learnOrder(order);
+            }
             return Optional.empty();
         }
         RunEntry entry = RunEntry.ordered(order);
@@ -127,7 +131,10 @@
 
     private static ActiveRun reported(RunEntry entry) {
         boolean slowed = entry.percent() != FillerPacing.FULL_SPEED;
-        return slowed ? entry.listed().toBuilder().setSlowed(true).build() : entry.listed();
+        boolean unknown = entry.order().isEmpty();
+        return slowed || unknown
+                ? entry.listed().toBuilder().setSlowed(slowed).setUnknown(unknown).build()
+                : entry.listed();
     }
 
     List<EndedRun> ended() {
--- a/src/main/java/org/yuccabank/control/workflow/RunWatch.java
+++ b/src/main/java/org/yuccabank/control/workflow/RunWatch.java
@@ -79,7 +79,8 @@
         String workerId = task.worker().orElseThrow().getWorkerId();
         if (ended.getEnding() == RunEnding.RUN_DONE) {
             trust.succeeded(workerId);
-        } else if (ended.getEnding() == RunEnding.RUN_FAILED && !lasting) {
+        } else if (ended.getEnding() == RunEnding.RUN_NOT_STARTED
+                || (ended.getEnding() == RunEnding.RUN_FAILED && !lasting)) {
             trust.failed(workerId, task.address().getWorkflowId(), nowMillis);
         }
     }
--- a/src/main/java/org/yuccabank/control/workflow/WorkerView.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkerView.java
@@ -94,6 +94,13 @@
         return report.getListed();
     }
 
+    /** Tells whether the agent needs the order of a run: to start it, or to know what it is. */
+    boolean needsOrder(RunAddress run, Set<RunAddress> mentioned) {
+        ActiveRun reported = active.get(run);
+        boolean unknown = reported != null && reported.getUnknown();
+        return isListed() && (unknown || !mentioned.contains(run));
+    }
+
     Set<RunAddress> mentionedRuns() {
         Set<RunAddress> mentioned = new HashSet<>(active.keySet());
         report.getEndedList().forEach(ended -> mentioned.add(ended.getRun()));
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -439,7 +439,7 @@
         for (WorkflowTask task : records().openRuns(view.worker())) {
             if (isToStop(task, view)) {
                 directives.addStops(task.run());
-            } else if (view.isListed() && !mentioned.contains(task.run())) {
+            } else if (view.needsOrder(task.run(), mentioned)) {
                 directives.addStarts(WorkflowOrders.start(task));
             }
         }
--- a/src/test/java/org/yuccabank/agent/workflow/RunTableTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/RunTableTest.java
@@ -78,6 +78,9 @@
         RunTable table = new RunTable();
         ActiveRun active = ActiveRun.newBuilder().setRun(RUN).setPercent(40).build();
         table.list(List.of(active), List.of(), 10);
+        assertEquals(table.active(), List.of(active.toBuilder().setUnknown(true).build()));
+        table.order(ORDER.toBuilder().setLatencyTargetMillis(20).build());
+        assertEquals(table.served().size(), 1, "the target is known again");
         assertEquals(table.active(), List.of(active));
     }
 
--- /dev/null
+++ b/src/test/java/org/yuccabank/control/workflow/WorkflowPlannerTest.java
@@ -0,0 +1,175 @@
+package org.yuccabank.control.workflow;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.yuccabank.state.workflow.WorkflowFixtures.WORKER;
+import static org.yuccabank.state.workflow.WorkflowFixtures.accept;
+import static org.yuccabank.state.workflow.WorkflowFixtures.assign;
+import static org.yuccabank.state.workflow.WorkflowFixtures.end;
+import static org.yuccabank.state.workflow.WorkflowFixtures.run;
+import static org.yuccabank.state.workflow.WorkflowFixtures.step;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.yuccabank.policy.workflow.FeasibleFirstOrder;
+import org.yuccabank.policy.workflow.SeparatingChoice;
+import org.yuccabank.policy.workflow.WorkerTrust;
+import org.yuccabank.protocol.generated.Assignment;
+import org.yuccabank.protocol.generated.FleetConfiguration;
+import org.yuccabank.protocol.generated.QueueDefinition;
+import org.yuccabank.protocol.generated.ResourceVector;
+import org.yuccabank.protocol.generated.RunEnding;
+import org.yuccabank.protocol.generated.WorkerReport;
+import org.yuccabank.protocol.generated.WorkflowAddress;
+import org.yuccabank.protocol.generated.WorkflowDefinition;
+import org.yuccabank.state.workflow.WorkflowRecords;
+
+/** Holds which tasks start where, and what is refused. */
+public final class WorkflowPlannerTest {
+
+    private static final long NOW = 1_000;
+
+    private final WorkflowPlanner planner =
+            new WorkflowPlanner(new FeasibleFirstOrder(), new SeparatingChoice());
+    private WorkflowRecords records;
+
+    @BeforeMethod
+    public void createRecords() {
+        records = new WorkflowRecords();
+    }
+
+    private static WorkerOffer worker(int cores, WorkerTrust.Standing standing) {
+        WorkerReport report =
+                WorkerReport.newBuilder()
+                        .setWorker(WORKER)
+                        .setService("service")
+                        .setCapacity(
+                                ResourceVector.newBuilder()
+                                        .setProcessorMillis(1_000L * cores)
+                                        .setMemoryMebibytes(64_000))
+                        .build();
+        return new WorkerOffer(report, standing);
+    }
+
+    private List<Assignment> plan(WorkerOffer... offers) {
+        return planner.plan(records, List.of(offers), queue -> 1.0, NOW);
+    }
+
+    /** Guards against a worker that is asked for more than it has, runs in progress included. */
+    @Test
+    public void shouldCountOpenRunsAgainstCapacity() {
+        records.apply(accept("a", step(9)), NOW);
+        records.apply(assign(run("a", 0, 0, 1), run("a", 0, 1, 1)), NOW);
+        assertEquals(plan(worker(4, WorkerTrust.Standing.TRUSTED)).size(), 2);
+    }
+
+    /** Guards against a step that starts before the one it depends on is done. */
+    @Test
+    public void shouldStartStepsInOrder() {
+        records.apply(accept("a", step(1), step(2, 0)), NOW);
+        assertEquals(plan(worker(9, WorkerTrust.Standing.TRUSTED)).size(), 1);
+        records.apply(assign(run("a", 0, 0, 1)), NOW);
+        assertTrue(plan(worker(9, WorkerTrust.Standing.TRUSTED)).isEmpty());
+        records.apply(end(run("a", 0, 0, 1), RunEnding.RUN_DONE), NOW);
+        assertEquals(plan(worker(9, WorkerTrust.Standing.TRUSTED)).size(), 2);
+    }
+
+    /** Guards against a gang of which only some members start. */
+    @Test
+    public void shouldPlaceGangAsWhole() {
+        records.apply(accept("a", step(4).setGang(true)), NOW);
+        assertTrue(plan(worker(3, WorkerTrust.Standing.TRUSTED)).isEmpty());
+        assertEquals(plan(worker(4, WorkerTrust.Standing.TRUSTED)).size(), 4);
+    }
+
+    /** Guards against an occurrence that starts before its time. */
+    @Test
+    public void shouldWaitForDueTime() {
+        WorkflowDefinition definition =
+                WorkflowDefinition.newBuilder()
+                        .setWorkflowId("a")
+                        .addSteps(step(1))
+                        .setOccurrences(3)
+                        .setFirstDueMillis(NOW)
+                        .setIntervalMillis(1)
+                        .build();
+        records.apply(accept(definition), NOW);
+        assertEquals(plan(worker(9, WorkerTrust.Standing.TRUSTED)).size(), 1);
+    }
+
+    /** Guards against a sick worker that gets more than a probe. */
+    @Test
+    public void shouldGiveProbeOneTask() {
+        records.apply(accept("a", step(9)), NOW);
+        assertEquals(plan(worker(9, WorkerTrust.Standing.PROBE)).size(), 1);
+    }
+
+    /** Guards against more tasks of a step on one worker than its definition allows. */
+    @Test
+    public void shouldKeepMostTasksPerWorker() {
+        records.apply(accept("a", step(5).setMostPerWorker(2)), NOW);
+        assertEquals(plan(worker(9, WorkerTrust.Standing.TRUSTED)).size(), 2);
+    }
+
+    /** Guards against a burst that is accepted and ends too late for everybody. */
+    @Test
+    public void shouldRefuseBurstBeyondWhatEndsInUsefulTime() {
+        WorkflowDefinition job =
+                WorkflowDefinition.newBuilder().addSteps(step(8).setImage("i")).build();
+        QueueDefinition queue =
+                QueueDefinition.newBuilder()
+                        .setName("queue")
+                        .setService("service")
+                        .setSlackFactor(2)
+                        .build();
+        List<WorkerOffer> offers = List.of(worker(8, WorkerTrust.Standing.TRUSTED));
+        int accepted = 0;
+        Optional<OptionalLong> refusal = Optional.empty();
+        while (refusal.isEmpty() && accepted < 20) {
+            OptionalLong comeBack =
+                    AdmissionDesk.refuse(
+                            job, queue, records, offers, WorkMeter.of(records, name -> 1.0), NOW);
+            if (comeBack.isPresent()) {
+                refusal = Optional.of(comeBack);
+            } else {
+                WorkflowDefinition named = job.toBuilder().setWorkflowId("j" + accepted).build();
+                records.apply(accept(named), NOW);
+                accepted++;
+            }
+        }
+        // Each job needs the whole worker for a second, and is worthless after six.
+        assertEquals(accepted, 6);
+        assertEquals(refusal.orElseThrow().getAsLong(), 1_000);
+    }
+
+    /** Guards against a request that reaches the queue of a shorter prefix. */
+    @Test
+    public void shouldFindQueueOfLongestPrefix() {
+        FleetConfiguration configuration =
+                FleetConfiguration.newBuilder()
+                        .addQueues(queue("outer", "/a/"))
+                        .addQueues(queue("inner", "/a/b/"))
+                        .build();
+        QueueMatch match =
+                QueueMatch.find(
+                                configuration,
+                                WorkflowAddress.newBuilder()
+                                        .setHostName("h")
+                                        .setPath("/a/b/x")
+                                        .build())
+                        .orElseThrow();
+        assertEquals(match.queue().getName(), "inner");
+        assertEquals(match.workflowId(), "x");
+    }
+
+    private static QueueDefinition queue(String name, String prefix) {
+        return QueueDefinition.newBuilder()
+                .setName(name)
+                .setHostName("h")
+                .setPathPrefix(prefix)
+                .build();
+    }
+}
