--- a/src/main/java/org/yuccabank/replication/ReplicaService.java
+++ b/src/main/java/org/yuccabank/replication/ReplicaService.java
@@ -171,8 +171,10 @@
         } catch (RuntimeException exception) {
             EventLog.error(Event.INTERNAL_ERROR, exception, "replica", settings.replicaId());
             node.stop("internal error: " + exception);
+        } finally {
+            // Also after an Error, which ends the thread: proposals and readers must not hang.
+            end();
         }
-        end();
     }
 
     private void handleInputs() throws InterruptedException {
--- a/src/test/java/org/yuccabank/replication/ReplicaServiceTest.java
+++ b/src/test/java/org/yuccabank/replication/ReplicaServiceTest.java
@@ -184,4 +184,23 @@
             assertEquals(outcome instanceof ReadOutcome.Confirmed, entry.getKey().equals(leader));
         }
     }
+
+    /** Guards against a replica whose thread has ended and that still passes for a running one. */
+    @Test
+    public void shouldStopWhenItsThreadEndsByError() throws Exception {
+        ReplicaService service = services.get("a");
+        var unused =
+                service.call(
+                        () -> {
+                            throw new AssertionError("ends the thread on purpose");
+                        });
+        long end = System.nanoTime() + WAIT_MILLIS * 1_000_000;
+        while (service.status().stopReason().isEmpty() && System.nanoTime() < end) {
+            Thread.sleep(10);
+        }
+        assertTrue(service.status().stopReason().isPresent());
+        assertTrue(
+                service.propose(new byte[] {1}).toCompletableFuture().get(5, TimeUnit.SECONDS)
+                        instanceof ProposalOutcome.NotLeader);
+    }
 }
