--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -53,7 +53,7 @@
     private static final long LIST_VALID_MILLIS = 1_500;
 
     /** A run whose start was not answered this often is stopped. */
-    private static final int MAXIMUM_START_TRIES = 3;
+    private static final int MAXIMUM_START_TRIES = 8;
 
     private static final long ORDER_RETRY_MILLIS = 150;
     private static final long STOP_RETRY_MILLIS = 500;
--- a/src/main/java/org/yuccabank/policy/workflow/SeparatingChoice.java
+++ b/src/main/java/org/yuccabank/policy/workflow/SeparatingChoice.java
@@ -9,8 +9,8 @@
  * workers stay free for filling. Answers the load in which filling tasks multiply the tail latency
  * of serving ones beside them. Immutable.
  *
- * <p>A filling task waits rather than join serving tasks, unless every worker of its service has
- * some.
+ * <p>A filling task runs only on workers with the fewest serving tasks and waits for room there, so
+ * that a shortage of workers without any harms as few serving tasks as possible.
  */
 public final class SeparatingChoice implements WorkerChoice {
 
@@ -42,14 +42,14 @@
         Optional<String> rack = task.constraints().preferredRack();
         Comparator<WorkerRoom> near =
                 Comparator.comparing(room -> rack.isPresent() && !rack.get().equals(room.rack()));
-        boolean mayMix = rooms.stream().allMatch(room -> room.serving() > 0);
+        int fewest = rooms.stream().mapToInt(WorkerRoom::serving).min().orElse(0);
         return rooms.stream()
                 .filter(room -> room.admits(task))
-                .filter(room -> mayMix || !wouldMix(task, room))
+                .filter(room -> !isSpared(task, room, fewest))
                 .min(near.thenComparing(order).thenComparing(WorkerRoom::workerId));
     }
 
-    private static boolean wouldMix(WaitingTask task, WorkerRoom room) {
-        return task.loadKind() == WaitingTask.LoadKind.FILLING && room.serving() > 0;
+    private static boolean isSpared(WaitingTask task, WorkerRoom room, int fewestServing) {
+        return task.loadKind() == WaitingTask.LoadKind.FILLING && room.serving() > fewestServing;
     }
 }
--- a/src/test/java/org/yuccabank/platform/PlatformPathTest.java
+++ b/src/test/java/org/yuccabank/platform/PlatformPathTest.java
@@ -187,6 +187,17 @@
         assertTrue(minion.starts().contains("cccccccccccccccc.0.0.0#2"));
     }
 
+    /** Guards against an urgent step that waits long for a start which nobody answers. */
+    @Test(dependsOnMethods = "shouldRunTasksOfRestartedWorkerAgainAtOnce")
+    public void shouldRepeatUnansweredStartSoon() throws Exception {
+        minion.swallowNextStart();
+        String job = "{\"steps\":[{\"count\":1,\"cpu\":500,\"mem_mb\":10,\"estimate_ms\":60}]}";
+        assertEquals(call("POST", ports[1], "/jobs/dddddddddddddddd", job).statusCode(), 200);
+        awaitState("dddddddddddddddd", "completed");
+        // Half the time of a quick preview is what its objective leaves beyond its work.
+        assertTrue(minion.retryMillis() < 600, minion.retryMillis() + " ms");
+    }
+
     /** Guards against a job that is taken for accepted although it was refused. */
     @Test
     public void shouldRefuseBadInputClearly() throws Exception {
--- a/src/test/java/org/yuccabank/platform/StandInMinion.java
+++ b/src/test/java/org/yuccabank/platform/StandInMinion.java
@@ -25,9 +25,12 @@
     private final Map<String, Long> running = new LinkedHashMap<>();
     private final Map<Long, String> finished = new LinkedHashMap<>();
     private final List<String> starts = new CopyOnWriteArrayList<>();
+    private final List<Long> swallowedMillis = new CopyOnWriteArrayList<>();
     private final DisposableServer server;
     private long lastNumber;
     private volatile boolean answersStarts = true;
+    private volatile boolean swallowsNextStart;
+    private volatile long startedMillis;
     private volatile long runMillis = SHORT_RUN_MILLIS;
 
     StandInMinion(InetSocketAddress address, long born) {
@@ -45,6 +48,16 @@
         answersStarts = answer;
     }
 
+    /** The next start is neither carried out nor answered. */
+    void swallowNextStart() {
+        swallowsNextStart = true;
+    }
+
+    /** Time from the start that was swallowed to the newest one. */
+    long retryMillis() {
+        return startedMillis - swallowedMillis.get(0);
+    }
+
     /** Runs that are there do not end by themselves any more. */
     void runForever() {
         runMillis = Long.MAX_VALUE;
@@ -88,6 +101,12 @@
     }
 
     private synchronized Mono<HttpCalls.Answer> start(Fields body) {
+        if (swallowsNextStart) {
+            swallowsNextStart = false;
+            swallowedMillis.add(clock());
+            return Mono.never();
+        }
+        startedMillis = clock();
         String key = key(body);
         if (!starts.contains(key)) {
             starts.add(key);
--- a/src/test/java/org/yuccabank/policy/workflow/WorkflowPolicyTest.java
+++ b/src/test/java/org/yuccabank/policy/workflow/WorkflowPolicyTest.java
@@ -50,6 +50,26 @@
                 new SeparatingChoice().choose(filling, List.of(serving)).orElseThrow(), serving);
     }
 
+    /** Guards against filling tasks that harm every serving task once no worker is free of them. */
+    @Test
+    public void shouldHarmFewestServingTasksWhenAllWorkersServe() {
+        WorkerRoom some = room("some");
+        some.reserve("s", TASK, LoadKind.SERVING);
+        WorkerRoom more = room("more");
+        more.reserve("s", TASK, LoadKind.SERVING);
+        more.reserve("s", TASK, LoadKind.SERVING);
+        WaitingTask filling = task("f", LoadKind.FILLING, 2, 5_000);
+        int placed = 0;
+        Optional<WorkerRoom> chosen = new SeparatingChoice().choose(filling, List.of(some, more));
+        while (chosen.isPresent()) {
+            assertEquals(chosen.get(), some);
+            chosen.get().reserve("f", TASK, LoadKind.FILLING);
+            placed++;
+            chosen = new SeparatingChoice().choose(filling, List.of(some, more));
+        }
+        assertEquals(placed, 7);
+    }
+
     /** Guards against plain tasks that take the workers which filling tasks need. */
     @Test
     public void shouldPutPlainTaskBesideServingOnes() {
