--- a/src/main/java/org/yuccabank/replication/CoreState.java
+++ b/src/main/java/org/yuccabank/replication/CoreState.java
@@ -11,6 +11,9 @@
  */
 final class CoreState {
 
+    /** Largest factor of the random part of the election timeout: 300 ms become 2.4 s. */
+    private static final int MAXIMUM_SPREAD = 8;
+
     private final ReplicaSettings settings;
     private final ReplicaOptions options;
     private final RandomGenerator random;
@@ -25,6 +28,7 @@
     private long commitIndex;
     private long lastLeaderContact;
     private long electionDeadline;
+    private int candidacies;
     private SnapshotData snapshot;
 
     CoreState(
@@ -114,6 +118,9 @@
     }
 
     void setLeaderId(String replicaId) {
+        if (replicaId.equals(id())) {
+            candidacies = 0;
+        }
         leaderId = replicaId;
     }
 
@@ -168,6 +175,7 @@
 
     void noteLeaderContact() {
         lastLeaderContact = now;
+        candidacies = 0;
         resetElectionDeadline();
     }
 
@@ -179,11 +187,23 @@
         return now >= electionDeadline;
     }
 
+    /** An election begins; those before it in a row found no leader. */
+    void noteCandidacy() {
+        candidacies++;
+    }
+
+    /**
+     * Chooses the next election timeout. The random part grows with each election that found no
+     * leader, so that candidates whose messages take about as long as that part do not split the
+     * votes again and again.
+     */
     void resetElectionDeadline() {
         electionDeadline =
                 now
                         + timing().electionTimeoutMillis()
-                        + random.nextLong(timing().electionSpreadMillis());
+                        + random.nextLong(
+                                timing().electionSpreadMillis()
+                                        * Math.max(1, Math.min(MAXIMUM_SPREAD, candidacies)));
     }
 
     /** Appends an entry to the log and to the writes. */
--- a/src/main/java/org/yuccabank/replication/Election.java
+++ b/src/main/java/org/yuccabank/replication/Election.java
@@ -52,6 +52,7 @@
      */
     void start(boolean transfer) {
         state.enterTerm(state.term() + 1, state.id());
+        state.noteCandidacy();
         state.setRole(ReplicaRole.CANDIDATE);
         state.setLeaderId("");
         state.resetElectionDeadline();
