--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -361,7 +361,9 @@
                     sendStop(entry);
                 }
             }
-            case ENDED -> {}
+            default -> {
+                // An ended run needs nothing.
+            }
         }
     }
 
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -8,26 +8,18 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import org.yuccabank.control.Proposer;
-import org.yuccabank.event.Event;
-import org.yuccabank.event.EventLog;
 import org.yuccabank.policy.workflow.FeasibleFirstOrder;
 import org.yuccabank.policy.workflow.SeparatingChoice;
 import org.yuccabank.policy.workflow.WorkerTrust;
 import org.yuccabank.protocol.PeerConnection;
-import org.yuccabank.protocol.generated.AcceptWorkflow;
 import org.yuccabank.protocol.generated.ActiveRun;
 import org.yuccabank.protocol.generated.Assignment;
-import org.yuccabank.protocol.generated.CancelWorkflowById;
 import org.yuccabank.protocol.generated.CommandResult;
 import org.yuccabank.protocol.generated.EndedRun;
-import org.yuccabank.protocol.generated.FleetConfiguration;
-import org.yuccabank.protocol.generated.QueueDefinition;
 import org.yuccabank.protocol.generated.RunAddress;
 import org.yuccabank.protocol.generated.RunEnding;
 import org.yuccabank.protocol.generated.SchedulingRound;
@@ -36,10 +28,7 @@
 import org.yuccabank.protocol.generated.WorkerIdentity;
 import org.yuccabank.protocol.generated.WorkerReport;
 import org.yuccabank.protocol.generated.WorkflowCommand;
-import org.yuccabank.protocol.generated.WorkflowDefinition;
-import org.yuccabank.protocol.generated.WorkflowPhase;
 import org.yuccabank.protocol.generated.WorkflowReply;
-import org.yuccabank.protocol.generated.WorkflowReply.Verdict;
 import org.yuccabank.protocol.generated.WorkflowRequest;
 import org.yuccabank.replication.ReplicaMember;
 import org.yuccabank.replication.ReplicaService;
@@ -81,7 +70,7 @@
     private final Map<RunAddress, EndedRun> pendingEnds = new LinkedHashMap<>();
     private final WorkflowLog log = new WorkflowLog();
     private final RunWatch watch = new RunWatch();
-    private final MembershipKeeper membership;
+    private final WorkflowRequests requests;
     private long term;
     private long ledSinceMillis;
     private boolean roundInProgress;
@@ -93,7 +82,7 @@
         this.state = state;
         this.proposer = proposer;
         this.leaseMillis = leaseMillis;
-        membership = new MembershipKeeper(replica);
+        requests = new WorkflowRequests(this, new MembershipKeeper(replica));
     }
 
     /**
@@ -113,11 +102,11 @@
         return new WorkflowLeader(replica, state, proposer, leaseMillis + LEASE_MARGIN_MILLIS);
     }
 
-    private WorkflowRecords records() {
+    WorkflowRecords records() {
         return state.records().workflows();
     }
 
-    private static long steadyMillis() {
+    static long steadyMillis() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
 
@@ -155,57 +144,7 @@
      * @return the answer, empty if the request changes the state
      */
     public Optional<WorkflowReply> read(WorkflowRequest request) {
-        return switch (request.getRequestCase()) {
-            case CONFIGURATION -> Optional.of(configuration());
-            case STATE -> Optional.of(workflowState(request));
-            default -> Optional.empty();
-        };
-    }
-
-    private WorkflowReply configuration() {
-        WorkflowReply.Builder answer =
-                records()
-                        .configuration()
-                        .map(
-                                found ->
-                                        reply(Verdict.ACCEPTED, "")
-                                                .setDocument(found.getDocument())
-                                                .setVersion(found.getVersion()))
-                        .orElseGet(() -> reply(Verdict.REFUSED, "no configuration yet"));
-        return answer.addAllControlAddresses(memberAddresses()).build();
-    }
-
-    private List<String> memberAddresses() {
-        return replica.status().members().stream().map(ReplicaMember::address).distinct().toList();
-    }
-
-    private WorkflowReply workflowState(WorkflowRequest request) {
-        Optional<FleetConfiguration> configuration = records().configuration();
-        if (configuration.isEmpty()) {
-            return reply(Verdict.REFUSED, "no configuration yet").build();
-        }
-        Optional<QueueMatch> match = QueueMatch.find(configuration.get(), request.getAddress());
-        if (match.isEmpty()) {
-            return reply(Verdict.UNKNOWN_QUEUE, "no queue has this host name and path").build();
-        }
-        if (match.get().workflowId().isEmpty()) {
-            return reply(Verdict.ACCEPTED, "")
-                    .setQueueAnswer(true)
-                    .setPending(pending(match.get().queue().getName()))
-                    .build();
-        }
-        return records()
-                .workflow(match.get().workflowId())
-                .map(found -> reply(Verdict.ACCEPTED, "").setPhase(found.phase()).build())
-                .orElseGet(() -> reply(Verdict.UNKNOWN_WORKFLOW, "no such workflow").build());
-    }
-
-    private int pending(String queueName) {
-        return Math.toIntExact(
-                records().workflows().stream()
-                        .filter(each -> each.queue().getName().equals(queueName))
-                        .filter(each -> each.phase() == WorkflowPhase.WORKFLOW_QUEUED)
-                        .count());
+        return requests.read(request);
     }
 
     /**
@@ -215,128 +154,19 @@
      * @return completes with the answer once the change is durable
      */
     public CompletionStage<WorkflowReply> change(WorkflowRequest request) {
-        return switch (request.getRequestCase()) {
-            case SUBMIT -> submit(request);
-            case CANCEL -> cancel(request);
-            case REPLACE -> replace(request.getReplace().getConfiguration());
-            case JOIN -> {
-                membership.admit(request.getJoin());
-                yield done(reply(Verdict.ACCEPTED, ""));
-            }
-            default ->
-                    CompletableFuture.completedFuture(
-                            reply(Verdict.INVALID, "the request is empty").build());
-        };
+        return requests.change(request);
     }
 
-    private CompletionStage<WorkflowReply> submit(WorkflowRequest request) {
-        Optional<FleetConfiguration> configuration = records().configuration();
-        if (configuration.isEmpty()) {
-            return done(reply(Verdict.REFUSED, "no configuration yet"));
-        }
-        Optional<QueueMatch> match = QueueMatch.find(configuration.get(), request.getAddress());
-        if (match.isEmpty() || match.get().workflowId().isEmpty()) {
-            return done(reply(Verdict.UNKNOWN_QUEUE, "no queue has this host name and path"));
-        }
-        String workflowId = match.get().workflowId();
-        if (records().workflow(workflowId).isPresent()) {
-            return done(reply(Verdict.ACCEPTED, "accepted before"));
-        }
-        WorkflowDefinition definition =
-                request.getSubmit().toBuilder().setWorkflowId(workflowId).build();
-        OptionalLong comeBack = comeBack(definition, match.get().queue());
-        if (comeBack.isPresent()) {
-            log.refusing(definition, match.get().queue(), comeBack.getAsLong());
-            return done(
-                    reply(Verdict.REFUSED, "the backlog is too long")
-                            .setRetryAfterMillis(comeBack.getAsLong()));
-        }
-        AcceptWorkflow accept =
-                AcceptWorkflow.newBuilder()
-                        .setDefinition(definition)
-                        .setQueue(match.get().queue())
-                        .build();
-        log.accepting(definition, match.get().queue(), records().configuration().get());
-        return propose(WorkflowCommand.newBuilder().setAccept(accept))
-                .thenApply(result -> committed(result, workflowId));
-    }
-
-    private OptionalLong comeBack(WorkflowDefinition definition, QueueDefinition queue) {
-        return AdmissionDesk.refuse(
-                definition,
-                queue,
-                records(),
-                offers(steadyMillis()),
-                WorkMeter.of(records(), watch::runTimeRatio),
-                System.currentTimeMillis());
-    }
-
-    private CompletionStage<WorkflowReply> cancel(WorkflowRequest request) {
-        Optional<QueueMatch> match =
-                records()
-                        .configuration()
-                        .flatMap(found -> QueueMatch.find(found, request.getAddress()));
-        if (match.isEmpty()) {
-            return done(reply(Verdict.UNKNOWN_QUEUE, "no queue has this host name and path"));
-        }
-        String workflowId = match.get().workflowId();
-        Optional<Workflow> workflow = records().workflow(workflowId);
-        if (workflow.isEmpty()) {
-            return done(reply(Verdict.UNKNOWN_WORKFLOW, "no such workflow"));
-        }
-        if (workflow.get().isFinal()) {
-            return done(reply(Verdict.ACCEPTED, "ended before"));
-        }
-        CancelWorkflowById cancel =
-                CancelWorkflowById.newBuilder().setWorkflowId(workflowId).build();
-        return propose(WorkflowCommand.newBuilder().setCancel(cancel))
-                .thenApply(
-                        result -> {
-                            WorkflowReply answer = committed(result, workflowId);
-                            pushStops(workflow.get());
-                            return answer;
-                        });
-    }
-
-    private CompletionStage<WorkflowReply> replace(FleetConfiguration configuration) {
-        EventLog.information(
-                Event.CONFIGURATION_APPLIED,
-                "version",
-                configuration.getVersion(),
-                "held",
-                records().configuration().map(FleetConfiguration::getVersion).orElse(0L));
-        return propose(WorkflowCommand.newBuilder().setConfiguration(configuration))
-                .thenApply(result -> committed(result, "configuration"));
+    List<String> memberAddresses() {
+        return replica.status().members().stream().map(ReplicaMember::address).distinct().toList();
     }
 
-    private CompletionStage<CommandResult> propose(WorkflowCommand.Builder command) {
+    CompletionStage<CommandResult> propose(WorkflowCommand.Builder command) {
         return proposer.propose(StateCommand.newBuilder().setWorkflow(command));
     }
 
-    private WorkflowReply committed(CommandResult result, String subject) {
-        return switch (result.getVerdict()) {
-            case ACCEPTED -> {
-                wantRound();
-                yield reply(Verdict.ACCEPTED, "").build();
-            }
-            case NOT_LEADER ->
-                    reply(Verdict.NOT_LEADER, result.getMessage())
-                            .setLeaderAddress(result.getLeaderAddress())
-                            .build();
-            default -> {
-                EventLog.warning(
-                        Event.OUTCOME_UNKNOWN, "subject", subject, "reason", result.getMessage());
-                yield reply(Verdict.UNCERTAIN, result.getMessage()).build();
-            }
-        };
-    }
-
-    private static WorkflowReply.Builder reply(Verdict verdict, String message) {
-        return WorkflowReply.newBuilder().setVerdict(verdict).setMessage(message);
-    }
-
-    private static CompletionStage<WorkflowReply> done(WorkflowReply.Builder reply) {
-        return CompletableFuture.completedFuture(reply.build());
+    double runTimeRatio(String queueName) {
+        return watch.runTimeRatio(queueName);
     }
 
     /**
@@ -459,7 +289,7 @@
         return view.report().getDraining() && lasting;
     }
 
-    private void pushStops(Workflow workflow) {
+    void pushStops(Workflow workflow) {
         Set<WorkerIdentity> touched =
                 workflow.allTasks().stream()
                         .flatMap(task -> task.worker().stream())
@@ -507,7 +337,7 @@
         }
     }
 
-    private void wantRound() {
+    void wantRound() {
         roundWanted = true;
         if (!roundInProgress && replica.isLeader()) {
             runRound();
@@ -540,7 +370,7 @@
                 .whenComplete((result, error) -> endRound(round, roundTerm, result));
     }
 
-    private List<WorkerOffer> offers(long now) {
+    List<WorkerOffer> offers(long now) {
         List<WorkerReport> usable =
                 workers.values().stream()
                         .filter(view -> view.isUsable(now, USABLE_MILLIS))
--- /dev/null
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowRequests.java
@@ -0,0 +1,221 @@
+package org.yuccabank.control.workflow;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.yuccabank.event.Event;
+import org.yuccabank.event.EventLog;
+import org.yuccabank.protocol.generated.AcceptWorkflow;
+import org.yuccabank.protocol.generated.CancelWorkflowById;
+import org.yuccabank.protocol.generated.CommandResult;
+import org.yuccabank.protocol.generated.FleetConfiguration;
+import org.yuccabank.protocol.generated.QueueDefinition;
+import org.yuccabank.protocol.generated.WorkflowCommand;
+import org.yuccabank.protocol.generated.WorkflowDefinition;
+import org.yuccabank.protocol.generated.WorkflowPhase;
+import org.yuccabank.protocol.generated.WorkflowReply;
+import org.yuccabank.protocol.generated.WorkflowReply.Verdict;
+import org.yuccabank.protocol.generated.WorkflowRequest;
+import org.yuccabank.state.workflow.Workflow;
+
+/**
+ * Answers the requests of callers and operators at the leader.
+ *
+ * <p>Invariant: a change is answered as accepted only after it is committed. Confined to the thread
+ * of the replica.
+ */
+final class WorkflowRequests {
+
+    private final WorkflowLeader leader;
+    private final MembershipKeeper membership;
+    private final WorkflowLog log = new WorkflowLog();
+
+    WorkflowRequests(WorkflowLeader leader, MembershipKeeper membership) {
+        this.leader = leader;
+        this.membership = membership;
+    }
+
+    /**
+     * Answers a request that only reads, after leadership was confirmed.
+     *
+     * @param request the request
+     * @return the answer, empty if the request changes the state
+     */
+    Optional<WorkflowReply> read(WorkflowRequest request) {
+        return switch (request.getRequestCase()) {
+            case CONFIGURATION -> Optional.of(configuration());
+            case STATE -> Optional.of(workflowState(request));
+            default -> Optional.empty();
+        };
+    }
+
+    private WorkflowReply configuration() {
+        WorkflowReply.Builder answer =
+                leader.records()
+                        .configuration()
+                        .map(
+                                found ->
+                                        reply(Verdict.ACCEPTED, "")
+                                                .setDocument(found.getDocument())
+                                                .setVersion(found.getVersion()))
+                        .orElseGet(() -> reply(Verdict.REFUSED, "no configuration yet"));
+        return answer.addAllControlAddresses(leader.memberAddresses()).build();
+    }
+
+    private WorkflowReply workflowState(WorkflowRequest request) {
+        Optional<FleetConfiguration> configuration = leader.records().configuration();
+        if (configuration.isEmpty()) {
+            return reply(Verdict.REFUSED, "no configuration yet").build();
+        }
+        Optional<QueueMatch> match = QueueMatch.find(configuration.get(), request.getAddress());
+        if (match.isEmpty()) {
+            return reply(Verdict.UNKNOWN_QUEUE, "no queue has this host name and path").build();
+        }
+        if (match.get().workflowId().isEmpty()) {
+            return reply(Verdict.ACCEPTED, "")
+                    .setQueueAnswer(true)
+                    .setPending(pending(match.get().queue().getName()))
+                    .build();
+        }
+        return leader.records()
+                .workflow(match.get().workflowId())
+                .map(found -> reply(Verdict.ACCEPTED, "").setPhase(found.phase()).build())
+                .orElseGet(() -> reply(Verdict.UNKNOWN_WORKFLOW, "no such workflow").build());
+    }
+
+    private int pending(String queueName) {
+        return Math.toIntExact(
+                leader.records().workflows().stream()
+                        .filter(each -> each.queue().getName().equals(queueName))
+                        .filter(each -> each.phase() == WorkflowPhase.WORKFLOW_QUEUED)
+                        .count());
+    }
+
+    /**
+     * Carries out a request that changes the state.
+     *
+     * @param request the request
+     * @return completes with the answer once the change is durable
+     */
+    CompletionStage<WorkflowReply> change(WorkflowRequest request) {
+        return switch (request.getRequestCase()) {
+            case SUBMIT -> submit(request);
+            case CANCEL -> cancel(request);
+            case REPLACE -> replace(request.getReplace().getConfiguration());
+            case JOIN -> {
+                membership.admit(request.getJoin());
+                yield done(reply(Verdict.ACCEPTED, ""));
+            }
+            default ->
+                    CompletableFuture.completedFuture(
+                            reply(Verdict.INVALID, "the request is empty").build());
+        };
+    }
+
+    private CompletionStage<WorkflowReply> submit(WorkflowRequest request) {
+        Optional<FleetConfiguration> configuration = leader.records().configuration();
+        if (configuration.isEmpty()) {
+            return done(reply(Verdict.REFUSED, "no configuration yet"));
+        }
+        Optional<QueueMatch> match = QueueMatch.find(configuration.get(), request.getAddress());
+        if (match.isEmpty() || match.get().workflowId().isEmpty()) {
+            return done(reply(Verdict.UNKNOWN_QUEUE, "no queue has this host name and path"));
+        }
+        String workflowId = match.get().workflowId();
+        if (leader.records().workflow(workflowId).isPresent()) {
+            return done(reply(Verdict.ACCEPTED, "accepted before"));
+        }
+        WorkflowDefinition definition =
+                request.getSubmit().toBuilder().setWorkflowId(workflowId).build();
+        OptionalLong comeBack = comeBack(definition, match.get().queue());
+        if (comeBack.isPresent()) {
+            log.refusing(definition, match.get().queue(), comeBack.getAsLong());
+            return done(
+                    reply(Verdict.REFUSED, "the backlog is too long")
+                            .setRetryAfterMillis(comeBack.getAsLong()));
+        }
+        AcceptWorkflow accept =
+                AcceptWorkflow.newBuilder()
+                        .setDefinition(definition)
+                        .setQueue(match.get().queue())
+                        .build();
+        log.accepting(definition, match.get().queue(), leader.records().configuration().get());
+        return leader.propose(WorkflowCommand.newBuilder().setAccept(accept))
+                .thenApply(result -> committed(result, workflowId));
+    }
+
+    private OptionalLong comeBack(WorkflowDefinition definition, QueueDefinition queue) {
+        return AdmissionDesk.refuse(
+                definition,
+                queue,
+                leader.records(),
+                leader.offers(WorkflowLeader.steadyMillis()),
+                WorkMeter.of(leader.records(), leader::runTimeRatio),
+                System.currentTimeMillis());
+    }
+
+    private CompletionStage<WorkflowReply> cancel(WorkflowRequest request) {
+        Optional<QueueMatch> match =
+                leader.records()
+                        .configuration()
+                        .flatMap(found -> QueueMatch.find(found, request.getAddress()));
+        if (match.isEmpty()) {
+            return done(reply(Verdict.UNKNOWN_QUEUE, "no queue has this host name and path"));
+        }
+        String workflowId = match.get().workflowId();
+        Optional<Workflow> workflow = leader.records().workflow(workflowId);
+        if (workflow.isEmpty()) {
+            return done(reply(Verdict.UNKNOWN_WORKFLOW, "no such workflow"));
+        }
+        if (workflow.get().isFinal()) {
+            return done(reply(Verdict.ACCEPTED, "ended before"));
+        }
+        CancelWorkflowById cancel =
+                CancelWorkflowById.newBuilder().setWorkflowId(workflowId).build();
+        return leader.propose(WorkflowCommand.newBuilder().setCancel(cancel))
+                .thenApply(
+                        result -> {
+                            WorkflowReply answer = committed(result, workflowId);
+                            leader.pushStops(workflow.get());
+                            return answer;
+                        });
+    }
+
+    private CompletionStage<WorkflowReply> replace(FleetConfiguration configuration) {
+        EventLog.information(
+                Event.CONFIGURATION_APPLIED,
+                "version",
+                configuration.getVersion(),
+                "held",
+                leader.records().configuration().map(FleetConfiguration::getVersion).orElse(0L));
+        return leader.propose(WorkflowCommand.newBuilder().setConfiguration(configuration))
+                .thenApply(result -> committed(result, "configuration"));
+    }
+
+    private WorkflowReply committed(CommandResult result, String subject) {
+        return switch (result.getVerdict()) {
+            case ACCEPTED -> {
+                leader.wantRound();
+                yield reply(Verdict.ACCEPTED, "").build();
+            }
+            case NOT_LEADER ->
+                    reply(Verdict.NOT_LEADER, result.getMessage())
+                            .setLeaderAddress(result.getLeaderAddress())
+                            .build();
+            default -> {
+                EventLog.warning(
+                        Event.OUTCOME_UNKNOWN, "subject", subject, "reason", result.getMessage());
+                yield reply(Verdict.UNCERTAIN, result.getMessage()).build();
+            }
+        };
+    }
+
+    private static WorkflowReply.Builder reply(Verdict verdict, String message) {
+        return WorkflowReply.newBuilder().setVerdict(verdict).setMessage(message);
+    }
+
+    private static CompletionStage<WorkflowReply> done(WorkflowReply.Builder reply) {
+        return CompletableFuture.completedFuture(reply.build());
+    }
+}
--- a/src/main/java/org/yuccabank/state/workflow/WorkflowRecords.java
+++ b/src/main/java/org/yuccabank/state/workflow/WorkflowRecords.java
@@ -110,7 +110,9 @@
                             .ifPresent(each -> cancel(each, nowMillis));
             case CONFIGURATION -> replace(command.getConfiguration());
             case ROUND -> applyRound(command.getRound(), nowMillis);
-            case COMMAND_NOT_SET -> {}
+            default -> {
+                // A command of a later release changes nothing here.
+            }
         }
     }
 
