Refuse nothing while the leader does not know the workers

Change: nothing is refused in the first 3 s of a leader or without a known worker, and the cores that filling tasks get are those on the workers with the fewest serving tasks, as these are where they run.

--- a/src/main/java/org/yuccabank/control/workflow/AdmissionDesk.java
+++ b/src/main/java/org/yuccabank/control/workflow/AdmissionDesk.java
@@ -1,6 +1,7 @@
 package org.yuccabank.control.workflow;
 
 import java.util.Collection;
+import java.util.List;
 import java.util.OptionalLong;
 import org.yuccabank.policy.workflow.BacklogAdmission;
 import org.yuccabank.policy.workflow.WaitingTask;
@@ -19,7 +20,8 @@
     private AdmissionDesk() {}
 
     /**
-     * Decides on a submission.
+     * Decides on a submission. While no worker is known, as after a change of leader, nothing is
+     * known about the backlog's end either and nothing is refused.
      *
      * @return empty to accept it; else after how many milliseconds the caller should come back
      */
@@ -36,7 +38,7 @@
                                 step ->
                                         StepEstimates.loadKind(step)
                                                 == WaitingTask.LoadKind.FILLING);
-        if (!filling || definition.getOccurrences() > 0) {
+        if (!filling || definition.getOccurrences() > 0 || offers.isEmpty()) {
             return OptionalLong.empty();
         }
         double ratio = meter.ratio(queue);
@@ -62,15 +64,28 @@
                 StepEstimates.LATE_FACTOR * objective);
     }
 
-    /** Cores of the workers without serving tasks; filling tasks run only there. */
+    /**
+     * Cores that serving tasks leave on the workers with the fewest of them, as they fill these.
+     */
     private static double fillingCores(WorkflowRecords records, Collection<WorkerOffer> offers) {
-        double millis = 0;
+        long fewest = Long.MAX_VALUE;
+        long millis = 0;
         for (WorkerOffer offer : offers) {
-            boolean serving =
+            List<StepDefinition> serving =
                     records.openRuns(offer.report().getWorker()).stream()
                             .map(AdmissionDesk::step)
-                            .anyMatch(StepDefinition::getLasting);
-            millis += serving ? 0 : offer.report().getCapacity().getProcessorMillis();
+                            .filter(StepDefinition::getLasting)
+                            .toList();
+            long left =
+                    offer.report().getCapacity().getProcessorMillis()
+                            - serving.stream()
+                                    .mapToLong(step -> step.getResources().getProcessorMillis())
+                                    .sum();
+            if (serving.size() < fewest) {
+                fewest = serving.size();
+                millis = 0;
+            }
+            millis += serving.size() == fewest ? left : 0;
         }
         return millis / CORE_MILLIS;
     }
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -51,6 +51,9 @@
      */
     private static final long USABLE_MILLIS = 1_500;
 
+    /** Agents find a new leader and report within this time, with a margin. */
+    private static final long KNOWLEDGE_MILLIS = 3_000;
+
     /** Final workflows are kept this long for those who ask for their state. */
     private static final long RETENTION_MILLIS = 15 * 60_000;
 
@@ -165,6 +168,11 @@
         return proposer.propose(StateCommand.newBuilder().setWorkflow(command));
     }
 
+    /** A new leader has heard from all workers that are there after some report intervals. */
+    boolean knowsWorkers() {
+        return steadyMillis() - ledSinceMillis > KNOWLEDGE_MILLIS;
+    }
+
     double runTimeRatio(String queueName) {
         return watch.runTimeRatio(queueName);
     }
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowRequests.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowRequests.java
@@ -146,6 +146,9 @@
     }
 
     private OptionalLong comeBack(WorkflowDefinition definition, QueueDefinition queue) {
+        if (!leader.knowsWorkers()) {
+            return OptionalLong.empty();
+        }
         return AdmissionDesk.refuse(
                 definition,
                 queue,
--- a/src/test/java/org/yuccabank/control/workflow/WorkflowPlannerTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/WorkflowPlannerTest.java
@@ -145,6 +145,25 @@
         assertEquals(refusal.orElseThrow().getAsLong(), 1_000);
     }
 
+    /** Guards against refusals by a new leader that has not heard from any worker yet. */
+    @Test
+    public void shouldRefuseNothingWhileNoWorkerIsKnown() {
+        records.apply(accept("a", step(8).setImage("i")), NOW);
+        WorkflowDefinition job =
+                WorkflowDefinition.newBuilder().addSteps(step(8).setImage("i")).build();
+        QueueDefinition queue =
+                QueueDefinition.newBuilder().setName("queue").setService("service").build();
+        assertTrue(
+                AdmissionDesk.refuse(
+                                job,
+                                queue,
+                                records,
+                                List.of(),
+                                WorkMeter.of(records, name -> 1.0),
+                                NOW)
+                        .isEmpty());
+    }
+
     /** Guards against a request that reaches the queue of a shorter prefix. */
     @Test
     public void shouldFindQueueOfLongestPrefix() {
