--- a/src/main/java/org/yuccabank/command/RoleConfigurations.java
+++ b/src/main/java/org/yuccabank/command/RoleConfigurations.java
@@ -1,6 +1,5 @@
 package org.yuccabank.command;
 
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
 import org.yuccabank.control.ControlConfiguration;
@@ -10,6 +9,7 @@
 import org.yuccabank.event.EventLog;
 import org.yuccabank.policy.placement.PlacementPolicy;
 import org.yuccabank.policy.placement.ScanningPlacement;
+import org.yuccabank.protocol.PeerAddress;
 import org.yuccabank.protocol.PeerSecurity;
 import org.yuccabank.replication.ReplicaMember;
 import org.yuccabank.replication.ReplicaTiming;
@@ -36,7 +36,8 @@
                                 .map(
                                         member ->
                                                 ReplicaMember.voter(
-                                                        member.replicaId(), text(member.address())))
+                                                        member.replicaId(),
+                                                        PeerAddress.format(member.address())))
                                 .toList();
         return new ControlConfiguration(
                 settings.process().processId(),
@@ -107,8 +108,4 @@
                 .map(ReloadingCredentials::start)
                 .map(CallerIdentification::byToken);
     }
-
-    static String text(InetSocketAddress address) {
-        return address.getAddress().getHostAddress() + ":" + address.getPort();
-    }
 }
--- a/src/main/java/org/yuccabank/control/ControlService.java
+++ b/src/main/java/org/yuccabank/control/ControlService.java
@@ -192,7 +192,7 @@
     /** A replica without a vote asks the leader for one until no former member is left. */
     private void joinIfNeeded() {
         List<ReplicaMember> members = replica.status().members();
-        String address = text(configuration.protocolAddress());
+        String address = PeerAddress.format(configuration.protocolAddress());
         boolean voter =
                 members.stream()
                         .anyMatch(
@@ -232,10 +232,6 @@
                                         error.getMessage()));
     }
 
-    private static String text(InetSocketAddress address) {
-        return address.getHostString() + ":" + address.getPort();
-    }
-
     private void sendToReplica(String address, ReplicaMessage message) {
         if (address.isEmpty()) {
             return;
--- a/src/main/java/org/yuccabank/control/workflow/RunWatch.java
+++ b/src/main/java/org/yuccabank/control/workflow/RunWatch.java
@@ -41,7 +41,7 @@
                         run.getRun(), key -> new RunProgress(step.getEstimatedMillis()));
         followed.report(run.getPercent(), !run.getSlowed(), nowMillis);
         RunProgress.Advice advice =
-                followed.advise(step.getCheckpointing(), times.usualMillis(stepKey(task)));
+                followed.advise(step.getCheckpointing(), times.usualMillis(task.stepKey()));
         if (advice != RunProgress.Advice.KEEP) {
             String workerId = task.worker().orElseThrow().getWorkerId();
             trust.failed(workerId, task.address().getWorkflowId(), nowMillis);
@@ -71,7 +71,7 @@
                     .ifPresent(
                             whole ->
                                     times.done(
-                                            stepKey(task),
+                                            task.stepKey(),
                                             task.workflow().queue().getName(),
                                             whole.getAsDouble(),
                                             step.getEstimatedMillis()));
@@ -90,14 +90,6 @@
         return times.ratio(queueName);
     }
 
-    private static String stepKey(WorkflowTask task) {
-        return task.address().getWorkflowId()
-                + "."
-                + task.address().getOccurrence()
-                + "."
-                + task.address().getStep();
-    }
-
     boolean isToRestart(RunAddress run) {
         return restarts.contains(run);
     }
--- a/src/main/java/org/yuccabank/control/workflow/StepEstimates.java
+++ b/src/main/java/org/yuccabank/control/workflow/StepEstimates.java
@@ -1,6 +1,7 @@
 package org.yuccabank.control.workflow;
 
 import java.util.List;
+import java.util.stream.IntStream;
 import org.yuccabank.model.Resources;
 import org.yuccabank.policy.workflow.WaitingTask;
 import org.yuccabank.protocol.generated.QueueDefinition;
@@ -78,8 +79,6 @@
     }
 
     static List<Integer> steps(Workflow workflow) {
-        return java.util.stream.IntStream.range(0, workflow.definition().getStepsCount())
-                .boxed()
-                .toList();
+        return IntStream.range(0, workflow.definition().getStepsCount()).boxed().toList();
     }
 }
--- a/src/main/java/org/yuccabank/control/workflow/WorkerView.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkerView.java
@@ -10,6 +10,7 @@
 import org.yuccabank.protocol.PeerConnection;
 import org.yuccabank.protocol.generated.ActiveRun;
 import org.yuccabank.protocol.generated.EndedRun;
+import org.yuccabank.protocol.generated.Envelope;
 import org.yuccabank.protocol.generated.RunAddress;
 import org.yuccabank.protocol.generated.WorkerDirectives;
 import org.yuccabank.protocol.generated.WorkerIdentity;
@@ -136,7 +137,7 @@
                 .ifPresent(
                         open ->
                                 open.send(
-                                        org.yuccabank.protocol.generated.Envelope.newBuilder()
+                                        Envelope.newBuilder()
                                                 .setWorkerDirectives(directives)
                                                 .build()));
     }
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -11,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.yuccabank.control.Proposer;
 import org.yuccabank.policy.workflow.FeasibleFirstOrder;
 import org.yuccabank.policy.workflow.SeparatingChoice;
@@ -301,7 +303,7 @@
         Set<WorkerIdentity> touched =
                 workflow.allTasks().stream()
                         .flatMap(task -> task.worker().stream())
-                        .collect(java.util.stream.Collectors.toSet());
+                        .collect(Collectors.toSet());
         pushTo(touched);
     }
 
@@ -334,9 +336,7 @@
     /** After a full lease under this leader, a worker that did not report runs nothing. */
     private void endRunsOfUnknownWorkers() {
         Set<WorkerIdentity> known =
-                workers.values().stream()
-                        .map(WorkerView::worker)
-                        .collect(java.util.stream.Collectors.toSet());
+                workers.values().stream().map(WorkerView::worker).collect(Collectors.toSet());
         for (WorkerIdentity worker : Set.copyOf(records().workersWithOpenRuns())) {
             if (!known.contains(worker)) {
                 log.workerLost(worker, records().openRuns(worker).size());
@@ -413,14 +413,11 @@
             return;
         }
         roundInProgress = false;
-        boolean committed =
-                result != null
-                        && result.getVerdict()
-                                == org.yuccabank.protocol.generated.CommandResult.Verdict.ACCEPTED;
+        boolean committed = result != null && result.getVerdict() == CommandResult.Verdict.ACCEPTED;
         if (!committed) {
             return;
         }
-        Set<WorkerIdentity> touched = new java.util.HashSet<>();
+        Set<WorkerIdentity> touched = new HashSet<>();
         round.getAssignedList().forEach(each -> touched.add(each.getWorker()));
         for (EndedRun ended : round.getEndedList()) {
             pendingEnds.remove(ended.getRun());
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowPlanner.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowPlanner.java
@@ -173,7 +173,7 @@
         if (held) {
             return;
         }
-        String key = stepKey(workflow, occurrence, number);
+        String key = tasks.get(0).stepKey();
         long start = StepEstimates.startMillis(workflow, occurrence);
         double ratio = meter.ratio(workflow);
         long objective = StepEstimates.objectiveMillis(workflow, ratio);
@@ -222,17 +222,11 @@
             int number = task.address().getStep();
             StepDefinition step = task.workflow().step(number);
             room.reserve(
-                    stepKey(task.workflow(), task.address().getOccurrence(), number),
-                    StepEstimates.resources(step),
-                    StepEstimates.loadKind(step));
+                    task.stepKey(), StepEstimates.resources(step), StepEstimates.loadKind(step));
         }
         return room;
     }
 
-    private static String stepKey(Workflow workflow, int occurrence, int step) {
-        return workflow.id() + "." + occurrence + "." + step;
-    }
-
     private static Optional<String> text(String value) {
         return value.isEmpty() ? Optional.empty() : Optional.of(value);
     }
--- a/src/main/java/org/yuccabank/entry/workflow/WorkflowGateway.java
+++ b/src/main/java/org/yuccabank/entry/workflow/WorkflowGateway.java
@@ -12,12 +12,15 @@
 import org.yuccabank.protocol.PeerSecurity;
 import org.yuccabank.protocol.PeerTimings;
 import org.yuccabank.protocol.PeerTransport;
+import org.yuccabank.protocol.generated.ConfigurationQuery;
 import org.yuccabank.protocol.generated.Envelope;
 import org.yuccabank.protocol.generated.Hello;
 import org.yuccabank.protocol.generated.Role;
 import org.yuccabank.protocol.generated.WorkflowReply;
 import org.yuccabank.protocol.generated.WorkflowReply.Verdict;
 import org.yuccabank.protocol.generated.WorkflowRequest;
+import reactor.core.Disposable;
+import reactor.core.Disposables;
 import reactor.core.publisher.Mono;
 
 /**
@@ -44,7 +47,7 @@
     private final PeerTransport transport;
     private final LeaderClient leader;
     private volatile long contactMillis = Long.MIN_VALUE / 2;
-    private volatile reactor.core.Disposable probes = reactor.core.Disposables.disposed();
+    private volatile Disposable probes = Disposables.disposed();
 
     private WorkflowGateway(PeerTransport transport, List<InetSocketAddress> controlAddresses) {
         this.transport = transport;
@@ -96,9 +99,7 @@
     private void probe() {
         WorkflowRequest request =
                 WorkflowRequest.newBuilder()
-                        .setConfiguration(
-                                org.yuccabank.protocol.generated.ConfigurationQuery
-                                        .getDefaultInstance())
+                        .setConfiguration(ConfigurationQuery.getDefaultInstance())
                         .build();
         probes =
                 Mono.defer(() -> send(request, PROBE_LIMIT))
--- a/src/main/java/org/yuccabank/policy/workflow/RunTimes.java
+++ b/src/main/java/org/yuccabank/policy/workflow/RunTimes.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.OptionalDouble;
 
@@ -28,7 +29,7 @@
     private static final double GREATEST_RATIO = 4.0;
 
     private final Map<String, Deque<Double>> steps =
-            new java.util.LinkedHashMap<>() {
+            new LinkedHashMap<>() {
                 private static final long serialVersionUID = 1L;
 
                 @Override
--- a/src/main/java/org/yuccabank/protocol/PeerAddress.java
+++ b/src/main/java/org/yuccabank/protocol/PeerAddress.java
@@ -18,4 +18,14 @@
         return new InetSocketAddress(
                 address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
     }
+
+    /**
+     * Writes an address as it stands in messages and in the membership.
+     *
+     * @param address the address
+     * @return IP number and port
+     */
+    public static String format(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
 }
--- a/src/main/java/org/yuccabank/state/workflow/WorkflowTask.java
+++ b/src/main/java/org/yuccabank/state/workflow/WorkflowTask.java
@@ -99,6 +99,15 @@
         return RunAddress.newBuilder().setTask(address).setAttempt(attempts).build();
     }
 
+    /**
+     * Names the step of one occurrence that the task belongs to.
+     *
+     * @return the name, shared by the tasks of the step
+     */
+    public String stepKey() {
+        return address.getWorkflowId() + "." + address.getOccurrence() + "." + address.getStep();
+    }
+
     /**
      * Tells whether the task waits for a worker.
      *
