Leave a host that does not answer, and refuse at once without a leader

Change: the next request begins with another address; without contact to a leader a request is answered after 300 ms, as refused if no attempt can have reached one. Figures: both new tests fail before (10 s held; no leader found) and pass after; 11 selected tests, 0 failures.

--- a/src/main/java/org/yuccabank/entry/workflow/WorkflowGateway.java
+++ b/src/main/java/org/yuccabank/entry/workflow/WorkflowGateway.java
@@ -35,6 +35,9 @@
     /** Longest time of one attempt: a healthy leader answers in tens of milliseconds. */
     private static final Duration ATTEMPT_LIMIT = Duration.ofMillis(900);
 
+    /** Without a leader a request is refused after this time, in which a new one may be found. */
+    private static final Duration UNREADY_LIMIT = Duration.ofMillis(300);
+
     /** When a caller should come back while no leader is known: about one election. */
     private static final long RETRY_AFTER_MILLIS = 1_000;
 
@@ -102,7 +105,7 @@
                         .setConfiguration(ConfigurationQuery.getDefaultInstance())
                         .build();
         probes =
-                Mono.defer(() -> send(request, PROBE_LIMIT))
+                Mono.defer(() -> sendWithin(request, PROBE_LIMIT))
                         .delaySubscription(PROBE_INTERVAL)
                         .repeat()
                         .subscribe(
@@ -138,6 +141,11 @@
      *     accepted, {@link Verdict#UNCERTAIN} if it may have been
      */
     public Mono<WorkflowReply> send(WorkflowRequest request, Duration limit) {
+        boolean shortened = !isReady() && limit.compareTo(UNREADY_LIMIT) > 0;
+        return sendWithin(request, shortened ? UNREADY_LIMIT : limit);
+    }
+
+    private Mono<WorkflowReply> sendWithin(WorkflowRequest request, Duration limit) {
         long deadlineMillis = steadyMillis() + limit.toMillis();
         return attempt(request, deadlineMillis, false);
     }
--- a/src/main/java/org/yuccabank/protocol/LeaderClient.java
+++ b/src/main/java/org/yuccabank/protocol/LeaderClient.java
@@ -127,7 +127,20 @@
                         error ->
                                 error.isInDoubt()
                                         ? forget(address, error)
-                                        : attempt(request, order, position + 1, deadlineNanos));
+                                        : skip(request, order, position, deadlineNanos));
+    }
+
+    /**
+     * Goes on with the next address. The next request does not begin with this one either: opening
+     * a connection to a host without power takes as long as a request may take in all.
+     */
+    private Mono<Envelope> skip(
+            Envelope request, List<InetSocketAddress> order, int position, long deadlineNanos) {
+        InetSocketAddress failed = order.get(position);
+        if (failed.equals(likelyLeader) && order.size() > 1) {
+            likelyLeader = order.get((position + 1) % order.size());
+        }
+        return attempt(request, order, position + 1, deadlineNanos);
     }
 
     private Mono<Envelope> forget(InetSocketAddress address, PeerException error) {
--- /dev/null
+++ b/src/test/java/org/yuccabank/entry/workflow/WorkflowGatewayTest.java
@@ -0,0 +1,37 @@
+package org.yuccabank.entry.workflow;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import org.testng.annotations.Test;
+import org.yuccabank.protocol.generated.WorkflowReply;
+import org.yuccabank.protocol.generated.WorkflowRequest;
+
+/** Holds what callers are told while there is no leader. */
+public final class WorkflowGatewayTest {
+
+    /** Nobody listens on the port for discarded data. */
+    private static final InetSocketAddress NOBODY = new InetSocketAddress("127.0.0.1", 9);
+
+    private static final Duration CALLER_LIMIT = Duration.ofSeconds(10);
+
+    /** Guards against callers who wait until their deadline for a refusal that was certain. */
+    @Test
+    public void shouldRefuseSoonAndTrulyWithoutLeader() {
+        WorkflowGateway gateway = WorkflowGateway.start("p", "d", List.of(NOBODY));
+        try {
+            long start = System.nanoTime();
+            WorkflowReply reply =
+                    gateway.send(WorkflowRequest.getDefaultInstance(), CALLER_LIMIT).block();
+            Duration taken = Duration.ofNanos(System.nanoTime() - start);
+            assertEquals(reply.getVerdict(), WorkflowReply.Verdict.REFUSED);
+            assertTrue(reply.getRetryAfterMillis() > 0);
+            assertTrue(taken.compareTo(CALLER_LIMIT.dividedBy(2)) < 0, taken.toString());
+        } finally {
+            gateway.stop();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/yuccabank/protocol/LeaderClientTest.java
@@ -0,0 +1,87 @@
+package org.yuccabank.protocol;
+
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.yuccabank.protocol.generated.Envelope;
+import org.yuccabank.protocol.generated.Hello;
+import org.yuccabank.protocol.generated.WorkflowReply;
+import reactor.core.publisher.Mono;
+
+/** Holds how the leader is found when hosts do not answer. */
+public final class LeaderClientTest {
+
+    private static final Duration LIMIT = Duration.ofMillis(900);
+    private static final int CONNECT_MILLIS = 300;
+
+    private PeerTransport transport;
+    private ServerSocket dark;
+    private final List<Socket> fill = new ArrayList<>();
+
+    /** Opens a listener whose queue is full, so that further connections get no answer. */
+    @BeforeMethod
+    public void start() throws IOException {
+        transport =
+                PeerTransport.start(
+                        Hello.newBuilder().setProcessId("p").build(),
+                        () -> 0,
+                        PeerTimings.standard(),
+                        PeerSecurity.off(),
+                        1);
+        dark = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        boolean answered = true;
+        while (answered && fill.size() < 50) {
+            Socket socket = new Socket();
+            try {
+                socket.connect(dark.getLocalSocketAddress(), CONNECT_MILLIS);
+                fill.add(socket);
+            } catch (SocketTimeoutException exception) {
+                answered = false;
+            }
+        }
+        assertTrue(!answered, "the queue of the listener is full");
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() throws IOException {
+        for (Socket socket : fill) {
+            socket.close();
+        }
+        fill.clear();
+        dark.close();
+        transport.stop();
+    }
+
+    /** Guards against requests that all spend their time on a former leader without power. */
+    @Test
+    public void shouldNotBeginWithHostThatDidNotAnswer() {
+        Envelope reply =
+                Envelope.newBuilder().setWorkflowReply(WorkflowReply.getDefaultInstance()).build();
+        PeerServer alive =
+                PeerServer.start(
+                        transport,
+                        new InetSocketAddress("127.0.0.1", 0),
+                        (from, request) -> Mono.just(reply));
+        LeaderClient client =
+                LeaderClient.of(
+                        transport,
+                        List.of((InetSocketAddress) dark.getLocalSocketAddress(), alive.address()),
+                        PeerHandler.none());
+        Envelope request = Envelope.getDefaultInstance();
+        assertThrows(PeerException.class, () -> client.request(request, LIMIT).block());
+        assertTrue(client.request(request, LIMIT).block().hasWorkflowReply());
+        alive.stop();
+    }
+}
