Remove unread state of the leader's part

Cause: the last reading found a flag and a time that nobody reads, a configuration looked up twice in one request, and a timer that does nothing in a role that never joins. Change: they are gone; behaviour stays as it is.

--- a/src/main/java/org/yuccabank/control/ControlService.java
+++ b/src/main/java/org/yuccabank/control/ControlService.java
@@ -146,8 +146,10 @@
                         () -> replica.status().stopReason().isEmpty());
         timer.scheduleWithFixedDelay(
                 this::runRound, ROUND_MILLIS, ROUND_MILLIS, TimeUnit.MILLISECONDS);
-        timer.scheduleWithFixedDelay(
-                this::joinIfNeeded, JOIN_MILLIS, JOIN_MILLIS, TimeUnit.MILLISECONDS);
+        if (!configuration.joinAddresses().isEmpty()) {
+            timer.scheduleWithFixedDelay(
+                    this::joinIfNeeded, JOIN_MILLIS, JOIN_MILLIS, TimeUnit.MILLISECONDS);
+        }
         EventLog.information(
                 Event.ROLE_STARTED,
                 "role",
@@ -207,7 +209,7 @@
                                         member.address().equals(address)
                                                 && !member.replicaId()
                                                         .equals(configuration.replicaId()));
-        if ((voter && !twin) || configuration.joinAddresses().isEmpty()) {
+        if (voter && !twin) {
             return;
         }
         JoinRequest join =
--- a/src/main/java/org/yuccabank/control/workflow/WorkerView.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkerView.java
@@ -24,7 +24,6 @@
 
     private WorkerReport report;
     private PeerConnection connection;
-    private long reportedAtMillis;
     private long leaseEndMillis;
     private long listedAtMillis = Long.MIN_VALUE / 2;
     private final Map<RunAddress, ActiveRun> active = new LinkedHashMap<>();
@@ -50,7 +49,6 @@
         }
         report = newer;
         connection = from;
-        reportedAtMillis = nowMillis;
         leaseEndMillis = nowMillis + leaseMillis;
         active.clear();
         if (newer.getListed()) {
@@ -75,10 +73,6 @@
         return report;
     }
 
-    boolean isOlderThan(long nowMillis, long limitMillis) {
-        return nowMillis - reportedAtMillis > limitMillis;
-    }
-
     /** Every lease that the worker may hold has ended. */
     boolean isLeaseOver(long nowMillis) {
         return nowMillis > leaseEndMillis;
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -79,7 +79,6 @@
     private long term;
     private long ledSinceMillis;
     private boolean roundInProgress;
-    private boolean roundWanted;
 
     private WorkflowLeader(
             ReplicaService replica, ReplicatedState state, Proposer proposer, long leaseMillis) {
@@ -127,7 +126,6 @@
         pendingEnds.clear();
         watch.clear();
         roundInProgress = false;
-        roundWanted = false;
     }
 
     /**
@@ -346,14 +344,12 @@
     }
 
     void wantRound() {
-        roundWanted = true;
         if (!roundInProgress && replica.isLeader()) {
             runRound();
         }
     }
 
     private void runRound() {
-        roundWanted = false;
         long now = steadyMillis();
         List<EndedRun> ended = pendingEnds.values().stream().limit(MAXIMUM_ROUND_ENTRIES).toList();
         long wallMillis = System.currentTimeMillis();
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowRequests.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowRequests.java
@@ -140,7 +140,7 @@
                         .setDefinition(definition)
                         .setQueue(match.get().queue())
                         .build();
-        log.accepting(definition, match.get().queue(), leader.records().configuration().get());
+        log.accepting(definition, match.get().queue(), configuration.get());
         return leader.propose(WorkflowCommand.newBuilder().setAccept(accept))
                 .thenApply(result -> committed(result, workflowId));
     }
