Renew leases within a horizon, and end those of a silent worker

The lease also grew by the time for which a host was suspended.

Change: the leader grants a horizon of 9 s, within which the agent renews 5 s. Ends are fixed on the worker's clock. An agent whose worker does not answer stops renewing and tells how much of the lease is left.

--- a/src/main/java/org/yuccabank/agent/workflow/WorkerLease.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkerLease.java
@@ -5,44 +5,113 @@
 /**
  * The lease of a worker, measured on the worker's clock.
  *
- * <p>Invariant: a lease that is granted ends no later than the lease duration after the report that
- * the leader answered was sent, as the sample of the worker's clock was taken before its receipt.
- * Confined to the thread of the agent; times without other notice are of its steady clock.
+ * <p>The leader grants a horizon with each answer to a report. Within it the agent renews a shorter
+ * lease at the worker, so that a worker whose agent is cut off from the leader runs on until the
+ * horizon, while one that does not answer its agent is known to run nothing soon after.
+ *
+ * <p>Invariants: no lease that is sent reaches past the horizon, which counts from a sample of the
+ * worker's clock that is older than the report; once a report has told the time that is left, no
+ * later end is sent before a report without it is answered. A suspension of this host only shortens
+ * leases, as ends are fixed on the worker's clock. Confined to the thread of the agent; times
+ * without other notice are of its steady clock.
  */
 final class WorkerLease {
 
-    private final long durationMillis;
-    private long grantedAtMillis = Long.MIN_VALUE;
+    private final LeaseTerms terms;
     private long clockMillis;
-    private long sampledAtMillis = Long.MIN_VALUE;
-
-    WorkerLease(long durationMillis) {
-        this.durationMillis = durationMillis;
-    }
+    private long sampledAtMillis;
+    private boolean sampled;
+    private OptionalLong horizonEnd = OptionalLong.empty();
+    private OptionalLong sentEnd = OptionalLong.empty();
+    private boolean listed;
+    private boolean covering;
+    private boolean answering = true;
+    private boolean promised;
 
-    /** The leader has answered a report that was sent at this time. */
-    void grant(long reportSentMillis) {
-        grantedAtMillis = Math.max(grantedAtMillis, reportSentMillis);
+    WorkerLease(LeaseTerms terms) {
+        this.terms = terms;
     }
 
     /** The worker's clock, as an answer told it that was received at this time. */
     void sample(long workerClockMillis, long receivedMillis) {
         clockMillis = workerClockMillis;
         sampledAtMillis = receivedMillis;
+        sampled = true;
+    }
+
+    /** The worker has answered a request for its list. */
+    void answered() {
+        answering = true;
+        listed = true;
     }
 
-    /** A new incarnation has a clock of its own. */
+    /** The worker has not answered a request for its list: its lease is not renewed any more. */
+    void unanswered() {
+        answering = false;
+    }
+
+    /** A new incarnation has a clock of its own and has been sent nothing. */
     void reset() {
-        sampledAtMillis = Long.MIN_VALUE;
+        sampled = false;
+        horizonEnd = OptionalLong.empty();
+        sentEnd = OptionalLong.empty();
+        listed = false;
+        covering = false;
+        answering = true;
+        promised = false;
+    }
+
+    /** The worker's clock at a moment, never later than it truly is. */
+    OptionalLong workerClock(long nowMillis) {
+        return sampled
+                ? OptionalLong.of(clockMillis + nowMillis - sampledAtMillis)
+                : OptionalLong.empty();
+    }
+
+    /**
+     * The leader has answered a report.
+     *
+     * @param workerClockAtReport the worker's clock when the report was sent, empty if unknown
+     * @param toldTimeLeft whether the report told the time that is left of the lease
+     */
+    void grant(OptionalLong workerClockAtReport, boolean toldTimeLeft) {
+        if (toldTimeLeft || workerClockAtReport.isEmpty()) {
+            return;
+        }
+        promised = false;
+        long end = workerClockAtReport.getAsLong() + terms.horizonMillis();
+        horizonEnd = OptionalLong.of(Math.max(end, horizonEnd.orElse(end)));
+    }
+
+    /** The end to send with the next call, on the worker's clock; empty if nothing may be sent. */
+    OptionalLong renew(long nowMillis) {
+        OptionalLong clock = workerClock(nowMillis);
+        if (!answering || promised || clock.isEmpty() || horizonEnd.isEmpty()) {
+            return OptionalLong.empty();
+        }
+        long wanted = clock.getAsLong() + terms.renewalMillis();
+        long end = Math.min(wanted, horizonEnd.getAsLong());
+        if (end <= clock.getAsLong()) {
+            return OptionalLong.empty();
+        }
+        covering |= listed && end == wanted;
+        sentEnd = OptionalLong.of(Math.max(end, sentEnd.orElse(end)));
+        return OptionalLong.of(end);
     }
 
-    /** End of the lease on the worker's clock, empty if it is over or the clock is unknown. */
-    OptionalLong endOnWorkerClock(long nowMillis) {
-        if (sampledAtMillis == Long.MIN_VALUE
-                || grantedAtMillis == Long.MIN_VALUE
-                || nowMillis - grantedAtMillis >= durationMillis) {
+    /**
+     * The time after which a worker that does not answer runs nothing, for the next report. Telling
+     * it is a promise to send no later end. It is unknown while a former agent process may have
+     * sent a later end than this one.
+     *
+     * @return milliseconds of the worker's clock, empty while the worker answers
+     */
+    OptionalLong tellTimeLeft(long nowMillis) {
+        OptionalLong clock = workerClock(nowMillis);
+        if (answering || !covering || clock.isEmpty()) {
             return OptionalLong.empty();
         }
-        return OptionalLong.of(clockMillis + grantedAtMillis - sampledAtMillis + durationMillis);
+        promised = true;
+        return OptionalLong.of(Math.max(0, sentEnd.orElseThrow() - clock.getAsLong()));
     }
 }
--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 import org.yuccabank.event.Event;
 import org.yuccabank.event.EventLog;
@@ -74,6 +75,7 @@
     private long listedAtMillis = Long.MIN_VALUE / 2;
     private boolean listInProgress;
     private boolean listWanted;
+    private final long reporterId = ThreadLocalRandom.current().nextLong();
     private long reportSequence;
     private boolean reportInProgress;
     private boolean reportWanted;
@@ -94,7 +96,7 @@
                         greeting, () -> 0, PeerTimings.standard(), PeerSecurity.off(), 1);
         loop = transport.eventLoop();
         leader = LeaderClient.of(transport, configuration.controlAddresses(), this::onMessage);
-        lease = new WorkerLease(configuration.leaseMillis());
+        lease = new WorkerLease(configuration.lease());
     }
 
     /**
@@ -241,10 +243,13 @@
         reportInProgress = true;
         long sentMillis = nowMillis();
         List<MonoSink<Boolean>> answered = List.copyOf(waitingForLeader);
+        OptionalLong workerClock = lease.workerClock(sentMillis);
         WorkerReport report = report(sentMillis);
         leader.request(Envelope.newBuilder().setWorkerReport(report).build(), REPORT_TIMEOUT)
                 .subscribe(
-                        reply -> loop.execute(() -> endReport(reply, report, sentMillis, answered)),
+                        reply ->
+                                loop.execute(
+                                        () -> endReport(reply, report, workerClock, answered)),
                         error -> loop.execute(() -> failReport(error)));
     }
 
@@ -259,7 +264,7 @@
     private void endReport(
             Envelope reply,
             WorkerReport report,
-            long sentMillis,
+            OptionalLong workerClock,
             List<MonoSink<Boolean>> answered) {
         reportInProgress = false;
         if (!reply.hasWorkerDirectives()) {
@@ -269,7 +274,7 @@
         boolean current =
                 worker.map(each -> each.identity().equals(report.getWorker())).orElse(false);
         if (current && reply.getWorkerDirectives().getTerm() >= term) {
-            lease.grant(sentMillis);
+            lease.grant(workerClock, report.hasLeaseLeftMillis());
         }
         answered.forEach(sink -> sink.success(true));
         waitingForLeader.removeAll(answered);
@@ -297,10 +302,12 @@
                         .setListed(listed)
                         .setTerm(listedTerm)
                         .setSequence(++reportSequence)
+                        .setReporterId(reporterId)
                         .addAllEnded(runs.ended());
         if (listed) {
             report.addAllActive(runs.active());
         }
+        lease.tellTimeLeft(now).ifPresent(report::setLeaseLeftMillis);
         return report.build();
     }
 
@@ -368,7 +375,7 @@
     }
 
     private void sendStart(RunEntry entry) {
-        OptionalLong leaseEnd = lease.endOnWorkerClock(nowMillis());
+        OptionalLong leaseEnd = lease.renew(nowMillis());
         if (leaseEnd.isEmpty()) {
             return;
         }
@@ -480,7 +487,7 @@
         long requestTerm = term;
         WorkerAnnouncement target = worker.orElseThrow();
         WorkerPort.Fence fence =
-                new WorkerPort.Fence(term, lease.endOnWorkerClock(requestedMillis));
+                new WorkerPort.Fence(term, lease.renew(requestedMillis));
         port.list(target, fence, runs.acknowledgedNumber(), hurried ? 0 : LIST_WAIT_MILLIS)
                 .subscribe(
                         outcome ->
@@ -506,6 +513,7 @@
             return;
         }
         if (outcome instanceof WorkerPort.ListOutcome.Unavailable unavailable) {
+            lease.unanswered();
             EventLog.warning(
                     Event.WORKER_UNREACHABLE,
                     "worker",
@@ -521,6 +529,7 @@
         listedTerm = requestTerm;
         listedAtMillis = now;
         lease.sample(listing.clockMillis(), now);
+        lease.answered();
         boolean changed = runs.list(listing.active(), listing.ended(), requestedMillis);
         pace(target, now);
         if (changed || first) {
--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgentConfiguration.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgentConfiguration.java
@@ -10,14 +10,14 @@
  * @param hostId identifier of the host
  * @param dataCentre data centre of the host
  * @param controlAddresses addresses of control processes, at least one
- * @param leaseMillis for how long a worker may run tasks after the leader's last answer
+ * @param lease how long leases last
  */
 public record WorkflowAgentConfiguration(
         String processId,
         String hostId,
         String dataCentre,
         List<InetSocketAddress> controlAddresses,
-        long leaseMillis) {
+        LeaseTerms lease) {
 
     /** Checks the parts. */
     public WorkflowAgentConfiguration {
--- a/src/main/java/org/yuccabank/control/LeaderLogic.java
+++ b/src/main/java/org/yuccabank/control/LeaderLogic.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.random.RandomGenerator;
+import org.yuccabank.control.workflow.LeaseBound;
 import org.yuccabank.control.workflow.WorkflowLeader;
 import org.yuccabank.event.Event;
 import org.yuccabank.event.EventLog;
@@ -65,7 +66,12 @@
         scheduler.onLeaseCommitted(this::pushStart);
         reports = new ReportHandler(registry, leases, scheduler, proposer, leaseMillis);
         queries = QueryAnswers.of(registry, entries);
-        workflows = WorkflowLeader.of(replica, state, proposer, driftedLease(configuration));
+        workflows =
+                WorkflowLeader.of(
+                        replica,
+                        state,
+                        proposer,
+                        new LeaseBound(leaseMillis, configuration.clockDriftShare()));
         replica.addLeaderListener(this::leadershipChanged);
     }
 
@@ -78,11 +84,6 @@
         return new LeaderLogic(configuration, replica, state, placement, random);
     }
 
-    /** Longest time of a lease on the slowest clock that is allowed for. */
-    private static long driftedLease(ControlConfiguration configuration) {
-        return Math.round(configuration.leaseMillis() * (1 + configuration.clockDriftShare()));
-    }
-
     WorkflowLeader workflows() {
         return workflows;
     }
--- a/src/main/java/org/yuccabank/control/workflow/WorkerView.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkerView.java
@@ -38,9 +38,10 @@
      *
      * @return false if it is older than one taken before
      */
-    boolean update(WorkerReport newer, PeerConnection from, long nowMillis, long leaseMillis) {
+    boolean update(WorkerReport newer, PeerConnection from, long nowMillis, LeaseBound lease) {
         boolean sameIncarnation = newer.getWorker().equals(report.getWorker());
-        if (newer.getWorker().getBornMillis() < report.getWorker().getBornMillis()) {
+        if (newer.getWorker().getBornMillis() < report.getWorker().getBornMillis()
+                || isOvertaken(newer)) {
             return false;
         }
         if (!sameIncarnation) {
@@ -49,7 +50,7 @@
         }
         report = newer;
         connection = from;
-        leaseEndMillis = nowMillis + leaseMillis;
+        leaseEndMillis = nowMillis + lease.millisAfter(newer);
         active.clear();
         if (newer.getListed()) {
             listedAtMillis = nowMillis;
@@ -58,6 +59,12 @@
         return true;
     }
 
+    /** A report that was held up must not take back what a later one has told. */
+    private boolean isOvertaken(WorkerReport newer) {
+        return newer.getReporterId() == report.getReporterId()
+                && newer.getSequence() < report.getSequence();
+    }
+
     private void note(ActiveRun run) {
         active.put(run.getRun(), run);
         if (!run.getCheckpoint().isEmpty()) {
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -62,13 +62,10 @@
     /** Bounds the size of one round in the log. */
     private static final int MAXIMUM_ROUND_ENTRIES = 500;
 
-    /** Added to a lease for the time that a directive needs and the resolution of timers. */
-    private static final long LEASE_MARGIN_MILLIS = 150;
-
     private final ReplicaService replica;
     private final ReplicatedState state;
     private final Proposer proposer;
-    private final long leaseMillis;
+    private final LeaseBound lease;
     private final WorkflowPlanner planner =
             new WorkflowPlanner(new FeasibleFirstOrder(), new SeparatingChoice());
     private final Map<String, WorkerView> workers = new LinkedHashMap<>();
@@ -81,11 +78,11 @@
     private boolean roundInProgress;
 
     private WorkflowLeader(
-            ReplicaService replica, ReplicatedState state, Proposer proposer, long leaseMillis) {
+            ReplicaService replica, ReplicatedState state, Proposer proposer, LeaseBound lease) {
         this.replica = replica;
         this.state = state;
         this.proposer = proposer;
-        this.leaseMillis = leaseMillis;
+        this.lease = lease;
         requests = new WorkflowRequests(this, new MembershipKeeper(replica));
     }
 
@@ -95,15 +92,14 @@
      * @param replica the replica
      * @param state its state machine
      * @param proposer proposes commands
-     * @param leaseMillis longest time for which a worker may run tasks after the report whose
-     *     answer renewed the lease, with the drift of its clock
+     * @param lease bounds the time for which a worker may run tasks after a report
      * @return the leader's part
      */
     public static WorkflowLeader of(
-            ReplicaService replica, ReplicatedState state, Proposer proposer, long leaseMillis) {
+            ReplicaService replica, ReplicatedState state, Proposer proposer, LeaseBound lease) {
         Objects.requireNonNull(replica, "replica is null");
         Objects.requireNonNull(state, "state is null");
-        return new WorkflowLeader(replica, state, proposer, leaseMillis + LEASE_MARGIN_MILLIS);
+        return new WorkflowLeader(replica, state, proposer, lease);
     }
 
     WorkflowRecords records() {
@@ -194,7 +190,7 @@
         WorkerIdentity before = view.worker();
         WorkerReport valid =
                 report.getTerm() == term ? report : report.toBuilder().setListed(false).build();
-        if (!view.update(valid, from, now, leaseMillis)) {
+        if (!view.update(valid, from, now, lease)) {
             return directives(view, report.getSequence()).build();
         }
         if (!before.equals(view.worker())) {
@@ -325,7 +321,7 @@
                 endAll(view.worker(), RunEnding.RUN_WORKER_LOST, "the lease is over");
             }
         }
-        if (now - ledSinceMillis > leaseMillis) {
+        if (now - ledSinceMillis > lease.longestMillis()) {
             endRunsOfUnknownWorkers();
         }
         wantRound();
--- /dev/null
+++ b/src/test/java/org/yuccabank/agent/workflow/WorkerLeaseTest.java
@@ -0,0 +1,93 @@
+package org.yuccabank.agent.workflow;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.OptionalLong;
+import org.testng.annotations.Test;
+
+public final class WorkerLeaseTest {
+
+    private static final LeaseTerms TERMS = new LeaseTerms(9_000, 5_000);
+
+    private static WorkerLease granted() {
+        WorkerLease lease = new WorkerLease(TERMS);
+        lease.sample(100_000, 1_000);
+        lease.answered();
+        lease.grant(lease.workerClock(2_000), false);
+        return lease;
+    }
+
+    /** Guards against a lease that reaches past the horizon of the leader's last answer. */
+    @Test
+    public void shouldEndLeaseAtHorizonOfLeadersLastAnswer() {
+        assertTrue(new WorkerLease(TERMS).renew(0).isEmpty());
+        WorkerLease lease = granted();
+        assertEquals(lease.renew(2_500).orElseThrow(), 106_500);
+        lease.sample(107_000, 8_000);
+        assertEquals(lease.renew(8_000).orElseThrow(), 110_000, "101,000 and the horizon");
+        assertTrue(lease.renew(11_000).isEmpty());
+    }
+
+    /**
+     * Guards against tasks that are killed after 5 s on a host that is cut off for less than the
+     * horizon.
+     */
+    @Test
+    public void shouldRenewWithinHorizonWithoutLeader() {
+        WorkerLease lease = granted();
+        for (long now = 2_500; now < 10_000; now += 500) {
+            lease.sample(99_000 + now, now);
+            long left = lease.renew(now).orElseThrow() - (99_000 + now);
+            assertTrue(left >= Math.min(5_000, 11_000 - now), left + " ms left at " + now);
+        }
+    }
+
+    /** Guards against a lease that grows by the time for which its host was suspended. */
+    @Test
+    public void shouldNotGainTimeFromSuspension() {
+        WorkerLease lease = granted();
+        // The worker's clock shows 20 s more, which this host's steady clock did not count.
+        lease.sample(122_000, 3_000);
+        assertTrue(lease.renew(3_000).isEmpty());
+    }
+
+    /** Guards against tasks of a worker that is gone for good and never start again elsewhere. */
+    @Test
+    public void shouldTellWhenSilentWorkerRunsNothing() {
+        WorkerLease lease = granted();
+        lease.renew(2_500);
+        assertTrue(lease.tellTimeLeft(2_600).isEmpty(), "the worker answers");
+        lease.unanswered();
+        assertEquals(lease.tellTimeLeft(3_500), OptionalLong.of(4_000));
+        assertEquals(lease.tellTimeLeft(9_000), OptionalLong.of(0));
+    }
+
+    /** Guards against a second run elsewhere while the lease is renewed after all. */
+    @Test
+    public void shouldKeepPromiseUntilLaterReportIsAnswered() {
+        WorkerLease lease = granted();
+        lease.renew(2_500);
+        lease.unanswered();
+        assertTrue(lease.renew(3_000).isEmpty());
+        lease.tellTimeLeft(3_000);
+        lease.sample(102_500, 3_500);
+        lease.answered();
+        assertTrue(lease.renew(3_500).isEmpty(), "the leader counts on the promise");
+        lease.grant(lease.workerClock(3_000), true);
+        assertTrue(lease.renew(3_600).isEmpty(), "the answer was to the promise");
+        lease.grant(lease.workerClock(3_600), false);
+        assertEquals(lease.renew(3_700).orElseThrow(), 107_700);
+    }
+
+    /** Guards against a later end that a former agent process on this host may have sent. */
+    @Test
+    public void shouldTellNothingBeforeItHasRenewedInFull() {
+        WorkerLease lease = new WorkerLease(TERMS);
+        lease.sample(100_000, 1_000);
+        lease.grant(lease.workerClock(1_000), false);
+        lease.renew(1_000);
+        lease.unanswered();
+        assertTrue(lease.tellTimeLeft(2_000).isEmpty());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/yuccabank/control/workflow/WorkerViewTest.java
@@ -0,0 +1,43 @@
+package org.yuccabank.control.workflow;
+
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import org.testng.annotations.Test;
+import org.yuccabank.protocol.generated.WorkerIdentity;
+import org.yuccabank.protocol.generated.WorkerReport;
+
+public final class WorkerViewTest {
+
+    private static final LeaseBound LEASE = new LeaseBound(9_000, 0.03);
+
+    private static WorkerReport.Builder report(long sequence) {
+        return WorkerReport.newBuilder()
+                .setHostId("h")
+                .setReporterId(7)
+                .setSequence(sequence)
+                .setWorker(WorkerIdentity.newBuilder().setHostId("h").setBornMillis(1));
+    }
+
+    /** Guards against tasks of a worker that is gone while its agent goes on reporting. */
+    @Test
+    public void shouldEndLeaseOfSilentWorkerWhileAgentReports() {
+        WorkerView view = new WorkerView(report(1).build());
+        view.update(report(1).build(), null, 0, LEASE);
+        assertFalse(view.isLeaseOver(9_000));
+        view.update(report(2).setLeaseLeftMillis(4_000).build(), null, 1_000, LEASE);
+        view.update(report(3).setLeaseLeftMillis(3_000).build(), null, 2_000, LEASE);
+        assertFalse(view.isLeaseOver(5_000));
+        assertTrue(view.isLeaseOver(5_300));
+    }
+
+    /** Guards against a report that was held up and shortens a lease that was renewed since. */
+    @Test
+    public void shouldIgnoreOvertakenReport() {
+        WorkerView view = new WorkerView(report(1).build());
+        view.update(report(3).build(), null, 2_000, LEASE);
+        assertFalse(view.update(report(2).setLeaseLeftMillis(0).build(), null, 2_100, LEASE));
+        assertFalse(view.isLeaseOver(5_000));
+        assertTrue(view.update(report(1).setReporterId(8).build(), null, 2_200, LEASE));
+    }
+}
