--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -8,8 +8,8 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.yuccabank.event.Event;
 import org.yuccabank.event.EventLog;
@@ -248,8 +248,7 @@
         leader.request(Envelope.newBuilder().setWorkerReport(report).build(), REPORT_TIMEOUT)
                 .subscribe(
                         reply ->
-                                loop.execute(
-                                        () -> endReport(reply, report, workerClock, answered)),
+                                loop.execute(() -> endReport(reply, report, workerClock, answered)),
                         error -> loop.execute(() -> failReport(error)));
     }
 
@@ -486,8 +485,7 @@
         long requestedMillis = nowMillis();
         long requestTerm = term;
         WorkerAnnouncement target = worker.orElseThrow();
-        WorkerPort.Fence fence =
-                new WorkerPort.Fence(term, lease.renew(requestedMillis));
+        WorkerPort.Fence fence = new WorkerPort.Fence(term, lease.renew(requestedMillis));
         port.list(target, fence, runs.acknowledgedNumber(), hurried ? 0 : LIST_WAIT_MILLIS)
                 .subscribe(
                         outcome ->
--- a/src/test/java/org/yuccabank/platform/PlatformPathTest.java
+++ b/src/test/java/org/yuccabank/platform/PlatformPathTest.java
@@ -183,7 +183,8 @@
         beat(2_000);
         awaitState("cccccccccccccccc", "completed");
         long millis = Duration.ofNanos(System.nanoTime() - restarted).toMillis();
-        assertTrue(millis < AgentRole.leaseTerms(workerSettings).renewalMillis() / 2, millis + " ms");
+        assertTrue(
+                millis < AgentRole.leaseTerms(workerSettings).renewalMillis() / 2, millis + " ms");
         assertTrue(minion.starts().contains("cccccccccccccccc.0.0.0#2"));
     }
 
