Place filling tasks by the pressure of their image, and pace those that press

Change: the leader learns the pressure of each image from the reports, places filling tasks where processors are idle and the pressure is bearable, and tells the agents, which cut those that press most first and by as much as is needed. A new leader gets the estimates back from the agents.

--- a/src/main/java/org/yuccabank/agent/workflow/RunEntry.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunEntry.java
@@ -1,6 +1,7 @@
 package org.yuccabank.agent.workflow;
 
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.yuccabank.policy.workflow.FillerPacing;
 import org.yuccabank.protocol.generated.ActiveRun;
 import org.yuccabank.protocol.generated.EndedRun;
@@ -37,6 +38,8 @@
     private boolean stopWanted;
     private long stoppedAtMillis = Long.MIN_VALUE / 2;
     private int percent = FillerPacing.FULL_SPEED;
+    private boolean paceInProgress;
+    private boolean paceConfirmed = true;
     private ActiveRun listed;
     private EndedRun end;
 
@@ -52,7 +55,9 @@
     }
 
     static RunEntry found(RunAddress run) {
-        return new RunEntry(run, Optional.empty(), Stage.STARTED);
+        RunEntry entry = new RunEntry(run, Optional.empty(), Stage.STARTED);
+        entry.paceConfirmed = false;
+        return entry;
     }
 
     RunAddress run() {
@@ -118,8 +123,26 @@
         return percent;
     }
 
-    void setPercent(int value) {
+    /** An order to run at a percentage of the full speed is on its way. */
+    void pace(int value) {
         percent = value;
+        paceInProgress = true;
+    }
+
+    /** The order came to an end; a later one counts more than an earlier one. */
+    void endPace(int value, boolean done) {
+        if (value == percent) {
+            paceInProgress = false;
+            paceConfirmed = done;
+        }
+    }
+
+    /** The percentage that the worker may not know of; a former agent may have set another. */
+    OptionalInt unconfirmedPercent() {
+        boolean fills = order.map(StartRun::getFilling).orElse(false);
+        return fills && stage == Stage.STARTED && !paceInProgress && !paceConfirmed
+                ? OptionalInt.of(percent)
+                : OptionalInt.empty();
     }
 
     ActiveRun listed() {
--- a/src/main/java/org/yuccabank/agent/workflow/RunTable.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunTable.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -9,8 +10,10 @@
 import java.util.Optional;
 import java.util.Set;
 import org.yuccabank.policy.workflow.FillerPacing;
+import org.yuccabank.policy.workflow.PressureEstimates;
 import org.yuccabank.protocol.generated.ActiveRun;
 import org.yuccabank.protocol.generated.EndedRun;
+import org.yuccabank.protocol.generated.ImagePressure;
 import org.yuccabank.protocol.generated.RunAddress;
 import org.yuccabank.protocol.generated.StartRun;
 
@@ -24,6 +27,7 @@
 final class RunTable {
 
     private final Map<RunAddress, RunEntry> entries = new LinkedHashMap<>();
+    private final Map<String, Double> pressures = new HashMap<>();
     private long acknowledgedNumber;
 
     void clear() {
@@ -130,10 +134,13 @@
     }
 
     private static ActiveRun reported(RunEntry entry) {
-        boolean slowed = entry.percent() != FillerPacing.FULL_SPEED;
+        int slowedBy = FillerPacing.FULL_SPEED - Math.max(0, entry.percent());
         boolean unknown = entry.order().isEmpty();
-        return slowed || unknown
-                ? entry.listed().toBuilder().setSlowed(slowed).setUnknown(unknown).build()
+        return slowedBy > 0 || unknown
+                ? entry.listed().toBuilder()
+                        .setSlowedByPercent(slowedBy)
+                        .setUnknown(unknown)
+                        .build()
                 : entry.listed();
     }
 
@@ -142,23 +149,48 @@
     }
 
     /** Latency figures of the serving runs. */
-    List<FillerPacing.Served> served() {
-        List<FillerPacing.Served> served = new ArrayList<>();
+    List<PressureEstimates.Serving> served() {
+        List<PressureEstimates.Serving> served = new ArrayList<>();
         for (RunEntry entry : entries.values()) {
             long target = entry.order().map(StartRun::getLatencyTargetMillis).orElse(0L);
             if (entry.stage() == RunEntry.Stage.STARTED && target > 0) {
-                served.add(new FillerPacing.Served(entry.listed().getFigure(), target));
+                String image = entry.order().map(StartRun::getImage).orElseThrow();
+                served.add(
+                        new PressureEstimates.Serving(image, entry.listed().getFigure(), target));
             }
         }
         return served;
     }
 
-    /** Filling runs whose speed differs from a percentage. */
-    List<RunEntry> fillingRunsNotAt(int percent) {
+    /** The filling runs with the pressures that the leader has told. */
+    List<FillerPacing.Filler<RunEntry>> fillers() {
         return entries.values().stream()
                 .filter(entry -> entry.stage() == RunEntry.Stage.STARTED)
                 .filter(entry -> entry.order().map(StartRun::getFilling).orElse(false))
-                .filter(entry -> entry.percent() != percent)
+                .map(
+                        entry ->
+                                new FillerPacing.Filler<>(
+                                        entry,
+                                        pressures.getOrDefault(
+                                                entry.order().orElseThrow().getImage(),
+                                                PressureEstimates.UNKNOWN_PRESSURE),
+                                        Math.max(0, entry.percent())))
+                .toList();
+    }
+
+    void learnPressures(List<ImagePressure> told) {
+        told.forEach(each -> pressures.put(each.getImage(), each.getPressure()));
+    }
+
+    /** What leaders have told about filling images, for a leader that has yet to learn it. */
+    List<ImagePressure> pressures() {
+        return pressures.entrySet().stream()
+                .map(
+                        each ->
+                                ImagePressure.newBuilder()
+                                        .setImage(each.getKey())
+                                        .setPressure(each.getValue())
+                                        .build())
                 .toList();
     }
 }
--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -72,6 +72,7 @@
     private boolean leaving;
     private long term;
     private long listedTerm;
+    private long reportedTerm;
     private long listedAtMillis = Long.MIN_VALUE / 2;
     private boolean listInProgress;
     private boolean listWanted;
@@ -306,6 +307,10 @@
         if (listed) {
             report.addAllActive(runs.active());
         }
+        if (listedTerm != reportedTerm) {
+            report.addAllPressures(runs.pressures());
+            reportedTerm = listedTerm;
+        }
         lease.tellTimeLeft(now).ifPresent(report::setLeaseLeftMillis);
         return report.build();
     }
@@ -340,6 +345,7 @@
         leader.learnMembers(directives.getControlAddressesList());
         runs.acknowledge(directives.getAcknowledgedNumber());
         runs.settle(directives.getSettledList());
+        runs.learnPressures(directives.getPressuresList());
         for (StartRun order : directives.getStartsList()) {
             runs.order(order).ifPresent(this::drive);
         }
@@ -537,19 +543,21 @@
     }
 
     private void pace(WorkerAnnouncement target, long now) {
-        int percent = pacing.decide(runs.served(), now);
-        for (RunEntry entry : runs.fillingRunsNotAt(percent)) {
-            entry.setPercent(percent);
-            port.pace(target, entry.run(), percent, term)
-                    .subscribe(
-                            outcome -> {
-                                if (!(outcome instanceof WorkerPort.CallOutcome.Done)) {
-                                    loop.execute(() -> entry.setPercent(UNKNOWN_PERCENT));
-                                }
-                            });
-        }
+        pacing.decide(runs.served(), runs.fillers(), now)
+                .forEach((entry, percent) -> pace(target, entry, percent));
+        runs.entries().stream()
+                .filter(entry -> entry.unconfirmedPercent().isPresent())
+                .forEach(entry -> pace(target, entry, entry.unconfirmedPercent().getAsInt()));
     }
 
-    /** Differs from every speed, so that the next list sends the order again. */
-    private static final int UNKNOWN_PERCENT = -1;
+    /** An order without an answer is sent again with the next list. */
+    private void pace(WorkerAnnouncement target, RunEntry entry, int percent) {
+        entry.pace(percent);
+        port.pace(target, entry.run(), percent, term)
+                .subscribe(
+                        outcome -> {
+                            boolean done = outcome instanceof WorkerPort.CallOutcome.Done;
+                            loop.execute(() -> entry.endPace(percent, done));
+                        });
+    }
 }
--- a/src/main/java/org/yuccabank/control/workflow/AdmissionDesk.java
+++ b/src/main/java/org/yuccabank/control/workflow/AdmissionDesk.java
@@ -1,7 +1,6 @@
 package org.yuccabank.control.workflow;
 
 import java.util.Collection;
-import java.util.List;
 import java.util.OptionalLong;
 import org.yuccabank.policy.workflow.BacklogAdmission;
 import org.yuccabank.policy.workflow.WaitingTask;
@@ -64,28 +63,18 @@
                 StepEstimates.LATE_FACTOR * objective);
     }
 
-    /**
-     * Cores that serving tasks leave on the workers with the fewest of them, as they fill these.
-     */
+    /** Cores that the other tasks are expected to leave to filling ones. */
     private static double fillingCores(WorkflowRecords records, Collection<WorkerOffer> offers) {
-        long fewest = Long.MAX_VALUE;
-        long millis = 0;
+        double millis = 0;
         for (WorkerOffer offer : offers) {
-            List<StepDefinition> serving =
+            long used =
                     records.openRuns(offer.report().getWorker()).stream()
                             .map(AdmissionDesk::step)
-                            .filter(StepDefinition::getLasting)
-                            .toList();
-            long left =
-                    offer.report().getCapacity().getProcessorMillis()
-                            - serving.stream()
-                                    .mapToLong(step -> step.getResources().getProcessorMillis())
-                                    .sum();
-            if (serving.size() < fewest) {
-                fewest = serving.size();
-                millis = 0;
-            }
-            millis += serving.size() == fewest ? left : 0;
+                            .map(step -> StepEstimates.load(step, image -> 0))
+                            .filter(load -> load.kind() != WaitingTask.LoadKind.FILLING)
+                            .mapToLong(WaitingTask.Load::usedMillis)
+                            .sum();
+            millis += Math.max(0, offer.report().getCapacity().getProcessorMillis() - used);
         }
         return millis / CORE_MILLIS;
     }
--- a/src/main/java/org/yuccabank/control/workflow/RunWatch.java
+++ b/src/main/java/org/yuccabank/control/workflow/RunWatch.java
@@ -39,7 +39,7 @@
         RunProgress followed =
                 progress.computeIfAbsent(
                         run.getRun(), key -> new RunProgress(step.getEstimatedMillis()));
-        followed.report(run.getPercent(), !run.getSlowed(), nowMillis);
+        followed.report(run.getPercent(), run.getSlowedByPercent() == 0, nowMillis);
         RunProgress.Advice advice =
                 followed.advise(step.getCheckpointing(), times.usualMillis(task.stepKey()));
         if (advice != RunProgress.Advice.KEEP) {
--- a/src/main/java/org/yuccabank/control/workflow/StepEstimates.java
+++ b/src/main/java/org/yuccabank/control/workflow/StepEstimates.java
@@ -1,6 +1,7 @@
 package org.yuccabank.control.workflow;
 
 import java.util.List;
+import java.util.function.ToDoubleFunction;
 import java.util.stream.IntStream;
 import org.yuccabank.model.Resources;
 import org.yuccabank.policy.workflow.WaitingTask;
@@ -16,6 +17,12 @@
     /** A workflow that takes longer than this many times its objective is worth nothing. */
     static final int LATE_FACTOR = 3;
 
+    /**
+     * Part of its processors that a serving task uses, on the high side: they serve loads that
+     * swing around half of what they reserve, as their workers' idle processors show.
+     */
+    static final double SERVING_USE = 0.6;
+
     private StepEstimates() {}
 
     /** Estimated time of the longest chain of steps that begins with a step. */
@@ -58,6 +65,18 @@
                 : WaitingTask.LoadKind.FILLING;
     }
 
+    /** What a task of a step does to the others on its worker. */
+    static WaitingTask.Load load(StepDefinition step, ToDoubleFunction<String> pressures) {
+        WaitingTask.LoadKind kind = loadKind(step);
+        long declared = step.getResources().getProcessorMillis();
+        return switch (kind) {
+            case SERVING -> new WaitingTask.Load(kind, 0, Math.round(SERVING_USE * declared));
+            case PLAIN -> new WaitingTask.Load(kind, 0, declared);
+            case FILLING ->
+                    new WaitingTask.Load(kind, pressures.applyAsDouble(step.getImage()), declared);
+        };
+    }
+
     /** What a task reserves; an opportunistic one reserves no processors. */
     static Resources resources(StepDefinition step) {
         ResourceVector vector = step.getResources();
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -15,7 +15,7 @@
 import java.util.stream.Collectors;
 import org.yuccabank.control.Proposer;
 import org.yuccabank.policy.workflow.FeasibleFirstOrder;
-import org.yuccabank.policy.workflow.SeparatingChoice;
+import org.yuccabank.policy.workflow.PressureChoice;
 import org.yuccabank.policy.workflow.WorkerTrust;
 import org.yuccabank.protocol.PeerConnection;
 import org.yuccabank.protocol.generated.ActiveRun;
@@ -67,11 +67,12 @@
     private final Proposer proposer;
     private final LeaseBound lease;
     private final WorkflowPlanner planner =
-            new WorkflowPlanner(new FeasibleFirstOrder(), new SeparatingChoice());
+            new WorkflowPlanner(new FeasibleFirstOrder(), new PressureChoice());
     private final Map<String, WorkerView> workers = new LinkedHashMap<>();
     private final Map<RunAddress, EndedRun> pendingEnds = new LinkedHashMap<>();
     private final WorkflowLog log = new WorkflowLog();
     private final RunWatch watch = new RunWatch();
+    private final InterferenceWatch interference = new InterferenceWatch();
     private final WorkflowRequests requests;
     private long term;
     private long ledSinceMillis;
@@ -121,6 +122,7 @@
         workers.clear();
         pendingEnds.clear();
         watch.clear();
+        interference.clear();
         roundInProgress = false;
     }
 
@@ -169,8 +171,18 @@
         return steadyMillis() - ledSinceMillis > KNOWLEDGE_MILLIS;
     }
 
-    double runTimeRatio(String queueName) {
-        return watch.runTimeRatio(queueName);
+    LearnedEstimates estimates() {
+        return new LearnedEstimates() {
+            @Override
+            public double runTimeRatio(String queueName) {
+                return watch.runTimeRatio(queueName);
+            }
+
+            @Override
+            public double pressure(String image) {
+                return interference.pressure(image);
+            }
+        };
     }
 
     /**
@@ -203,6 +215,9 @@
         for (ActiveRun active : valid.getActiveList()) {
             records().openRun(active.getRun()).ifPresent(task -> watch.active(active, task, now));
         }
+        if (valid.getListed()) {
+            interference.report(valid, records(), now);
+        }
         valid.getEndedList().forEach(this::noteEnd);
         wantRound();
         return directives(view, report.getSequence()).build();
@@ -265,6 +280,11 @@
             }
         }
         addOrders(view, directives);
+        directives.addAllPressures(
+                interference.pressures(
+                        records().openRuns(view.worker()).stream()
+                                .map(task -> task.workflow().step(task.address().getStep()))
+                                .toList()));
         return directives;
     }
 
@@ -349,8 +369,7 @@
         long now = steadyMillis();
         List<EndedRun> ended = pendingEnds.values().stream().limit(MAXIMUM_ROUND_ENTRIES).toList();
         long wallMillis = System.currentTimeMillis();
-        List<Assignment> planned =
-                planner.plan(records(), offers(now), watch::runTimeRatio, wallMillis);
+        List<Assignment> planned = planner.plan(records(), offers(now), estimates(), wallMillis);
         List<Assignment> assigned =
                 planned.subList(0, Math.min(planned.size(), MAXIMUM_ROUND_ENTRIES));
         List<String> forgotten = forgotten(wallMillis);
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowOrders.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowOrders.java
@@ -20,6 +20,7 @@
                 .setPayload(workflow.definition().getPayload())
                 .setCheckpoint(checkpoint(task, step))
                 .setLatencyTargetMillis(step.getLatencyTargetMillis())
+                .setImage(step.getImage())
                 .setFilling(StepEstimates.loadKind(step) == WaitingTask.LoadKind.FILLING)
                 .build();
     }
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowPlanner.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowPlanner.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.ToDoubleFunction;
 import java.util.stream.Collectors;
 import org.yuccabank.model.Resources;
 import org.yuccabank.policy.workflow.TaskOrder;
@@ -51,17 +50,16 @@
      *
      * @param records the replicated records
      * @param offers the workers that may get tasks
-     * @param runTimeRatios run times of a queue against their estimates
+     * @param estimates what was learned from the runs so far
      * @param nowMillis present time, in milliseconds since 1970
      * @return the assignments, in the order of their importance
      */
     List<Assignment> plan(
             WorkflowRecords records,
             Collection<WorkerOffer> offers,
-            ToDoubleFunction<String> runTimeRatios,
+            LearnedEstimates estimates,
             long nowMillis) {
-        WorkMeter meter = WorkMeter.of(records, runTimeRatios);
-        Map<String, List<Candidate>> candidates = candidates(records, meter, nowMillis);
+        Map<String, List<Candidate>> candidates = candidates(records, estimates, nowMillis);
         if (candidates.isEmpty() || offers.isEmpty()) {
             return List.of();
         }
@@ -71,7 +69,7 @@
             WorkerReport report = offer.report();
             String key = key(report.getWorker());
             identities.put(key, report.getWorker());
-            WorkerRoom room = room(key, report, records);
+            WorkerRoom room = room(key, report, records, estimates);
             if (offer.standing() == WorkerTrust.Standing.PROBE) {
                 room.limitToProbe();
             }
@@ -110,7 +108,7 @@
     private Optional<String> place(WaitingTask waiting, Map<String, WorkerRoom> rooms) {
         Optional<WorkerRoom> chosen = choice.choose(waiting, rooms.values());
         chosen.ifPresent(
-                room -> room.reserve(waiting.stepKey(), waiting.resources(), waiting.loadKind()));
+                room -> room.reserve(waiting.stepKey(), waiting.resources(), waiting.load()));
         return chosen.map(WorkerRoom::workerId);
     }
 
@@ -141,7 +139,8 @@
     }
 
     private static Map<String, List<Candidate>> candidates(
-            WorkflowRecords records, WorkMeter meter, long nowMillis) {
+            WorkflowRecords records, LearnedEstimates estimates, long nowMillis) {
+        WorkMeter meter = WorkMeter.of(records, estimates::runTimeRatio);
         Map<String, List<Candidate>> found = new LinkedHashMap<>();
         for (Workflow workflow : records.workflows()) {
             if (workflow.isFinal()) {
@@ -153,7 +152,7 @@
                 }
                 for (int step : StepEstimates.steps(workflow)) {
                     if (!workflow.isDone(occurrence, step) && workflow.isReady(occurrence, step)) {
-                        addWaiting(found, workflow, occurrence, step, meter);
+                        addWaiting(found, workflow, occurrence, step, meter, estimates);
                     }
                 }
             }
@@ -166,7 +165,8 @@
             Workflow workflow,
             int occurrence,
             int number,
-            WorkMeter meter) {
+            WorkMeter meter,
+            LearnedEstimates estimates) {
         List<WorkflowTask> tasks = workflow.tasks(occurrence, number);
         StepDefinition step = workflow.step(number);
         boolean held = step.getGang() && tasks.stream().anyMatch(task -> task.worker().isPresent());
@@ -180,6 +180,7 @@
         long remaining =
                 Math.round(ratio * StepEstimates.remainingMillis(workflow.definition(), number));
         double density = meter.valueDensity(workflow, occurrence);
+        WaitingTask.Load load = StepEstimates.load(step, estimates::pressure);
         WaitingTask.Constraints constraints =
                 new WaitingTask.Constraints(
                         workflow.queue().getService(),
@@ -193,7 +194,7 @@
                                 key,
                                 task.address().getIndex(),
                                 StepEstimates.resources(step),
-                                StepEstimates.loadKind(step),
+                                load,
                                 workflow.queue().getPriority(),
                                 start + objective,
                                 StepEstimates.lateMillis(workflow, occurrence, ratio),
@@ -206,7 +207,8 @@
         }
     }
 
-    private static WorkerRoom room(String key, WorkerReport report, WorkflowRecords records) {
+    private static WorkerRoom room(
+            String key, WorkerReport report, WorkflowRecords records, LearnedEstimates estimates) {
         ResourceVector capacity = report.getCapacity();
         WorkerRoom room =
                 new WorkerRoom(
@@ -222,7 +224,9 @@
             int number = task.address().getStep();
             StepDefinition step = task.workflow().step(number);
             room.reserve(
-                    task.stepKey(), StepEstimates.resources(step), StepEstimates.loadKind(step));
+                    task.stepKey(),
+                    StepEstimates.resources(step),
+                    StepEstimates.load(step, estimates::pressure));
         }
         return room;
     }
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowRequests.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowRequests.java
@@ -154,7 +154,7 @@
                 queue,
                 leader.records(),
                 leader.offers(WorkflowLeader.steadyMillis()),
-                WorkMeter.of(leader.records(), leader::runTimeRatio),
+                WorkMeter.of(leader.records(), leader.estimates()::runTimeRatio),
                 System.currentTimeMillis());
     }
 
--- /dev/null
+++ b/src/main/java/org/yuccabank/policy/workflow/Headroom.java
@@ -0,0 +1,23 @@
+package org.yuccabank.policy.workflow;
+
+/**
+ * The part of a serving task's headroom that is taken, from its tail latency.
+ *
+ * <p>Tail latency rises like {@code idle / (1 - taken)}, as in a queue, so that the parts which the
+ * load of the task and the tasks beside it take add up. Has no state.
+ */
+final class Headroom {
+
+    private Headroom() {}
+
+    /**
+     * The part that is taken.
+     *
+     * @param idleMillis tail latency without load
+     * @param latencyMillis tail latency that was measured
+     * @return 0 to 1
+     */
+    static double taken(double idleMillis, double latencyMillis) {
+        return latencyMillis <= idleMillis ? 0 : 1 - idleMillis / latencyMillis;
+    }
+}
--- a/src/main/java/org/yuccabank/policy/workflow/WaitingTask.java
+++ b/src/main/java/org/yuccabank/policy/workflow/WaitingTask.java
@@ -10,7 +10,7 @@
  * @param stepKey names the step of one occurrence, shared by the tasks of the step
  * @param index number of the task in its step
  * @param resources what the task reserves
- * @param loadKind how the task affects others on its worker
+ * @param load how the task affects others on its worker
  * @param priority priority of the queue, 0 comes first
  * @param deadlineMillis until when the workflow should end, in milliseconds since 1970
  * @param lateMillis after which the workflow is worth nothing, in milliseconds since 1970
@@ -23,7 +23,7 @@
         String stepKey,
         int index,
         Resources resources,
-        LoadKind loadKind,
+        Load load,
         int priority,
         long deadlineMillis,
         long lateMillis,
@@ -35,7 +35,7 @@
     public WaitingTask {
         Objects.requireNonNull(stepKey, "stepKey is null");
         Objects.requireNonNull(resources, "resources is null");
-        Objects.requireNonNull(loadKind, "loadKind is null");
+        Objects.requireNonNull(load, "load is null");
         Objects.requireNonNull(constraints, "constraints is null");
     }
 
@@ -49,6 +49,22 @@
         PLAIN
     }
 
+    /**
+     * What a task does to the others on its worker. Immutable.
+     *
+     * @param kind how it affects them
+     * @param pressure part of the headroom of serving tasks that it takes at full speed, see {@link
+     *     PressureEstimates}; 0 unless it fills
+     * @param usedMillis processors that it is expected to use, in thousandths of a core
+     */
+    public record Load(LoadKind kind, double pressure, long usedMillis) {
+
+        /** Checks the parts. */
+        public Load {
+            Objects.requireNonNull(kind, "kind is null");
+        }
+    }
+
     /**
      * Where a task may run. Immutable.
      *
--- a/src/main/java/org/yuccabank/policy/workflow/WorkerRoom.java
+++ b/src/main/java/org/yuccabank/policy/workflow/WorkerRoom.java
@@ -21,7 +21,8 @@
     private final Map<String, Integer> tasksOfStep = new HashMap<>();
     private Resources free;
     private int serving;
-    private int filling;
+    private double pressure;
+    private long usedMillis;
     private int tasks;
     private boolean probed;
 
@@ -49,14 +50,15 @@
      *
      * @param stepKey step of the task
      * @param resources what it reserves
-     * @param loadKind how it affects others
+     * @param load how it affects others
      */
-    public void reserve(String stepKey, Resources resources, WaitingTask.LoadKind loadKind) {
+    public void reserve(String stepKey, Resources resources, WaitingTask.Load load) {
         free = free.minus(resources);
         tasks++;
         tasksOfStep.merge(stepKey, 1, Integer::sum);
-        serving += loadKind == WaitingTask.LoadKind.SERVING ? 1 : 0;
-        filling += loadKind == WaitingTask.LoadKind.FILLING ? 1 : 0;
+        serving += load.kind() == WaitingTask.LoadKind.SERVING ? 1 : 0;
+        pressure += load.pressure();
+        usedMillis += load.usedMillis();
     }
 
     /** Lets the worker have one task at a time. */
@@ -126,11 +128,20 @@
     }
 
     /**
-     * Filling tasks on the worker.
+     * Pressure of the filling tasks on the worker.
      *
-     * @return the count
+     * @return the sum of their pressures at full speed
+     */
+    public double pressure() {
+        return pressure;
+    }
+
+    /**
+     * Processors that the tasks on the worker are expected to leave unused.
+     *
+     * @return thousandths of a core, below 0 if they want more than it has
      */
-    public int filling() {
-        return filling;
+    public long idleMillis() {
+        return capacity.processorMillis() - usedMillis;
     }
 }
--- /dev/null
+++ b/src/test/java/org/yuccabank/policy/workflow/InterferencePolicyTest.java
@@ -0,0 +1,250 @@
+package org.yuccabank.policy.workflow;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.testng.annotations.Test;
+import org.yuccabank.model.Resources;
+import org.yuccabank.policy.workflow.WaitingTask.LoadKind;
+
+/**
+ * Replays the loads in which filling tasks press on serving ones. The worker of these tests has a
+ * tail latency of {@code 6 / (1 - load - pressure)} ms, up to 200 ms, against a target of 18 ms, as
+ * the platform's workers showed.
+ */
+public final class InterferencePolicyTest {
+
+    private static final Resources CAPACITY = Resources.of(16_000, 64_000, 0);
+    private static final Resources SERVING = Resources.of(3_000, 5_000, 0);
+    private static final Resources FILLING = Resources.of(0, 3_000, 0);
+    private static final long TARGET = 18;
+    private static final double HEAVY = 0.45;
+
+    private static long latency(double taken) {
+        return Math.round(Math.min(200, 6 / Math.max(0.03, 1 - taken)));
+    }
+
+    private static WorkerRoom room(String workerId, int serving) {
+        WorkerRoom room = new WorkerRoom(workerId, "service", "rack", Set.of(), CAPACITY);
+        for (int count = 0; count < serving; count++) {
+            room.reserve("s", SERVING, new WaitingTask.Load(LoadKind.SERVING, 0, 1_800));
+        }
+        return room;
+    }
+
+    private static WaitingTask filling(double pressure) {
+        return new WaitingTask(
+                "f",
+                0,
+                FILLING,
+                new WaitingTask.Load(LoadKind.FILLING, pressure, 1_800),
+                2,
+                9_000,
+                27_000,
+                1_000,
+                1.0,
+                new WaitingTask.Constraints("service", Optional.empty(), Optional.empty(), 0));
+    }
+
+    private static Map<String, Integer> placeAll(double pressure, int tasks, WorkerRoom... rooms) {
+        Map<String, Integer> placed = new HashMap<>();
+        for (int count = 0; count < tasks; count++) {
+            WaitingTask task = filling(pressure);
+            new PressureChoice()
+                    .choose(task, List.of(rooms))
+                    .ifPresent(
+                            room -> {
+                                room.reserve("f", task.resources(), task.load());
+                                placed.merge(room.workerId(), 1, Integer::sum);
+                            });
+        }
+        return placed;
+    }
+
+    /**
+     * Guards against filling tasks that wait for an empty worker while serving ones leave most of
+     * their processors unused.
+     */
+    @Test
+    public void shouldPutLightTasksBesideServingOnes() {
+        Map<String, Integer> placed = placeAll(0.01, 9, room("a", 5), room("empty", 0));
+        // 16 cores less 9 in use leave room for three tasks of 1.8 cores each and most of a fourth.
+        assertEquals(placed, Map.of("a", 4, "empty", 5));
+    }
+
+    /** Guards against several tasks that press much beside the same serving ones. */
+    @Test
+    public void shouldPutOneHeavyTaskBesideServingOnes() {
+        Map<String, Integer> placed = placeAll(HEAVY, 20, room("a", 5), room("b", 5));
+        assertEquals(placed, Map.of("a", 1, "b", 1));
+    }
+
+    /** Guards against heavy tasks that harm serving ones while a worker without any has room. */
+    @Test
+    public void shouldPutHeavyTasksOnWorkersWithoutServingOnesFirst() {
+        Map<String, Integer> placed = placeAll(HEAVY, 8, room("a", 5), room("empty", 0));
+        assertEquals(placed, Map.of("empty", 8));
+    }
+
+    /** Guards against more filling tasks than a worker has idle processors for. */
+    @Test
+    public void shouldLetTasksWaitForIdleProcessors() {
+        assertEquals(placeAll(0, 40, room("empty", 0)), Map.of("empty", 9));
+    }
+
+    /** Guards against a serving task that lands beside pressure while another worker is calm. */
+    @Test
+    public void shouldPutServingTaskWhereLeastPresses() {
+        WorkerRoom pressed = room("pressed", 3);
+        pressed.reserve("f", FILLING, filling(HEAVY).load());
+        WorkerRoom calm = room("calm", 2);
+        WaitingTask serving =
+                new WaitingTask(
+                        "s",
+                        0,
+                        SERVING,
+                        new WaitingTask.Load(LoadKind.SERVING, 0, 1_800),
+                        0,
+                        9_000,
+                        27_000,
+                        0,
+                        1.0,
+                        new WaitingTask.Constraints(
+                                "service", Optional.empty(), Optional.empty(), 0));
+        assertEquals(
+                new PressureChoice().choose(serving, List.of(pressed, calm)).orElseThrow(), calm);
+    }
+
+    /** Guards against pressure that is put down to images which only run beside the heavy one. */
+    @Test
+    public void shouldLearnWhichImagePresses() {
+        PressureEstimates estimates = new PressureEstimates();
+        Random random = new Random(7);
+        double load = 0;
+        for (int report = 0; report < 600; report++) {
+            load = 0.2 + 0.15 * Math.sin(report / 4.0);
+            int heavy = random.nextInt(2);
+            int light = random.nextInt(5);
+            List<PressureEstimates.Serving> serving = new ArrayList<>();
+            for (int count = 0; count < 5; count++) {
+                serving.add(
+                        new PressureEstimates.Serving(
+                                "web", latency(load + HEAVY * heavy), TARGET));
+            }
+            estimates.observe(serving, Map.of("heavy", 1.0 * heavy, "light", 1.0 * light));
+        }
+        assertEquals(estimates.pressure("heavy"), HEAVY, 0.12);
+        assertTrue(estimates.pressure("light") < 0.05, estimates.pressure("light") + " for light");
+        assertEquals(estimates.pressure("new"), PressureEstimates.UNKNOWN_PRESSURE);
+    }
+
+    /** One worker whose serving tasks swing, followed for a minute; returns what was seen. */
+    private static Seen replay(double assumedPressure, double truePressure, int heavyTasks) {
+        FillerPacing pacing = new FillerPacing();
+        Map<Integer, Integer> percents = new LinkedHashMap<>();
+        for (int task = 0; task < heavyTasks; task++) {
+            percents.put(task, FillerPacing.FULL_SPEED);
+        }
+        percents.put(-1, FillerPacing.FULL_SPEED);
+        List<Long> lagging = new ArrayList<>(List.of(6L));
+        long longestOver = 0;
+        long over = 0;
+        double work = 0;
+        double lightWork = 0;
+        for (long now = 0; now < 60_000; now += 100) {
+            double load = 0.25 + 0.2 * Math.sin(now * 2 * Math.PI / 10_000);
+            double pressure = 0;
+            for (Map.Entry<Integer, Integer> each : percents.entrySet()) {
+                pressure += each.getKey() < 0 ? 0 : truePressure * each.getValue() / 100;
+                work += each.getKey() < 0 ? 0 : each.getValue() / 1_000.0;
+            }
+            lightWork += percents.get(-1) / 1_000.0;
+            long latency = latency(load + pressure);
+            over = latency > TARGET ? over + 100 : 0;
+            longestOver = Math.max(longestOver, over);
+            lagging.add(latency);
+            if (now % 400 == 0) {
+                long figure = lagging.get(Math.max(0, lagging.size() - 4));
+                List<FillerPacing.Filler<Integer>> fillers =
+                        percents.entrySet().stream()
+                                .map(
+                                        each ->
+                                                new FillerPacing.Filler<>(
+                                                        each.getKey(),
+                                                        each.getKey() < 0 ? 0 : assumedPressure,
+                                                        each.getValue()))
+                                .toList();
+                percents.putAll(
+                        pacing.decide(
+                                List.of(new PressureEstimates.Serving("web", figure, TARGET)),
+                                fillers,
+                                now));
+            }
+        }
+        return new Seen(longestOver, work, lightWork);
+    }
+
+    private record Seen(long longestOverMillis, double heavySeconds, double lightSeconds) {}
+
+    /**
+     * Guards against serving tasks over their target for seconds on end, and against a light task
+     * that is slowed down for what heavy ones do.
+     */
+    @Test
+    public void shouldHoldTargetWhileLoadSwings() {
+        for (double assumed : new double[] {0.2, HEAVY, 0.8}) {
+            Seen seen = replay(assumed, HEAVY, 2);
+            String text = seen + " with " + assumed;
+            assertTrue(seen.longestOverMillis() <= 2_000, text);
+            assertTrue(seen.heavySeconds() > 20, text);
+            assertTrue(seen.lightSeconds() > 50, text);
+        }
+    }
+
+    /** Guards against harm by an image that was taken for light. */
+    @Test
+    public void shouldSlowDownWhatPressesMoreThanEstimated() {
+        Seen seen = replay(0, HEAVY, 2);
+        assertTrue(seen.longestOverMillis() <= 3_000, seen.toString());
+    }
+
+    /** Guards against speed that never comes back after a short disturbance. */
+    @Test
+    public void shouldGiveSpeedBackInSteps() {
+        FillerPacing pacing = new FillerPacing();
+        int percent = 0;
+        for (long now = 0; now <= 6_000; now += 1_000) {
+            Map<String, Integer> changes =
+                    pacing.decide(
+                            List.of(new PressureEstimates.Serving("web", 6, TARGET)),
+                            List.of(new FillerPacing.Filler<>("f", HEAVY, percent)),
+                            now);
+            percent = changes.getOrDefault("f", percent);
+        }
+        assertEquals(percent, FillerPacing.FULL_SPEED);
+    }
+
+    /** Guards against a serving task over its target for longer than a few figures. */
+    @Test
+    public void shouldStopFillingTasksWithinThreeSecondsOfMissedTarget() {
+        FillerPacing pacing = new FillerPacing();
+        int percent = FillerPacing.FULL_SPEED;
+        for (long now = 0; now <= 2_500; now += 400) {
+            Map<String, Integer> changes =
+                    pacing.decide(
+                            List.of(new PressureEstimates.Serving("web", 40, 20)),
+                            List.of(new FillerPacing.Filler<>("f", 0.2, percent)),
+                            now);
+            percent = changes.getOrDefault("f", percent);
+        }
+        assertEquals(percent, 0);
+    }
+}
