Refuse submissions within an election and say when to come back by the outage

A host without power cost 1 s to connect to and 0.9 s to give up.

Change: submissions are kept for 1.2 s, callers are told to stay away as long as the outage has lasted so far, spread by a fifth; 0.4 s to connect, 0.5 s an attempt.

--- a/src/main/java/org/yuccabank/control/ControlConfiguration.java
+++ b/src/main/java/org/yuccabank/control/ControlConfiguration.java
@@ -23,6 +23,7 @@
  * @param timing times of the replication protocol
  * @param joinAddresses where a replica that is not a voter asks to become one; empty if it never
  *     asks
+ * @param wantedVoters replicas that should vote; others that join stay learners
  */
 public record ControlConfiguration(
         String processId,
@@ -36,7 +37,8 @@
         long leaseMillis,
         double clockDriftShare,
         ReplicaTiming timing,
-        List<InetSocketAddress> joinAddresses) {
+        List<InetSocketAddress> joinAddresses,
+        int wantedVoters) {
 
     /** A configuration of a replica that never asks for a vote. */
     public ControlConfiguration(
@@ -63,7 +65,8 @@
                 leaseMillis,
                 clockDriftShare,
                 timing,
-                List.of());
+                List.of(),
+                members.size());
     }
 
     /** Checks the parts. */
--- /dev/null
+++ b/src/main/java/org/yuccabank/control/ControlRelay.java
@@ -0,0 +1,93 @@
+package org.yuccabank.control;
+
+import java.net.InetSocketAddress;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.yuccabank.event.Event;
+import org.yuccabank.event.EventLog;
+import org.yuccabank.protocol.PeerSecurity;
+import org.yuccabank.protocol.PeerServer;
+import org.yuccabank.protocol.PeerTimings;
+import org.yuccabank.protocol.PeerTransport;
+import org.yuccabank.protocol.generated.Envelope;
+import org.yuccabank.protocol.generated.Hello;
+import org.yuccabank.protocol.generated.ProtocolError;
+import org.yuccabank.protocol.generated.Role;
+import reactor.core.publisher.Mono;
+
+/**
+ * A control process on a host without a disk: holds no replica and answers every request of the
+ * inner protocol with the address of the leader. Thread-safe.
+ */
+public final class ControlRelay {
+
+    private static final int NETWORK_THREADS = 1;
+
+    private final PeerTransport transport;
+    private final PeerServer server;
+
+    private ControlRelay(PeerTransport transport, PeerServer server) {
+        this.transport = transport;
+        this.server = server;
+    }
+
+    /**
+     * Creates and starts a relay.
+     *
+     * @param processId identifier of the process
+     * @param dataCentre data centre of the process
+     * @param address where it listens
+     * @param leaderAddress address of the leader, empty while none is known
+     * @return the relay
+     */
+    public static ControlRelay start(
+            String processId,
+            String dataCentre,
+            InetSocketAddress address,
+            Supplier<Optional<String>> leaderAddress) {
+        Objects.requireNonNull(leaderAddress, "leaderAddress is null");
+        Hello greeting =
+                Hello.newBuilder()
+                        .setProcessId(processId)
+                        .setRole(Role.CONTROL)
+                        .setDataCentre(dataCentre)
+                        .setIncarnation(System.currentTimeMillis())
+                        .build();
+        PeerTransport transport =
+                PeerTransport.start(
+                        greeting,
+                        () -> 0,
+                        PeerTimings.standard(),
+                        PeerSecurity.off(),
+                        NETWORK_THREADS);
+        PeerServer server =
+                PeerServer.start(
+                        transport,
+                        address,
+                        (from, request) -> answer(request, leaderAddress.get().orElse("")));
+        EventLog.information(Event.ROLE_STARTED, "role", "control relay", "process", processId);
+        return new ControlRelay(transport, server);
+    }
+
+    private static Mono<Envelope> answer(Envelope request, String leaderAddress) {
+        if (request.hasReplicaMessage()) {
+            return Mono.empty();
+        }
+        return Mono.just(
+                Envelope.newBuilder()
+                        .setProtocolError(
+                                ProtocolError.newBuilder()
+                                        .setCode("not-leader")
+                                        .setMessage("this process holds no replica")
+                                        .setLeaderAddress(leaderAddress))
+                        .build());
+    }
+
+    /** Stops the relay. */
+    public void stop() {
+        server.stop();
+        transport.stop();
+        EventLog.information(Event.ROLE_STOPPED, "role", "control relay");
+    }
+}
--- a/src/main/java/org/yuccabank/control/LeaderLogic.java
+++ b/src/main/java/org/yuccabank/control/LeaderLogic.java
@@ -71,7 +71,8 @@
                         replica,
                         state,
                         proposer,
-                        new LeaseBound(leaseMillis, configuration.clockDriftShare()));
+                        new LeaseBound(leaseMillis, configuration.clockDriftShare()),
+                        configuration.wantedVoters());
         replica.addLeaderListener(this::leadershipChanged);
     }
 
--- a/src/main/java/org/yuccabank/control/workflow/MembershipKeeper.java
+++ b/src/main/java/org/yuccabank/control/workflow/MembershipKeeper.java
@@ -9,9 +9,11 @@
 import org.yuccabank.replication.ProposalOutcome;
 import org.yuccabank.replication.ReplicaMember;
 import org.yuccabank.replication.ReplicaService;
+import org.yuccabank.replication.ReplicaStatus;
 
 /**
- * Admits replicas that lost their disk, or that are new, as members of the group.
+ * Admits replicas that lost their disk, or that are new, as members of the group, and takes the
+ * votes of those that are gone.
  *
  * <p>Invariants: a replica gets a vote only after it has caught up; the former member at the same
  * address is removed only after its successor has a vote, so that the group never needs a vote that
@@ -20,31 +22,50 @@
 final class MembershipKeeper {
 
     private final ReplicaService replica;
+    private final VoterPlan plan;
 
-    MembershipKeeper(ReplicaService replica) {
+    MembershipKeeper(ReplicaService replica, int wantedVoters) {
         this.replica = replica;
+        plan = new VoterPlan(wantedVoters);
     }
 
     /** Makes the next change that the replica needs; the replica repeats the request. */
     void admit(JoinRequest join) {
-        List<ReplicaMember> members = replica.status().members();
+        ReplicaStatus status = replica.status();
+        List<ReplicaMember> members = status.members();
         Optional<ReplicaMember> self =
                 members.stream()
                         .filter(member -> member.replicaId().equals(join.getReplicaId()))
                         .findFirst();
+        Optional<ReplicaMember> former =
+                members.stream()
+                        .filter(member -> member.address().equals(join.getAddress()))
+                        .filter(member -> !member.replicaId().equals(join.getReplicaId()))
+                        .findFirst();
         if (self.isEmpty()) {
             log(replica.addLearner(join.getReplicaId(), join.getAddress()), "add", join);
         } else if (!self.get().voter()) {
-            log(replica.promote(join.getReplicaId()), "promote", join);
+            boolean replaces = former.map(ReplicaMember::voter).orElse(false);
+            if (replaces || plan.isVoterWanted(members, status.silentMillis())) {
+                log(replica.promote(join.getReplicaId()), "promote", join);
+            }
         } else {
-            members.stream()
-                    .filter(member -> member.address().equals(join.getAddress()))
-                    .filter(member -> !member.replicaId().equals(join.getReplicaId()))
-                    .findFirst()
-                    .ifPresent(former -> log(replica.remove(former.replicaId()), "replace", join));
+            former.ifPresent(each -> log(replica.remove(each.replicaId()), "replace", join));
         }
     }
 
+    /** Takes the vote of a replica that is gone while others vote in its place. */
+    void tick() {
+        ReplicaStatus status = replica.status();
+        plan.lostVoter(status.members(), status.silentMillis())
+                .ifPresent(
+                        lost ->
+                                log(
+                                        replica.demote(lost),
+                                        "demote",
+                                        JoinRequest.newBuilder().setReplicaId(lost).build()));
+    }
+
     private static void log(
             CompletionStage<ProposalOutcome> change, String step, JoinRequest join) {
         change.whenComplete(
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -74,17 +74,23 @@
     private final RunWatch watch = new RunWatch();
     private final InterferenceWatch interference = new InterferenceWatch();
     private final WorkflowRequests requests;
+    private final MembershipKeeper membership;
     private long term;
     private long ledSinceMillis;
     private boolean roundInProgress;
 
     private WorkflowLeader(
-            ReplicaService replica, ReplicatedState state, Proposer proposer, LeaseBound lease) {
+            ReplicaService replica,
+            ReplicatedState state,
+            Proposer proposer,
+            LeaseBound lease,
+            int wantedVoters) {
         this.replica = replica;
         this.state = state;
         this.proposer = proposer;
         this.lease = lease;
-        requests = new WorkflowRequests(this, new MembershipKeeper(replica));
+        membership = new MembershipKeeper(replica, wantedVoters);
+        requests = new WorkflowRequests(this, membership);
     }
 
     /**
@@ -94,13 +100,18 @@
      * @param state its state machine
      * @param proposer proposes commands
      * @param lease bounds the time for which a worker may run tasks after a report
+     * @param wantedVoters replicas that should vote
      * @return the leader's part
      */
     public static WorkflowLeader of(
-            ReplicaService replica, ReplicatedState state, Proposer proposer, LeaseBound lease) {
+            ReplicaService replica,
+            ReplicatedState state,
+            Proposer proposer,
+            LeaseBound lease,
+            int wantedVoters) {
         Objects.requireNonNull(replica, "replica is null");
         Objects.requireNonNull(state, "state is null");
-        return new WorkflowLeader(replica, state, proposer, lease);
+        return new WorkflowLeader(replica, state, proposer, lease, wantedVoters);
     }
 
     WorkflowRecords records() {
@@ -334,6 +345,7 @@
         if (!replica.isLeader()) {
             return;
         }
+        membership.tick();
         long now = steadyMillis();
         for (WorkerView view : workers.values()) {
             if (view.isLeaseOver(now) && !records().openRuns(view.worker()).isEmpty()) {
--- a/src/main/java/org/yuccabank/entry/workflow/WorkflowGateway.java
+++ b/src/main/java/org/yuccabank/entry/workflow/WorkflowGateway.java
@@ -3,10 +3,14 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.yuccabank.event.Event;
 import org.yuccabank.event.EventLog;
+import org.yuccabank.policy.workflow.OutageAdvice;
 import org.yuccabank.protocol.LeaderClient;
+import org.yuccabank.protocol.PeerAddress;
 import org.yuccabank.protocol.PeerException;
 import org.yuccabank.protocol.PeerHandler;
 import org.yuccabank.protocol.PeerSecurity;
@@ -33,13 +37,16 @@
 public final class WorkflowGateway {
 
     /** Longest time of one attempt: a healthy leader answers in tens of milliseconds. */
-    private static final Duration ATTEMPT_LIMIT = Duration.ofMillis(900);
+    private static final Duration ATTEMPT_LIMIT = Duration.ofMillis(500);
 
     /** Without a leader a request is refused after this time, in which a new one may be found. */
     private static final Duration UNREADY_LIMIT = Duration.ofMillis(300);
 
-    /** When a caller should come back while no leader is known: about one election. */
-    private static final long RETRY_AFTER_MILLIS = 1_000;
+    /**
+     * A submission that has reached no leader is refused after this time, which covers an election:
+     * its caller serves itself better by coming back than by waiting for the end of an outage.
+     */
+    private static final Duration SUBMISSION_LIMIT = Duration.ofMillis(1_200);
 
     /** A process is ready if it had contact to a leader within this time. */
     private static final long READY_MILLIS = 2_500;
@@ -128,6 +135,17 @@
         return steadyMillis() - contactMillis < READY_MILLIS;
     }
 
+    /**
+     * Where the leader is.
+     *
+     * @return address of the leader, empty unless it answered a short time ago
+     */
+    public Optional<String> leaderAddress() {
+        return isReady()
+                ? Optional.of(PeerAddress.format(leader.likelyLeader()))
+                : Optional.empty();
+    }
+
     private static long steadyMillis() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
@@ -141,35 +159,52 @@
      *     accepted, {@link Verdict#UNCERTAIN} if it may have been
      */
     public Mono<WorkflowReply> send(WorkflowRequest request, Duration limit) {
-        boolean shortened = !isReady() && limit.compareTo(UNREADY_LIMIT) > 0;
-        return sendWithin(request, shortened ? UNREADY_LIMIT : limit);
+        return sendWithin(request, limit);
     }
 
     private Mono<WorkflowReply> sendWithin(WorkflowRequest request, Duration limit) {
-        long deadlineMillis = steadyMillis() + limit.toMillis();
-        return attempt(request, deadlineMillis, false);
+        long now = steadyMillis();
+        long unsentMillis = Math.min(limit.toMillis(), unsentLimit(request).toMillis());
+        Patience patience = new Patience(now + limit.toMillis(), now + unsentMillis);
+        return attempt(request, patience, false);
+    }
+
+    /** How long a request that has reached no leader is kept. */
+    private Duration unsentLimit(WorkflowRequest request) {
+        if (!isReady()) {
+            return UNREADY_LIMIT;
+        }
+        return request.hasSubmit() ? SUBMISSION_LIMIT : Duration.ofMillis(READY_MILLIS);
+    }
+
+    /** Until when to try, by the steady clock: in all, and while nothing has reached a leader. */
+    private record Patience(long deadlineMillis, long unsentDeadlineMillis) {
+
+        long leftMillis(boolean inDoubt, long nowMillis) {
+            return (inDoubt ? deadlineMillis : unsentDeadlineMillis) - nowMillis;
+        }
     }
 
     private Mono<WorkflowReply> attempt(
-            WorkflowRequest request, long deadlineMillis, boolean inDoubt) {
-        long leftMillis = deadlineMillis - steadyMillis();
+            WorkflowRequest request, Patience patience, boolean inDoubt) {
+        long leftMillis = patience.leftMillis(inDoubt, steadyMillis());
         if (leftMillis <= 0) {
             return Mono.just(giveUp(inDoubt, "no leader answered in time"));
         }
         Duration timeout = Duration.ofMillis(Math.min(leftMillis, ATTEMPT_LIMIT.toMillis()));
         Envelope message = Envelope.newBuilder().setWorkflowRequest(request).build();
         return leader.request(message, timeout)
-                .flatMap(answer -> onAnswer(answer, request, deadlineMillis, inDoubt))
+                .flatMap(answer -> onAnswer(answer, request, patience, inDoubt))
                 .onErrorResume(
                         PeerException.class,
                         error ->
                                 error.isInDoubt()
-                                        ? attempt(request, deadlineMillis, true)
-                                        : attempt(request, deadlineMillis, inDoubt));
+                                        ? attempt(request, patience, true)
+                                        : attempt(request, patience, inDoubt));
     }
 
     private Mono<WorkflowReply> onAnswer(
-            Envelope answer, WorkflowRequest request, long deadlineMillis, boolean inDoubt) {
+            Envelope answer, WorkflowRequest request, Patience patience, boolean inDoubt) {
         if (!answer.hasWorkflowReply()) {
             EventLog.warning(
                     Event.OUTCOME_UNKNOWN, "reason", answer.getProtocolError().getMessage());
@@ -181,17 +216,20 @@
             leader.learnMembers(reply.getControlAddressesList());
         }
         if (reply.getVerdict() == Verdict.UNCERTAIN) {
-            return attempt(request, deadlineMillis, true);
+            return attempt(request, patience, true);
         }
         boolean untrue = inDoubt && reply.getVerdict() == Verdict.REFUSED;
         return Mono.just(untrue ? giveUp(true, reply.getMessage()) : reply);
     }
 
-    private static WorkflowReply giveUp(boolean inDoubt, String reason) {
+    private WorkflowReply giveUp(boolean inDoubt, String reason) {
+        long outageMillis = Math.max(0, steadyMillis() - contactMillis);
+        long comeBackMillis =
+                OutageAdvice.comeBackMillis(outageMillis, ThreadLocalRandom.current().nextDouble());
         EventLog.warning(inDoubt ? Event.OUTCOME_UNKNOWN : Event.REQUEST_REFUSED, "reason", reason);
         return WorkflowReply.newBuilder()
                 .setVerdict(inDoubt ? Verdict.UNCERTAIN : Verdict.REFUSED)
-                .setRetryAfterMillis(RETRY_AFTER_MILLIS)
+                .setRetryAfterMillis(comeBackMillis)
                 .setMessage(reason)
                 .build();
     }
--- a/src/main/java/org/yuccabank/protocol/LeaderClient.java
+++ b/src/main/java/org/yuccabank/protocol/LeaderClient.java
@@ -70,6 +70,15 @@
         return attempt(request, order(likelyLeader), 0, deadlineNanos);
     }
 
+    /**
+     * Where the next request goes first.
+     *
+     * @return the address of the process that answered last as the leader, or of the next to try
+     */
+    public InetSocketAddress likelyLeader() {
+        return likelyLeader;
+    }
+
     /**
      * Takes the addresses of the present members of the group. The configured addresses stay in
      * use, as members may return there.
--- a/src/main/java/org/yuccabank/protocol/PeerTimings.java
+++ b/src/main/java/org/yuccabank/protocol/PeerTimings.java
@@ -13,12 +13,13 @@
         Duration heartbeatInterval, Duration silenceLimit, Duration connectTimeout) {
 
     /**
-     * The usual times: a heartbeat every 500 ms, silent after 2 s, 1 s to connect.
+     * The usual times: a heartbeat every 500 ms, silent after 2 s, 400 ms to connect: forty times
+     * the way between data centres, so that a host without power delays the next one little.
      *
      * @return the times
      */
     public static PeerTimings standard() {
         return new PeerTimings(
-                Duration.ofMillis(500), Duration.ofSeconds(2), Duration.ofSeconds(1));
+                Duration.ofMillis(500), Duration.ofSeconds(2), Duration.ofMillis(400));
     }
 }
--- a/src/main/java/org/yuccabank/replication/MembershipChange.java
+++ b/src/main/java/org/yuccabank/replication/MembershipChange.java
@@ -15,6 +15,9 @@
     /** Gives a learner a vote. */
     record Promote(String replicaId) implements MembershipChange {}
 
+    /** Takes the vote of a member, which stays a learner. */
+    record Demote(String replicaId) implements MembershipChange {}
+
     /** Removes a member; its identifier can not be used again. */
     record Remove(String replicaId) implements MembershipChange {}
 
@@ -31,6 +34,9 @@
         if (this instanceof Promote promote) {
             return promote(membership, promote.replicaId());
         }
+        if (this instanceof Demote demote) {
+            return demote(membership, demote.replicaId());
+        }
         return remove(membership, ((Remove) this).replicaId());
     }
 
@@ -57,6 +63,18 @@
         return Result.success(membership.toBuilder().setMembers(position.get(), voter).build());
     }
 
+    private static Result<Membership> demote(Membership membership, String replicaId) {
+        Optional<Integer> position = position(membership, replicaId);
+        if (position.isEmpty() || !membership.getMembers(position.get()).getVoter()) {
+            return refuse(replicaId, "is not a voter");
+        }
+        Member learner = membership.getMembers(position.get()).toBuilder().setVoter(false).build();
+        Membership demoted = membership.toBuilder().setMembers(position.get(), learner).build();
+        return demoted.getMembersList().stream().noneMatch(Member::getVoter)
+                ? refuse(replicaId, "is the last voter")
+                : Result.success(demoted);
+    }
+
     private static Result<Membership> remove(Membership membership, String replicaId) {
         Optional<Integer> position = position(membership, replicaId);
         if (position.isEmpty()) {
--- a/src/main/java/org/yuccabank/replication/ReplicaCore.java
+++ b/src/main/java/org/yuccabank/replication/ReplicaCore.java
@@ -2,9 +2,11 @@
 
 import com.google.protobuf.ByteString;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.yuccabank.protocol.generated.AppendReply;
 import org.yuccabank.protocol.generated.LogEntry;
 import org.yuccabank.protocol.generated.Membership;
@@ -245,6 +247,17 @@
                         < state.timing().electionTimeoutMillis();
     }
 
+    /** For how long each other member has not answered this leader; empty if it does not lead. */
+    Map<String, Long> silentMillis() {
+        if (leadership == null) {
+            return Map.of();
+        }
+        return leadership.progress().stream()
+                .collect(
+                        Collectors.toUnmodifiableMap(
+                                Progress::replicaId, each -> state.now() - each.lastReplyMillis()));
+    }
+
     /**
      * Requests the confirmation of a read.
      *
--- a/src/main/java/org/yuccabank/replication/ReplicaNode.java
+++ b/src/main/java/org/yuccabank/replication/ReplicaNode.java
@@ -226,6 +226,17 @@
         change(new MembershipChange.Promote(replicaId), now, receiver);
     }
 
+    /**
+     * Takes the vote of a member, which goes on receiving the log.
+     *
+     * @param replicaId identifier of the member
+     * @param now the present time
+     * @param receiver called once with the outcome
+     */
+    public void demote(String replicaId, long now, Consumer<ProposalOutcome> receiver) {
+        change(new MembershipChange.Demote(replicaId), now, receiver);
+    }
+
     /**
      * Removes a member.
      *
@@ -508,6 +519,7 @@
                 core.appliedIndex(),
                 state.log().lastIndex(),
                 List.copyOf(state.membership().members()),
+                core.silentMillis(),
                 stopReason);
     }
 
--- a/src/main/java/org/yuccabank/replication/ReplicaService.java
+++ b/src/main/java/org/yuccabank/replication/ReplicaService.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
@@ -74,6 +75,7 @@
                 0,
                 0,
                 settings.initialMembers(),
+                Map.of(),
                 Optional.of(STOPPED));
     }
 
@@ -392,6 +394,17 @@
         return request(receiver -> node.promote(replicaId, nowMillis(), receiver));
     }
 
+    /**
+     * Takes the vote of a member, which stays a learner and may be promoted again.
+     *
+     * @param replicaId identifier of the voter
+     * @return completes with the outcome
+     */
+    public CompletionStage<ProposalOutcome> demote(String replicaId) {
+        Objects.requireNonNull(replicaId, "replicaId is null");
+        return request(receiver -> node.demote(replicaId, nowMillis(), receiver));
+    }
+
     /**
      * Removes a replica from the group. Its identifier can not be used again.
      *
--- a/src/main/java/org/yuccabank/replication/ReplicaStatus.java
+++ b/src/main/java/org/yuccabank/replication/ReplicaStatus.java
@@ -1,6 +1,7 @@
 package org.yuccabank.replication;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 /**
@@ -14,6 +15,7 @@
  * @param appliedIndex last log position applied here
  * @param lastIndex last log position stored here
  * @param members the members under the newest configuration stored here
+ * @param silentMillis for how long each other member has not answered, known to a leader only
  * @param stopReason why the replica stopped by itself, empty while it runs
  */
 public record ReplicaStatus(
@@ -25,4 +27,5 @@
         long appliedIndex,
         long lastIndex,
         List<ReplicaMember> members,
+        Map<String, Long> silentMillis,
         Optional<String> stopReason) {}
--- /dev/null
+++ b/src/test/java/org/yuccabank/control/workflow/VoterPlanTest.java
@@ -0,0 +1,49 @@
+package org.yuccabank.control.workflow;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.testng.annotations.Test;
+import org.yuccabank.replication.ReplicaMember;
+
+public final class VoterPlanTest {
+
+    private static final List<ReplicaMember> THREE =
+            List.of(
+                    ReplicaMember.voter("a", "a"),
+                    ReplicaMember.voter("b", "b"),
+                    ReplicaMember.voter("c", "c"));
+
+    /** Guards against a group of three where the loss of two hosts has to be borne. */
+    @Test
+    public void shouldWantMoreVotersThanFounders() {
+        Map<String, Long> calm = Map.of("b", 10L, "c", 10L);
+        assertTrue(new VoterPlan(5).isVoterWanted(THREE, calm));
+        assertFalse(new VoterPlan(3).isVoterWanted(THREE, calm));
+    }
+
+    /** Guards against hosts that are lost one after the other until no majority answers. */
+    @Test
+    public void shouldReplaceLostVoterOnceOthersVote() {
+        VoterPlan plan = new VoterPlan(3);
+        Map<String, Long> lost = Map.of("b", 60_000L, "c", 10L, "d", 10L);
+        assertTrue(plan.isVoterWanted(THREE, lost));
+        assertEquals(plan.lostVoter(THREE, lost), Optional.empty(), "d does not vote yet");
+        List<ReplicaMember> four =
+                List.of(THREE.get(0), THREE.get(1), THREE.get(2), ReplicaMember.voter("d", "d"));
+        assertEquals(plan.lostVoter(four, lost), Optional.of("b"));
+    }
+
+    /** Guards against a change of voters for a host that only restarts. */
+    @Test
+    public void shouldKeepVoterThatIsSilentForAShortTime() {
+        List<ReplicaMember> four =
+                List.of(THREE.get(0), THREE.get(1), THREE.get(2), ReplicaMember.voter("d", "d"));
+        Map<String, Long> restarting = Map.of("b", 6_000L, "c", 10L, "d", 10L);
+        assertEquals(new VoterPlan(3).lostVoter(four, restarting), Optional.empty());
+    }
+}
--- a/src/test/java/org/yuccabank/replication/ReplicaServiceTest.java
+++ b/src/test/java/org/yuccabank/replication/ReplicaServiceTest.java
@@ -148,6 +148,30 @@
         assertEquals(leader.status().members().size(), 3);
     }
 
+    /**
+     * Guards against votes of hosts that are gone, which would take the majority at the next loss,
+     * and against a host that returns and finds no way to vote again.
+     */
+    @Test
+    public void shouldTakeAndReturnVote() throws Exception {
+        propose("first-", 3);
+        String lost = List.of("a", "b", "c").stream().filter(id -> !isLeader(id)).findFirst().get();
+        stop(lost);
+        ReplicaService leader = services.get(leader());
+        assertCommitted(leader.demote(lost).toCompletableFuture().get());
+        String other =
+                List.of("a", "b", "c").stream()
+                        .filter(id -> !id.equals(lost) && !isLeader(id))
+                        .findFirst()
+                        .get();
+        assertCommitted(leader.demote(other).toCompletableFuture().get());
+        stop(other);
+        List<String> alone = propose("alone-", 2);
+        start(lost, voters());
+        await("catch-up", () -> machines.get(lost).commands().containsAll(alone));
+        assertCommitted(leader.promote(lost).toCompletableFuture().get());
+    }
+
     private boolean isLeader(String id) {
         return services.get(id).isLeader();
     }
