Place by what serving tasks bear now, and move filling tasks that are slowed down

Cause: the choice assumed that serving tasks always bear the same pressure, and a worker without pressure took any image.

Change: the leader follows the own load of the serving tasks of each worker and places by the pressure that is left; a task that has lost half of its speed for 0.9 s goes on elsewhere from its checkpoint. Pressures are learned from the mean filling load of the last half second instead of from unchanged ones only.

--- a/src/main/java/org/yuccabank/control/workflow/InterferenceWatch.java
+++ b/src/main/java/org/yuccabank/control/workflow/InterferenceWatch.java
@@ -11,7 +11,6 @@
 import org.yuccabank.policy.workflow.WaitingTask;
 import org.yuccabank.protocol.generated.ActiveRun;
 import org.yuccabank.protocol.generated.ImagePressure;
-import org.yuccabank.protocol.generated.RunAddress;
 import org.yuccabank.protocol.generated.StepDefinition;
 import org.yuccabank.protocol.generated.WorkerReport;
 import org.yuccabank.state.workflow.WorkflowRecords;
@@ -24,14 +23,44 @@
 
     private static final double WHOLE = 100.0;
 
-    /** A figure covers the last half second, in which the filling tasks must not have changed. */
-    private static final long SETTLED_MILLIS = 600;
+    /**
+     * Time over which the filling tasks are averaged, as the figures cover the last half second.
+     */
+    private static final double AVERAGED_MILLIS = 350;
+
+    /**
+     * Part of the way that the own load of serving tasks falls with each report; it rises at once.
+     */
+    private static final double FALL_SHARE = 0.15;
+
+    /** Headroom that is left to filling tasks on a worker without figures. */
+    private static final double USUAL_BEARABLE = 0.35;
 
     private final PressureEstimates estimates = new PressureEstimates();
-    private final Map<String, Mix> mixes = new HashMap<>();
+    private final Map<String, Neighbours> workers = new HashMap<>();
+
+    /** The tasks of one worker as its latest figures saw them. */
+    private static final class Neighbours {
+        private final Map<String, Double> filling = new HashMap<>();
+        private long reportedAtMillis = Long.MIN_VALUE / 2;
+        private double ownLoad;
+        private double bearable = USUAL_BEARABLE;
+
+        private void average(Map<String, Double> present, long nowMillis) {
+            double kept = Math.exp(-(nowMillis - reportedAtMillis) / AVERAGED_MILLIS);
+            reportedAtMillis = nowMillis;
+            filling.replaceAll((image, count) -> count * kept);
+            present.forEach(
+                    (image, count) -> filling.merge(image, (1 - kept) * count, Double::sum));
+            filling.values().removeIf(count -> count < 1 / WHOLE);
+        }
 
-    /** Filling runs of a worker with their speeds, and since when they are the same. */
-    private record Mix(Map<RunAddress, Integer> slowed, long sinceMillis) {}
+        private void observed(PressureEstimates.Observation observation) {
+            double fallen = ownLoad + FALL_SHARE * (observation.ownLoad() - ownLoad);
+            ownLoad = Math.max(observation.ownLoad(), fallen);
+            bearable = Math.max(0, observation.bearable() - ownLoad);
+        }
+    }
 
     /** Takes the list of a worker. */
     void report(WorkerReport report, WorkflowRecords records, long nowMillis) {
@@ -39,7 +68,6 @@
                 .forEach(each -> estimates.learn(each.getImage(), each.getPressure()));
         List<PressureEstimates.Serving> serving = new ArrayList<>();
         Map<String, Double> filling = new HashMap<>();
-        Map<RunAddress, Integer> slowed = new HashMap<>();
         for (ActiveRun run : report.getActiveList()) {
             Optional<StepDefinition> found =
                     records.openRun(run.getRun())
@@ -60,7 +88,6 @@
                     }
                 }
                 case FILLING -> {
-                    slowed.put(run.getRun(), run.getSlowedByPercent());
                     filling.merge(
                             step.getImage(), 1 - run.getSlowedByPercent() / WHOLE, Double::sum);
                 }
@@ -69,13 +96,17 @@
                 }
             }
         }
-        String workerId = report.getWorker().getWorkerId();
-        Mix before = mixes.get(workerId);
-        if (before == null || !before.slowed().equals(slowed)) {
-            mixes.put(workerId, new Mix(slowed, nowMillis));
-        } else if (nowMillis - before.sinceMillis() >= SETTLED_MILLIS) {
-            estimates.observe(serving, filling);
-        }
+        Neighbours neighbours =
+                workers.computeIfAbsent(
+                        report.getWorker().getWorkerId(), absent -> new Neighbours());
+        neighbours.average(filling, nowMillis);
+        estimates.observe(serving, neighbours.filling).ifPresent(neighbours::observed);
+    }
+
+    /** Pressure that filling tasks on a worker may have in all. */
+    double bearablePressure(String workerId) {
+        Neighbours neighbours = workers.get(workerId);
+        return neighbours == null ? USUAL_BEARABLE : neighbours.bearable;
     }
 
     double pressure(String image) {
@@ -103,6 +134,6 @@
 
     /** Forgets what the workers ran; what was learned of images stays true. */
     void clear() {
-        mixes.clear();
+        workers.clear();
     }
 }
--- a/src/main/java/org/yuccabank/control/workflow/LearnedEstimates.java
+++ b/src/main/java/org/yuccabank/control/workflow/LearnedEstimates.java
@@ -18,4 +18,12 @@
      * @return part of the headroom of serving tasks that one task takes at full speed
      */
     double pressure(String image);
+
+    /**
+     * Pressure that the serving tasks of a worker bear now.
+     *
+     * @param workerId the worker
+     * @return the sum of the pressures that filling tasks may have there
+     */
+    double bearablePressure(String workerId);
 }
--- a/src/main/java/org/yuccabank/control/workflow/RunWatch.java
+++ b/src/main/java/org/yuccabank/control/workflow/RunWatch.java
@@ -11,6 +11,8 @@
 import org.yuccabank.event.EventLog;
 import org.yuccabank.policy.workflow.RunProgress;
 import org.yuccabank.policy.workflow.RunTimes;
+import org.yuccabank.policy.workflow.SlowedRun;
+import org.yuccabank.policy.workflow.WaitingTask;
 import org.yuccabank.policy.workflow.WorkerTrust;
 import org.yuccabank.protocol.generated.ActiveRun;
 import org.yuccabank.protocol.generated.EndedRun;
@@ -27,6 +29,7 @@
 
     private final Map<RunAddress, RunProgress> progress = new HashMap<>();
     private final Set<RunAddress> restarts = new HashSet<>();
+    private final Map<RunAddress, SlowedRun> slowed = new HashMap<>();
     private final WorkerTrust trust = new WorkerTrust();
     private final RunTimes times = new RunTimes();
 
@@ -36,6 +39,10 @@
         if (restarts.contains(run.getRun()) || step.getGang()) {
             return;
         }
+        if (isToMove(run, step, nowMillis)) {
+            restart(run, task, "slowed down");
+            return;
+        }
         RunProgress followed =
                 progress.computeIfAbsent(
                         run.getRun(), key -> new RunProgress(step.getEstimatedMillis()));
@@ -45,24 +52,41 @@
         if (advice != RunProgress.Advice.KEEP) {
             String workerId = task.worker().orElseThrow().getWorkerId();
             trust.failed(workerId, task.address().getWorkflowId(), nowMillis);
-            restarts.add(run.getRun());
-            EventLog.information(
-                    Event.RUN_RESTARTED,
-                    "run",
-                    WorkflowLog.text(run.getRun()),
-                    "worker",
-                    workerId,
-                    "reason",
-                    advice,
-                    "percent",
-                    run.getPercent());
+            restart(run, task, advice.toString());
         }
     }
 
+    private boolean isToMove(ActiveRun run, StepDefinition step, long nowMillis) {
+        return StepEstimates.loadKind(step) == WaitingTask.LoadKind.FILLING
+                && slowed.computeIfAbsent(run.getRun(), key -> new SlowedRun())
+                        .isToMove(
+                                run.getSlowedByPercent(),
+                                run.getPercent(),
+                                step.getCheckpointing(),
+                                nowMillis);
+    }
+
+    private void restart(ActiveRun run, WorkflowTask task, String reason) {
+        restarts.add(run.getRun());
+        EventLog.information(
+                Event.RUN_RESTARTED,
+                "run",
+                WorkflowLog.text(run.getRun()),
+                "worker",
+                task.worker().orElseThrow().getWorkerId(),
+                "reason",
+                reason,
+                "percent",
+                run.getPercent(),
+                "slowedByPercent",
+                run.getSlowedByPercent());
+    }
+
     /** Takes the end of an open run. */
     void ended(EndedRun ended, WorkflowTask task, long nowMillis) {
         Optional<RunProgress> followed = Optional.ofNullable(progress.remove(ended.getRun()));
         restarts.remove(ended.getRun());
+        slowed.remove(ended.getRun());
         StepDefinition step = task.workflow().step(task.address().getStep());
         boolean lasting = step.getLasting();
         if (ended.getEnding() == RunEnding.RUN_DONE) {
@@ -115,5 +139,6 @@
     void clear() {
         progress.clear();
         restarts.clear();
+        slowed.clear();
     }
 }
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -193,6 +193,11 @@
             public double pressure(String image) {
                 return interference.pressure(image);
             }
+
+            @Override
+            public double bearablePressure(String workerId) {
+                return interference.bearablePressure(workerId);
+            }
         };
     }
 
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowPlanner.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowPlanner.java
@@ -220,6 +220,7 @@
                                 capacity.getProcessorMillis(),
                                 capacity.getMemoryMebibytes(),
                                 capacity.getAccelerators()));
+        room.bear(estimates.bearablePressure(report.getWorker().getWorkerId()));
         for (WorkflowTask task : records.openRuns(report.getWorker())) {
             int number = task.address().getStep();
             StepDefinition step = task.workflow().step(number);
--- a/src/main/java/org/yuccabank/policy/workflow/FillerPacing.java
+++ b/src/main/java/org/yuccabank/policy/workflow/FillerPacing.java
@@ -15,9 +15,6 @@
     /** Speed of a task that is not slowed down, in percent. */
     public static final int FULL_SPEED = 100;
 
-    /** Share of the target that the tail latency is held to: leaves room for a lagging figure. */
-    private static final double HELD_SHARE = 0.85;
-
     /** Headroom that has to be free before speed is given back; keeps it from going to and fro. */
     private static final double RETURN_MARGIN = 0.06;
 
@@ -98,8 +95,7 @@
     private double freeHeadroom(PressureEstimates.Serving served) {
         double idleMillis =
                 idle.observe(served.image(), served.latencyMillis(), served.targetMillis());
-        double held = HELD_SHARE * Math.max(1, served.targetMillis());
-        return Headroom.taken(idleMillis, held)
+        return Headroom.bearable(idleMillis, served.targetMillis())
                 - Headroom.taken(idleMillis, served.latencyMillis());
     }
 
--- a/src/main/java/org/yuccabank/policy/workflow/Headroom.java
+++ b/src/main/java/org/yuccabank/policy/workflow/Headroom.java
@@ -8,8 +8,22 @@
  */
 final class Headroom {
 
+    /** Share of the target that the tail latency is held to: leaves room for a lagging figure. */
+    static final double HELD_SHARE = 0.85;
+
     private Headroom() {}
 
+    /**
+     * The part that may be taken in all.
+     *
+     * @param idleMillis tail latency without load
+     * @param targetMillis target of the tail latency
+     * @return 0 to 1
+     */
+    static double bearable(double idleMillis, double targetMillis) {
+        return taken(idleMillis, HELD_SHARE * Math.max(1, targetMillis));
+    }
+
     /**
      * The part that is taken.
      *
--- a/src/main/java/org/yuccabank/policy/workflow/PressureChoice.java
+++ b/src/main/java/org/yuccabank/policy/workflow/PressureChoice.java
@@ -16,15 +16,12 @@
  */
 public final class PressureChoice implements WorkerChoice {
 
-    /**
-     * Pressure that serving tasks bear at their mean load: a tail latency of 0.9 of the target
-     * takes 0.6 of the headroom, of which their own load takes 0.2.
-     */
-    private static final double BEARABLE_PRESSURE = 0.4;
-
     /** Images below this pressure leave workers without serving tasks to the others. */
     private static final double LIGHT_PRESSURE = 0.08;
 
+    /** A task that is alone in pressing may be slowed down to this part of its speed. */
+    private static final double LEAST_SPEED = 0.6;
+
     /** A filling task starts where this part of the processors that it wants is idle. */
     private static final double LEAST_IDLE_SHARE = 0.75;
 
@@ -41,7 +38,7 @@
 
     private static final Comparator<WorkerRoom> FOR_HEAVY =
             Comparator.comparing((WorkerRoom room) -> room.serving() > 0)
-                    .thenComparingDouble(WorkerRoom::pressure)
+                    .thenComparing(Comparator.comparingDouble(WorkerRoom::bearableMore).reversed())
                     .thenComparing(MOST_IDLE);
 
     private static final Comparator<WorkerRoom> FOR_PLAIN =
@@ -72,10 +69,8 @@
             return true;
         }
         boolean idle = room.idleMillis() >= LEAST_IDLE_SHARE * task.load().usedMillis();
-        boolean bearable =
-                room.serving() == 0
-                        || room.pressure() < LIGHT_PRESSURE
-                        || room.pressure() + task.load().pressure() <= BEARABLE_PRESSURE;
-        return idle && bearable;
+        boolean alone = room.pressure() < LIGHT_PRESSURE;
+        double needed = (alone ? LEAST_SPEED : 1) * task.load().pressure();
+        return idle && needed <= room.bearableMore();
     }
 }
--- a/src/main/java/org/yuccabank/policy/workflow/PressureEstimates.java
+++ b/src/main/java/org/yuccabank/policy/workflow/PressureEstimates.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Learns how much each filling image presses on serving tasks, from the tail latencies beside it.
@@ -42,41 +43,46 @@
     public record Serving(String image, long latencyMillis, long targetMillis) {}
 
     /**
-     * Takes what one worker reported while its filling tasks did not change.
+     * What one report tells about the serving tasks of its worker. Immutable.
+     *
+     * @param ownLoad part of the headroom that they take themselves
+     * @param bearable part that may be taken in all
+     */
+    public record Observation(double ownLoad, double bearable) {}
+
+    /**
+     * Takes what one worker reported.
      *
      * @param serving the serving tasks
-     * @param filling number of filling tasks of each image, each counted with the share of its
-     *     speed
+     * @param filling number of filling tasks of each image in the time of the figures, each counted
+     *     with the share of its speed
+     * @return what the report tells about the serving tasks, empty if there are none
      */
-    public void observe(List<Serving> serving, Map<String, Double> filling) {
+    public Optional<Observation> observe(List<Serving> serving, Map<String, Double> filling) {
         if (serving.isEmpty()) {
-            return;
+            return Optional.empty();
+        }
+        double taken = 0;
+        double bearable = 1;
+        for (Serving each : serving) {
+            double idleMillis =
+                    idle.observe(each.image(), each.latencyMillis(), each.targetMillis());
+            taken += Headroom.taken(idleMillis, each.latencyMillis()) / serving.size();
+            bearable = Math.min(bearable, Headroom.bearable(idleMillis, each.targetMillis()));
         }
-        double taken =
-                serving.stream()
-                        .mapToDouble(
-                                each ->
-                                        Headroom.taken(
-                                                idle.observe(
-                                                        each.image(),
-                                                        each.latencyMillis(),
-                                                        each.targetMillis()),
-                                                each.latencyMillis()))
-                        .average()
-                        .orElse(0);
-        double expected = ownLoad;
+        double pressure = 0;
         double square = 1;
         for (Map.Entry<String, Double> each : filling.entrySet()) {
-            expected += each.getValue() * pressure(each.getKey());
+            pressure += each.getValue() * pressure(each.getKey());
             square += each.getValue() * each.getValue();
         }
-        double error = taken - expected;
-        if (taken > SATURATED && error < 0) {
-            return;
+        double error = taken - pressure - ownLoad;
+        if (taken < SATURATED || error > 0) {
+            ownLoad = Math.max(0, ownLoad + OWN_CORRECTED_SHARE * error / square);
+            double step = CORRECTED_SHARE * error / square;
+            filling.forEach((image, count) -> correct(image, step * count));
         }
-        ownLoad = Math.max(0, ownLoad + OWN_CORRECTED_SHARE * error / square);
-        double step = CORRECTED_SHARE * error / square;
-        filling.forEach((image, count) -> correct(image, step * count));
+        return Optional.of(new Observation(Math.max(0, taken - pressure), bearable));
     }
 
     private void correct(String image, double change) {
--- /dev/null
+++ b/src/main/java/org/yuccabank/policy/workflow/SlowedRun.java
@@ -0,0 +1,45 @@
+package org.yuccabank.policy.workflow;
+
+/**
+ * Decides whether a filling task that is slowed down for the serving tasks beside it should go on
+ * elsewhere. Answers the load in which the tail task of a step stands nearly still on a worker
+ * whose serving tasks have become busy, while others have room. Not thread-safe.
+ */
+public final class SlowedRun {
+
+    /** A task that loses at least this part of its speed is better off elsewhere. */
+    private static final int MUCH_PERCENT = 50;
+
+    /** Load swings within seconds, and a restart costs a part of one. */
+    private static final long PATIENCE_MILLIS = 900;
+
+    /** Progress that may be lost by a task that does not save it, in percent. */
+    private static final int SMALL_PROGRESS = 25;
+
+    /** A task that is nearly done is left to end. */
+    private static final int NEARLY_DONE = 90;
+
+    private long slowedSinceMillis = Long.MAX_VALUE;
+
+    /**
+     * Takes a report.
+     *
+     * @param slowedByPercent part of its speed that was taken from the task
+     * @param progressPercent its progress
+     * @param keepsProgress whether a new start resumes from the progress
+     * @param nowMillis present time of a steady clock
+     * @return true if the task should be stopped and start again where it is bearable
+     */
+    public boolean isToMove(
+            int slowedByPercent, int progressPercent, boolean keepsProgress, long nowMillis) {
+        if (slowedByPercent < MUCH_PERCENT) {
+            slowedSinceMillis = Long.MAX_VALUE;
+            return false;
+        }
+        slowedSinceMillis = Math.min(slowedSinceMillis, nowMillis);
+        boolean cheap = keepsProgress || progressPercent < SMALL_PROGRESS;
+        return cheap
+                && progressPercent < NEARLY_DONE
+                && nowMillis - slowedSinceMillis >= PATIENCE_MILLIS;
+    }
+}
--- a/src/main/java/org/yuccabank/policy/workflow/WorkerRoom.java
+++ b/src/main/java/org/yuccabank/policy/workflow/WorkerRoom.java
@@ -22,6 +22,7 @@
     private Resources free;
     private int serving;
     private double pressure;
+    private double bearablePressure = Double.MAX_VALUE;
     private long usedMillis;
     private int tasks;
     private boolean probed;
@@ -61,6 +62,24 @@
         usedMillis += load.usedMillis();
     }
 
+    /**
+     * Sets the pressure that the serving tasks of the worker bear now; without it, any.
+     *
+     * @param limit the greatest sum of the pressures of filling tasks
+     */
+    public void bear(double limit) {
+        bearablePressure = limit;
+    }
+
+    /**
+     * Pressure that may be added for the serving tasks of the worker.
+     *
+     * @return the sum of pressures, below 0 if there is too much already
+     */
+    public double bearableMore() {
+        return serving == 0 ? Double.MAX_VALUE : bearablePressure - pressure;
+    }
+
     /** Lets the worker have one task at a time. */
     public void limitToProbe() {
         probed = true;
--- a/src/test/java/org/yuccabank/control/workflow/WorkflowPlannerTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/WorkflowPlannerTest.java
@@ -43,6 +43,11 @@
                 public double pressure(String image) {
                     return 0;
                 }
+
+                @Override
+                public double bearablePressure(String workerId) {
+                    return 0.4;
+                }
             };
 
     private final WorkflowPlanner planner =
--- a/src/test/java/org/yuccabank/policy/workflow/InterferencePolicyTest.java
+++ b/src/test/java/org/yuccabank/policy/workflow/InterferencePolicyTest.java
@@ -1,6 +1,7 @@
 package org.yuccabank.policy.workflow;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
@@ -37,6 +38,7 @@
         for (int count = 0; count < serving; count++) {
             room.reserve("s", SERVING, new WaitingTask.Load(LoadKind.SERVING, 0, 1_800));
         }
+        room.bear(0.4);
         return room;
     }
 
@@ -87,6 +89,27 @@
         assertEquals(placed, Map.of("a", 1, "b", 1));
     }
 
+    /** Guards against a task that starts where busy serving tasks would keep it standing still. */
+    @Test
+    public void shouldLetHeavyTaskWaitWhileServingOnesAreBusy() {
+        WorkerRoom busy = room("busy", 5);
+        busy.bear(0.2);
+        assertEquals(placeAll(HEAVY, 3, busy), Map.of());
+        assertEquals(placeAll(0.01, 1, busy), Map.of("busy", 1));
+    }
+
+    /** Guards against a step whose last task stands still beside busy serving tasks. */
+    @Test
+    public void shouldMoveTaskThatIsSlowedDownForLong() {
+        SlowedRun run = new SlowedRun();
+        assertFalse(run.isToMove(80, 40, true, 0));
+        assertFalse(run.isToMove(20, 40, true, 500), "it has its speed back");
+        assertFalse(run.isToMove(80, 40, true, 1_000));
+        assertTrue(run.isToMove(60, 42, true, 2_000));
+        assertFalse(run.isToMove(60, 42, false, 2_400), "its progress would be lost");
+        assertFalse(run.isToMove(60, 95, true, 2_400), "it is nearly done");
+    }
+
     /** Guards against heavy tasks that harm serving ones while a worker without any has room. */
     @Test
     public void shouldPutHeavyTasksOnWorkersWithoutServingOnesFirst() {
