Learn the pressure of pairs of images

Change: the leader learns the pressure of each filling on each serving image, places by the serving image that bears least, and agents slow down what presses on the image that misses its target and nothing else.

--- a/src/main/java/org/yuccabank/agent/workflow/RunTable.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunTable.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import org.yuccabank.policy.workflow.FillerPacing;
 import org.yuccabank.policy.workflow.PressureEstimates;
+import org.yuccabank.policy.workflow.Pressures;
 import org.yuccabank.protocol.generated.ActiveRun;
 import org.yuccabank.protocol.generated.EndedRun;
 import org.yuccabank.protocol.generated.ImagePressure;
@@ -27,7 +28,7 @@
 final class RunTable {
 
     private final Map<RunAddress, RunEntry> entries = new LinkedHashMap<>();
-    private final Map<String, Double> pressures = new HashMap<>();
+    private final Map<PressureEstimates.Pair, Double> pressures = new HashMap<>();
     private long acknowledgedNumber;
 
     void clear() {
@@ -134,7 +135,7 @@
     }
 
     private static ActiveRun reported(RunEntry entry) {
-        int slowedBy = FillerPacing.FULL_SPEED - Math.max(0, entry.percent());
+        int slowedBy = FillerPacing.FULL_SPEED - entry.percent();
         boolean unknown = entry.order().isEmpty();
         return slowedBy > 0 || unknown
                 ? entry.listed().toBuilder()
@@ -162,7 +163,7 @@
         return served;
     }
 
-    /** The filling runs with the pressures that the leader has told. */
+    /** The filling runs with their speeds. */
     List<FillerPacing.Filler<RunEntry>> fillers() {
         return entries.values().stream()
                 .filter(entry -> entry.stage() == RunEntry.Stage.STARTED)
@@ -171,24 +172,34 @@
                         entry ->
                                 new FillerPacing.Filler<>(
                                         entry,
-                                        pressures.getOrDefault(
-                                                entry.order().orElseThrow().getImage(),
-                                                PressureEstimates.UNKNOWN_PRESSURE),
-                                        Math.max(0, entry.percent())))
+                                        entry.order().orElseThrow().getImage(),
+                                        entry.percent()))
                 .toList();
     }
 
     void learnPressures(List<ImagePressure> told) {
-        told.forEach(each -> pressures.put(each.getImage(), each.getPressure()));
+        told.forEach(
+                each ->
+                        pressures.put(
+                                new PressureEstimates.Pair(each.getServingImage(), each.getImage()),
+                                each.getPressure()));
     }
 
-    /** What leaders have told about filling images, for a leader that has yet to learn it. */
-    List<ImagePressure> pressures() {
+    /** How much filling images press on serving ones, as the leader has told. */
+    Pressures pressures() {
+        return (serving, filling) ->
+                pressures.getOrDefault(
+                        new PressureEstimates.Pair(serving, filling), Pressures.UNKNOWN);
+    }
+
+    /** What leaders have told about images, for a leader that has yet to learn it. */
+    List<ImagePressure> knownPressures() {
         return pressures.entrySet().stream()
                 .map(
                         each ->
                                 ImagePressure.newBuilder()
-                                        .setImage(each.getKey())
+                                        .setImage(each.getKey().filling())
+                                        .setServingImage(each.getKey().serving())
                                         .setPressure(each.getValue())
                                         .build())
                 .toList();
--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -308,7 +308,7 @@
             report.addAllActive(runs.active());
         }
         if (listedTerm != reportedTerm) {
-            report.addAllPressures(runs.pressures());
+            report.addAllPressures(runs.knownPressures());
             reportedTerm = listedTerm;
         }
         lease.tellTimeLeft(now).ifPresent(report::setLeaseLeftMillis);
@@ -543,7 +543,7 @@
     }
 
     private void pace(WorkerAnnouncement target, long now) {
-        pacing.decide(runs.served(), runs.fillers(), now)
+        pacing.decide(runs.served(), runs.fillers(), runs.pressures(), now)
                 .forEach((entry, percent) -> pace(target, entry, percent));
         runs.entries().stream()
                 .filter(entry -> entry.unconfirmedPercent().isPresent())
--- a/src/main/java/org/yuccabank/control/workflow/AdmissionDesk.java
+++ b/src/main/java/org/yuccabank/control/workflow/AdmissionDesk.java
@@ -70,7 +70,7 @@
             long used =
                     records.openRuns(offer.report().getWorker()).stream()
                             .map(AdmissionDesk::step)
-                            .map(step -> StepEstimates.load(step, image -> 0))
+                            .map(StepEstimates::load)
                             .filter(load -> load.kind() != WaitingTask.LoadKind.FILLING)
                             .mapToLong(WaitingTask.Load::usedMillis)
                             .sum();
--- a/src/main/java/org/yuccabank/control/workflow/InterferenceWatch.java
+++ b/src/main/java/org/yuccabank/control/workflow/InterferenceWatch.java
@@ -2,12 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.yuccabank.policy.workflow.PressureEstimates;
+import org.yuccabank.policy.workflow.Pressures;
 import org.yuccabank.policy.workflow.WaitingTask;
 import org.yuccabank.protocol.generated.ActiveRun;
 import org.yuccabank.protocol.generated.ImagePressure;
@@ -16,8 +17,8 @@
 import org.yuccabank.state.workflow.WorkflowRecords;
 
 /**
- * Learns from the reports of workers how much each filling image presses on serving tasks. Confined
- * to the thread of the replica; times are those of a steady clock.
+ * Learns from the reports of workers how much filling images press on serving ones. Confined to the
+ * thread of the replica; times are those of a steady clock.
  */
 final class InterferenceWatch {
 
@@ -33,9 +34,6 @@
      */
     private static final double FALL_SHARE = 0.15;
 
-    /** Headroom that is left to filling tasks on a worker without figures. */
-    private static final double USUAL_BEARABLE = 0.35;
-
     private final PressureEstimates estimates = new PressureEstimates();
     private final Map<String, Neighbours> workers = new HashMap<>();
 
@@ -43,8 +41,8 @@
     private static final class Neighbours {
         private final Map<String, Double> filling = new HashMap<>();
         private long reportedAtMillis = Long.MIN_VALUE / 2;
-        private double ownLoad;
-        private double bearable = USUAL_BEARABLE;
+        private final Map<String, Double> ownLoads = new HashMap<>();
+        private final Map<String, Double> bearable = new HashMap<>();
 
         private void average(Map<String, Double> present, long nowMillis) {
             double kept = Math.exp(-(nowMillis - reportedAtMillis) / AVERAGED_MILLIS);
@@ -55,17 +53,29 @@
             filling.values().removeIf(count -> count < 1 / WHOLE);
         }
 
-        private void observed(PressureEstimates.Observation observation) {
-            double fallen = ownLoad + FALL_SHARE * (observation.ownLoad() - ownLoad);
-            ownLoad = Math.max(observation.ownLoad(), fallen);
-            bearable = Math.max(0, observation.bearable() - ownLoad);
+        private void observed(Map<String, PressureEstimates.Observation> observations) {
+            bearable.keySet().retainAll(observations.keySet());
+            ownLoads.keySet().retainAll(observations.keySet());
+            observations.forEach(
+                    (image, observation) -> {
+                        double before = ownLoads.getOrDefault(image, observation.ownLoad());
+                        double fallen = before + FALL_SHARE * (observation.ownLoad() - before);
+                        double ownLoad = Math.max(observation.ownLoad(), fallen);
+                        ownLoads.put(image, ownLoad);
+                        bearable.put(image, Math.max(0, observation.bearable() - ownLoad));
+                    });
         }
     }
 
     /** Takes the list of a worker. */
     void report(WorkerReport report, WorkflowRecords records, long nowMillis) {
         report.getPressuresList()
-                .forEach(each -> estimates.learn(each.getImage(), each.getPressure()));
+                .forEach(
+                        each ->
+                                estimates.learn(
+                                        new PressureEstimates.Pair(
+                                                each.getServingImage(), each.getImage()),
+                                        each.getPressure()));
         List<PressureEstimates.Serving> serving = new ArrayList<>();
         Map<String, Double> filling = new HashMap<>();
         for (ActiveRun run : report.getActiveList()) {
@@ -100,36 +110,41 @@
                 workers.computeIfAbsent(
                         report.getWorker().getWorkerId(), absent -> new Neighbours());
         neighbours.average(filling, nowMillis);
-        estimates.observe(serving, neighbours.filling).ifPresent(neighbours::observed);
+        neighbours.observed(estimates.observe(serving, neighbours.filling));
     }
 
-    /** Pressure that filling tasks on a worker may have in all. */
-    double bearablePressure(String workerId) {
-        Neighbours neighbours = workers.get(workerId);
-        return neighbours == null ? USUAL_BEARABLE : neighbours.bearable;
+    Pressures pressures() {
+        return estimates;
     }
 
-    double pressure(String image) {
-        return estimates.pressure(image);
+    /** Pressures that filling tasks on a worker may have in all, by serving image. */
+    Map<String, Double> bearablePressures(String workerId) {
+        Neighbours neighbours = workers.get(workerId);
+        return neighbours == null ? Map.of() : neighbours.bearable;
     }
 
-    /** The pressures of the filling images among some runs. */
-    List<ImagePressure> pressures(Iterable<StepDefinition> steps) {
-        Set<String> images = new HashSet<>();
-        for (StepDefinition step : steps) {
-            boolean fills = StepEstimates.loadKind(step) == WaitingTask.LoadKind.FILLING;
-            if (fills) {
-                images.add(step.getImage());
+    /** The pressures between the images of some tasks. */
+    List<ImagePressure> pressures(List<StepDefinition> steps) {
+        Set<String> serving = images(steps, WaitingTask.LoadKind.SERVING);
+        List<ImagePressure> found = new ArrayList<>();
+        for (String filling : images(steps, WaitingTask.LoadKind.FILLING)) {
+            for (String image : serving) {
+                found.add(
+                        ImagePressure.newBuilder()
+                                .setImage(filling)
+                                .setServingImage(image)
+                                .setPressure(estimates.of(image, filling))
+                                .build());
             }
         }
-        return images.stream()
-                .map(
-                        image ->
-                                ImagePressure.newBuilder()
-                                        .setImage(image)
-                                        .setPressure(pressure(image))
-                                        .build())
-                .toList();
+        return found;
+    }
+
+    private static Set<String> images(List<StepDefinition> steps, WaitingTask.LoadKind kind) {
+        return steps.stream()
+                .filter(step -> StepEstimates.loadKind(step) == kind)
+                .map(StepDefinition::getImage)
+                .collect(Collectors.toSet());
     }
 
     /** Forgets what the workers ran; what was learned of images stays true. */
--- a/src/main/java/org/yuccabank/control/workflow/LearnedEstimates.java
+++ b/src/main/java/org/yuccabank/control/workflow/LearnedEstimates.java
@@ -1,5 +1,8 @@
 package org.yuccabank.control.workflow;
 
+import java.util.Map;
+import org.yuccabank.policy.workflow.Pressures;
+
 /** What the leader has learned from runs so far. Confined to the thread of the replica. */
 interface LearnedEstimates {
 
@@ -12,18 +15,18 @@
     double runTimeRatio(String queueName);
 
     /**
-     * Pressure of a filling image, see {@link org.yuccabank.policy.workflow.PressureEstimates}.
+     * How much filling images press on serving ones.
      *
-     * @param image the image
-     * @return part of the headroom of serving tasks that one task takes at full speed
+     * @return the pressures learned so far
      */
-    double pressure(String image);
+    Pressures pressures();
 
     /**
      * Pressure that the serving tasks of a worker bear now.
      *
      * @param workerId the worker
-     * @return the sum of the pressures that filling tasks may have there
+     * @return for each serving image with figures, the sum of the pressures that filling tasks may
+     *     have there
      */
-    double bearablePressure(String workerId);
+    Map<String, Double> bearablePressures(String workerId);
 }
--- a/src/main/java/org/yuccabank/control/workflow/StepEstimates.java
+++ b/src/main/java/org/yuccabank/control/workflow/StepEstimates.java
@@ -1,7 +1,6 @@
 package org.yuccabank.control.workflow;
 
 import java.util.List;
-import java.util.function.ToDoubleFunction;
 import java.util.stream.IntStream;
 import org.yuccabank.model.Resources;
 import org.yuccabank.policy.workflow.WaitingTask;
@@ -66,15 +65,12 @@
     }
 
     /** What a task of a step does to the others on its worker. */
-    static WaitingTask.Load load(StepDefinition step, ToDoubleFunction<String> pressures) {
+    static WaitingTask.Load load(StepDefinition step) {
         WaitingTask.LoadKind kind = loadKind(step);
         long declared = step.getResources().getProcessorMillis();
-        return switch (kind) {
-            case SERVING -> new WaitingTask.Load(kind, 0, Math.round(SERVING_USE * declared));
-            case PLAIN -> new WaitingTask.Load(kind, 0, declared);
-            case FILLING ->
-                    new WaitingTask.Load(kind, pressures.applyAsDouble(step.getImage()), declared);
-        };
+        boolean serves = kind == WaitingTask.LoadKind.SERVING;
+        long used = serves ? Math.round(SERVING_USE * declared) : declared;
+        return new WaitingTask.Load(kind, step.getImage(), used);
     }
 
     /** What a task reserves; an opportunistic one reserves no processors. */
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -16,6 +16,7 @@
 import org.yuccabank.control.Proposer;
 import org.yuccabank.policy.workflow.FeasibleFirstOrder;
 import org.yuccabank.policy.workflow.PressureChoice;
+import org.yuccabank.policy.workflow.Pressures;
 import org.yuccabank.policy.workflow.WorkerTrust;
 import org.yuccabank.protocol.PeerConnection;
 import org.yuccabank.protocol.generated.ActiveRun;
@@ -190,13 +191,13 @@
             }
 
             @Override
-            public double pressure(String image) {
-                return interference.pressure(image);
+            public Pressures pressures() {
+                return interference.pressures();
             }
 
             @Override
-            public double bearablePressure(String workerId) {
-                return interference.bearablePressure(workerId);
+            public Map<String, Double> bearablePressures(String workerId) {
+                return interference.bearablePressures(workerId);
             }
         };
     }
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowPlanner.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowPlanner.java
@@ -152,7 +152,7 @@
                 }
                 for (int step : StepEstimates.steps(workflow)) {
                     if (!workflow.isDone(occurrence, step) && workflow.isReady(occurrence, step)) {
-                        addWaiting(found, workflow, occurrence, step, meter, estimates);
+                        addWaiting(found, workflow, occurrence, step, meter);
                     }
                 }
             }
@@ -165,8 +165,7 @@
             Workflow workflow,
             int occurrence,
             int number,
-            WorkMeter meter,
-            LearnedEstimates estimates) {
+            WorkMeter meter) {
         List<WorkflowTask> tasks = workflow.tasks(occurrence, number);
         StepDefinition step = workflow.step(number);
         boolean held = step.getGang() && tasks.stream().anyMatch(task -> task.worker().isPresent());
@@ -180,7 +179,7 @@
         long remaining =
                 Math.round(ratio * StepEstimates.remainingMillis(workflow.definition(), number));
         double density = meter.valueDensity(workflow, occurrence);
-        WaitingTask.Load load = StepEstimates.load(step, estimates::pressure);
+        WaitingTask.Load load = StepEstimates.load(step);
         WaitingTask.Constraints constraints =
                 new WaitingTask.Constraints(
                         workflow.queue().getService(),
@@ -219,15 +218,13 @@
                         Resources.of(
                                 capacity.getProcessorMillis(),
                                 capacity.getMemoryMebibytes(),
-                                capacity.getAccelerators()));
-        room.bear(estimates.bearablePressure(report.getWorker().getWorkerId()));
+                                capacity.getAccelerators()),
+                        estimates.pressures());
+        estimates.bearablePressures(report.getWorker().getWorkerId()).forEach(room::bear);
         for (WorkflowTask task : records.openRuns(report.getWorker())) {
             int number = task.address().getStep();
             StepDefinition step = task.workflow().step(number);
-            room.reserve(
-                    task.stepKey(),
-                    StepEstimates.resources(step),
-                    StepEstimates.load(step, estimates::pressure));
+            room.reserve(task.stepKey(), StepEstimates.resources(step), StepEstimates.load(step));
         }
         return room;
     }
--- a/src/main/java/org/yuccabank/policy/workflow/FillerPacing.java
+++ b/src/main/java/org/yuccabank/policy/workflow/FillerPacing.java
@@ -7,8 +7,9 @@
 
 /**
  * Slows down the filling tasks of a worker as far as the serving tasks beside them need: cuts at
- * once, those that press most first, and gives back in steps. Answers the load in which filling
- * tasks press on serving ones whose own load swings within seconds. Not thread-safe.
+ * once, those that press most on what misses its target first, and gives back in steps. Answers the
+ * load in which filling tasks press on serving ones whose own load swings within seconds. Not
+ * thread-safe.
  */
 public final class FillerPacing {
 
@@ -47,44 +48,43 @@
      * A filling task. Immutable.
      *
      * @param key names the task
-     * @param pressure part of the headroom that it takes at full speed, see {@link
-     *     PressureEstimates}
+     * @param image its image
      * @param percent its speed
      * @param <K> type of the name
      */
-    public record Filler<K>(K key, double pressure, int percent) {
-
-        private double pressureTaken(int atPercent) {
-            return Math.max(LEAST_PRESSURE, pressure) * atPercent / FULL_SPEED;
-        }
-    }
+    public record Filler<K>(K key, String image, int percent) {}
 
     /**
      * Decides the speed of the filling tasks.
      *
      * @param served figures of the serving tasks beside them
      * @param fillers the filling tasks
+     * @param pressures how much they press
      * @param nowMillis present time of a steady clock
      * @param <K> type of the names
      * @return percent of the speed of each filling task whose speed changes
      */
     public <K> Map<K, Integer> decide(
-            List<PressureEstimates.Serving> served, List<Filler<K>> fillers, long nowMillis) {
-        double free =
-                served.stream().mapToDouble(this::freeHeadroom).min().orElse(Double.MAX_VALUE);
+            List<PressureEstimates.Serving> served,
+            List<Filler<K>> fillers,
+            Pressures pressures,
+            long nowMillis) {
+        Map<String, Double> free = new LinkedHashMap<>();
+        served.forEach(each -> free.merge(each.image(), freeHeadroom(each), Math::min));
         if (fillers.isEmpty() || nowMillis - changedAtMillis < CHANGE_MILLIS) {
             return Map.of();
         }
-        Map<K, Integer> changes = Map.of();
-        if (free < 0) {
-            cutFactor *= CUT_GROWTH;
-            changes = cut(fillers, cutFactor * (CUT_MARGIN - free));
-        } else {
-            cutFactor = 1 / CUT_GROWTH;
-            if (free > RETURN_MARGIN) {
-                changes = giveBack(fillers, RETURNED_SHARE * free);
-            }
-        }
+        Speeds<K> speeds = new Speeds<>(fillers, pressures);
+        boolean missed = free.values().stream().anyMatch(each -> each < 0);
+        cutFactor = missed ? cutFactor * CUT_GROWTH : 1 / CUT_GROWTH;
+        free.forEach(
+                (image, headroom) -> {
+                    if (headroom < 0) {
+                        speeds.cut(image, cutFactor * (CUT_MARGIN - headroom));
+                    }
+                });
+        speeds.giveBack(free);
+        Map<K, Integer> changes = speeds.changes();
         if (!changes.isEmpty()) {
             changedAtMillis = nowMillis;
         }
@@ -99,47 +99,88 @@
                 - Headroom.taken(idleMillis, served.latencyMillis());
     }
 
-    private static <K> Map<K, Integer> cut(List<Filler<K>> fillers, double needed) {
-        Map<K, Integer> changes = new LinkedHashMap<>();
-        double left = needed;
-        for (Filler<K> filler : byPressure(fillers)) {
-            if (left <= 0) {
-                break;
-            }
-            double taken = filler.pressureTaken(filler.percent());
-            double kept = Math.max(0, taken - left);
-            int percent = (int) (FULL_SPEED * kept / filler.pressureTaken(FULL_SPEED));
-            percent = percent < STANDSTILL_PERCENT ? 0 : percent;
-            if (percent < filler.percent()) {
-                changes.put(filler.key(), percent);
-                left -= taken - filler.pressureTaken(percent);
-            }
+    /** The speeds of one decision. Not thread-safe. */
+    private static final class Speeds<K> {
+
+        private final List<Filler<K>> fillers;
+        private final Pressures pressures;
+        private final Map<K, Integer> percents = new LinkedHashMap<>();
+
+        private Speeds(List<Filler<K>> fillers, Pressures pressures) {
+            this.fillers = fillers;
+            this.pressures = pressures;
+            fillers.forEach(each -> percents.put(each.key(), each.percent()));
         }
-        return changes;
-    }
 
-    private static <K> Map<K, Integer> giveBack(List<Filler<K>> fillers, double given) {
-        Map<K, Integer> changes = new LinkedHashMap<>();
-        double left = given;
-        for (Filler<K> filler : byPressure(fillers).stream().sorted(LIGHTEST_FIRST).toList()) {
-            double taken = filler.pressureTaken(filler.percent());
-            double wanted = filler.pressureTaken(FULL_SPEED);
-            int percent = (int) (FULL_SPEED * Math.min(wanted, taken + left) / wanted);
-            if (percent >= STANDSTILL_PERCENT && percent > filler.percent()) {
-                changes.put(filler.key(), percent);
-                left -= filler.pressureTaken(percent) - taken;
+        private double pressure(String servingImage, Filler<K> filler) {
+            return Math.max(LEAST_PRESSURE, pressures.of(servingImage, filler.image()));
+        }
+
+        /** Takes speed from those that press most on a serving image. */
+        private void cut(String servingImage, double needed) {
+            double left = needed;
+            Comparator<Filler<K>> heaviestFirst =
+                    Comparator.comparingDouble((Filler<K> each) -> -pressure(servingImage, each));
+            for (Filler<K> filler : fillers.stream().sorted(heaviestFirst).toList()) {
+                double pressure = pressure(servingImage, filler);
+                int before = percents.get(filler.key());
+                double kept = Math.max(0, pressure * before / FULL_SPEED - left);
+                int percent = (int) (FULL_SPEED * kept / pressure);
+                percent = percent < STANDSTILL_PERCENT ? 0 : percent;
+                if (left > 0 && percent < before) {
+                    percents.put(filler.key(), percent);
+                    left -= pressure * (before - percent) / FULL_SPEED;
+                }
             }
-            if (left <= 0) {
-                break;
+        }
+
+        /** Gives speed to tasks that no pressed image is beside, the furthest ones first. */
+        private void giveBack(Map<String, Double> free) {
+            Map<String, Double> given = new LinkedHashMap<>();
+            free.forEach((image, headroom) -> given.put(image, RETURNED_SHARE * headroom));
+            Comparator<Filler<K>> fastestFirst =
+                    Comparator.comparingInt((Filler<K> each) -> -each.percent());
+            for (Filler<K> filler : fillers.stream().sorted(fastestFirst).toList()) {
+                int before = percents.get(filler.key());
+                if (before < filler.percent() || before == FULL_SPEED) {
+                    continue;
+                }
+                int percent = before + mostGiven(filler, free, given, FULL_SPEED - before);
+                if (percent >= STANDSTILL_PERCENT && percent > before) {
+                    percents.put(filler.key(), percent);
+                    int gain = percent - before;
+                    given.replaceAll(
+                            (image, left) -> left - pressure(image, filler) * gain / FULL_SPEED);
+                }
             }
         }
-        return changes;
-    }
 
-    private static final Comparator<Filler<?>> LIGHTEST_FIRST =
-            Comparator.comparingDouble(Filler::pressure);
+        private int mostGiven(
+                Filler<K> filler, Map<String, Double> free, Map<String, Double> given, int wanted) {
+            double most = wanted;
+            for (Map.Entry<String, Double> each : given.entrySet()) {
+                boolean noticed = pressures.of(each.getKey(), filler.image()) >= LEAST_PRESSURE;
+                boolean roomy = free.get(each.getKey()) > RETURN_MARGIN;
+                if (noticed && !roomy) {
+                    return 0;
+                }
+                if (roomy) {
+                    double percent = FULL_SPEED * each.getValue() / pressure(each.getKey(), filler);
+                    most = Math.min(most, Math.max(0, percent));
+                }
+            }
+            return (int) most;
+        }
 
-    private static <K> List<Filler<K>> byPressure(List<Filler<K>> fillers) {
-        return fillers.stream().sorted(LIGHTEST_FIRST.reversed()).toList();
+        private Map<K, Integer> changes() {
+            Map<K, Integer> changes = new LinkedHashMap<>();
+            for (Filler<K> filler : fillers) {
+                int percent = percents.get(filler.key());
+                if (percent != filler.percent()) {
+                    changes.put(filler.key(), percent);
+                }
+            }
+            return changes;
+        }
     }
 }
--- /dev/null
+++ b/src/main/java/org/yuccabank/policy/workflow/Pressures.java
@@ -0,0 +1,18 @@
+package org.yuccabank.policy.workflow;
+
+/** How much filling images press on serving ones. */
+@FunctionalInterface
+public interface Pressures {
+
+    /** Pressure of a pair that was not seen yet: two such tasks may join a serving one. */
+    double UNKNOWN = 0.15;
+
+    /**
+     * The pressure of one filling task at full speed on the serving tasks of an image beside it.
+     *
+     * @param servingImage image of the serving tasks
+     * @param fillingImage image of the filling task
+     * @return the part of the headroom that it takes, 0 to 1
+     */
+    double of(String servingImage, String fillingImage);
+}
--- a/src/main/java/org/yuccabank/policy/workflow/WaitingTask.java
+++ b/src/main/java/org/yuccabank/policy/workflow/WaitingTask.java
@@ -53,15 +53,15 @@
      * What a task does to the others on its worker. Immutable.
      *
      * @param kind how it affects them
-     * @param pressure part of the headroom of serving tasks that it takes at full speed, see {@link
-     *     PressureEstimates}; 0 unless it fills
+     * @param image its image, empty if it has none
      * @param usedMillis processors that it is expected to use, in thousandths of a core
      */
-    public record Load(LoadKind kind, double pressure, long usedMillis) {
+    public record Load(LoadKind kind, String image, long usedMillis) {
 
         /** Checks the parts. */
         public Load {
             Objects.requireNonNull(kind, "kind is null");
+            Objects.requireNonNull(image, "image is null");
         }
     }
 
--- a/src/main/java/org/yuccabank/policy/workflow/WorkerRoom.java
+++ b/src/main/java/org/yuccabank/policy/workflow/WorkerRoom.java
@@ -13,6 +13,12 @@
  */
 public final class WorkerRoom {
 
+    /** Pressure above which several tasks share the headroom. */
+    private static final double NOTICEABLE_PRESSURE = 0.08;
+
+    /** Headroom of serving tasks at their mean load, where no figures are known. */
+    private static final double USUAL_BEARABLE = 0.3;
+
     private final String workerId;
     private final String service;
     private final String rack;
@@ -21,8 +27,10 @@
     private final Map<String, Integer> tasksOfStep = new HashMap<>();
     private Resources free;
     private int serving;
-    private double pressure;
-    private double bearablePressure = Double.MAX_VALUE;
+    private final Pressures pressures;
+    private final Map<String, Double> bearable = new HashMap<>();
+    private final Map<String, Integer> servingImages = new HashMap<>();
+    private final Map<String, Integer> fillingImages = new HashMap<>();
     private long usedMillis;
     private int tasks;
     private boolean probed;
@@ -35,15 +43,22 @@
      * @param rack rack of the worker
      * @param labels labels of the worker
      * @param capacity everything it has
+     * @param pressures how much filling images press on serving ones
      */
     public WorkerRoom(
-            String workerId, String service, String rack, Set<String> labels, Resources capacity) {
+            String workerId,
+            String service,
+            String rack,
+            Set<String> labels,
+            Resources capacity,
+            Pressures pressures) {
         this.workerId = workerId;
         this.service = service;
         this.rack = rack;
         this.labels = Set.copyOf(labels);
         this.capacity = capacity;
         this.free = capacity;
+        this.pressures = pressures;
     }
 
     /**
@@ -57,27 +72,80 @@
         free = free.minus(resources);
         tasks++;
         tasksOfStep.merge(stepKey, 1, Integer::sum);
-        serving += load.kind() == WaitingTask.LoadKind.SERVING ? 1 : 0;
-        pressure += load.pressure();
         usedMillis += load.usedMillis();
+        switch (load.kind()) {
+            case SERVING -> {
+                serving++;
+                servingImages.merge(load.image(), 1, Integer::sum);
+            }
+            case FILLING -> fillingImages.merge(load.image(), 1, Integer::sum);
+            case PLAIN -> {
+                // Plain tasks do not press.
+            }
+        }
     }
 
     /**
-     * Sets the pressure that the serving tasks of the worker bear now; without it, any.
+     * Sets the pressure that serving tasks of an image bear now.
      *
+     * @param servingImage the image
      * @param limit the greatest sum of the pressures of filling tasks
      */
-    public void bear(double limit) {
-        bearablePressure = limit;
+    public void bear(String servingImage, double limit) {
+        bearable.put(servingImage, limit);
+    }
+
+    /**
+     * Pressure of the filling tasks here on serving tasks of an image.
+     *
+     * @param servingImage the image
+     * @return the sum of their pressures at full speed
+     */
+    public double pressureOn(String servingImage) {
+        return fillingImages.entrySet().stream()
+                .mapToDouble(each -> each.getValue() * pressures.of(servingImage, each.getKey()))
+                .sum();
+    }
+
+    /**
+     * The greatest pressure of one more filling task on any serving task here.
+     *
+     * @param fillingImage image of the filling task
+     * @return the pressure, 0 without serving tasks
+     */
+    public double addedPressure(String fillingImage) {
+        return servingImages.keySet().stream()
+                .mapToDouble(image -> pressures.of(image, fillingImage))
+                .max()
+                .orElse(0);
+    }
+
+    /**
+     * Headroom that is left for serving tasks once a filling task has joined them.
+     *
+     * @param fillingImage image of the filling task
+     * @param speed share of its speed
+     * @return the least headroom of any serving task, below 0 if the task should not join
+     */
+    public double headroomWith(String fillingImage, double speed) {
+        return servingImages.keySet().stream()
+                .mapToDouble(
+                        image ->
+                                bearable.getOrDefault(image, USUAL_BEARABLE)
+                                        - pressureOn(image)
+                                        - speed * pressures.of(image, fillingImage))
+                .min()
+                .orElse(Double.MAX_VALUE);
     }
 
     /**
-     * Pressure that may be added for the serving tasks of the worker.
+     * Tells whether filling tasks press on a serving task noticeably.
      *
-     * @return the sum of pressures, below 0 if there is too much already
+     * @return true if they do
      */
-    public double bearableMore() {
-        return serving == 0 ? Double.MAX_VALUE : bearablePressure - pressure;
+    public boolean isPressed() {
+        return servingImages.keySet().stream()
+                .anyMatch(image -> pressureOn(image) >= NOTICEABLE_PRESSURE);
     }
 
     /** Lets the worker have one task at a time. */
@@ -146,15 +214,6 @@
         return serving;
     }
 
-    /**
-     * Pressure of the filling tasks on the worker.
-     *
-     * @return the sum of their pressures at full speed
-     */
-    public double pressure() {
-        return pressure;
-    }
-
     /**
      * Processors that the tasks on the worker are expected to leave unused.
      *
--- a/src/test/java/org/yuccabank/control/workflow/WorkflowPlannerTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/WorkflowPlannerTest.java
@@ -10,12 +10,14 @@
 import static org.yuccabank.state.workflow.WorkflowFixtures.step;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.yuccabank.policy.workflow.FeasibleFirstOrder;
 import org.yuccabank.policy.workflow.PressureChoice;
+import org.yuccabank.policy.workflow.Pressures;
 import org.yuccabank.policy.workflow.WorkerTrust;
 import org.yuccabank.protocol.generated.Assignment;
 import org.yuccabank.protocol.generated.FleetConfiguration;
@@ -40,13 +42,13 @@
                 }
 
                 @Override
-                public double pressure(String image) {
-                    return 0;
+                public Pressures pressures() {
+                    return (serving, filling) -> 0;
                 }
 
                 @Override
-                public double bearablePressure(String workerId) {
-                    return 0.4;
+                public Map<String, Double> bearablePressures(String workerId) {
+                    return Map.of();
                 }
             };
 
--- a/src/test/java/org/yuccabank/policy/workflow/InterferencePolicyTest.java
+++ b/src/test/java/org/yuccabank/policy/workflow/InterferencePolicyTest.java
@@ -29,25 +29,35 @@
     private static final long TARGET = 18;
     private static final double HEAVY = 0.45;
 
+    /** The image "heavy" presses on "web", "light" on nothing, and nothing presses on "tough". */
+    private static final Pressures PRESSURES =
+            (serving, filling) -> serving.equals("web") && filling.equals("heavy") ? HEAVY : 0.01;
+
     private static long latency(double taken) {
         return Math.round(Math.min(200, 6 / Math.max(0.03, 1 - taken)));
     }
 
-    private static WorkerRoom room(String workerId, int serving) {
-        WorkerRoom room = new WorkerRoom(workerId, "service", "rack", Set.of(), CAPACITY);
+    private static WorkerRoom room(String workerId, int serving, String image) {
+        WorkerRoom room =
+                new WorkerRoom(workerId, "service", "rack", Set.of(), CAPACITY, PRESSURES);
         for (int count = 0; count < serving; count++) {
-            room.reserve("s", SERVING, new WaitingTask.Load(LoadKind.SERVING, 0, 1_800));
+            room.reserve("s", SERVING, new WaitingTask.Load(LoadKind.SERVING, image, 1_800));
         }
-        room.bear(0.4);
+        room.bear("web", 0.4);
+        room.bear("tough", 0.4);
         return room;
     }
 
-    private static WaitingTask filling(double pressure) {
+    private static WorkerRoom room(String workerId, int serving) {
+        return room(workerId, serving, "web");
+    }
+
+    private static WaitingTask filling(String image) {
         return new WaitingTask(
                 "f",
                 0,
                 FILLING,
-                new WaitingTask.Load(LoadKind.FILLING, pressure, 1_800),
+                new WaitingTask.Load(LoadKind.FILLING, image, 1_800),
                 2,
                 9_000,
                 27_000,
@@ -56,10 +66,10 @@
                 new WaitingTask.Constraints("service", Optional.empty(), Optional.empty(), 0));
     }
 
-    private static Map<String, Integer> placeAll(double pressure, int tasks, WorkerRoom... rooms) {
+    private static Map<String, Integer> placeAll(String image, int tasks, WorkerRoom... rooms) {
         Map<String, Integer> placed = new HashMap<>();
         for (int count = 0; count < tasks; count++) {
-            WaitingTask task = filling(pressure);
+            WaitingTask task = filling(image);
             new PressureChoice()
                     .choose(task, List.of(rooms))
                     .ifPresent(
@@ -77,7 +87,7 @@
      */
     @Test
     public void shouldPutLightTasksBesideServingOnes() {
-        Map<String, Integer> placed = placeAll(0.01, 9, room("a", 5), room("empty", 0));
+        Map<String, Integer> placed = placeAll("light", 9, room("a", 5), room("empty", 0));
         // 16 cores less 9 in use leave room for three tasks of 1.8 cores each and most of a fourth.
         assertEquals(placed, Map.of("a", 4, "empty", 5));
     }
@@ -85,7 +95,7 @@
     /** Guards against several tasks that press much beside the same serving ones. */
     @Test
     public void shouldPutOneHeavyTaskBesideServingOnes() {
-        Map<String, Integer> placed = placeAll(HEAVY, 20, room("a", 5), room("b", 5));
+        Map<String, Integer> placed = placeAll("heavy", 20, room("a", 5), room("b", 5));
         assertEquals(placed, Map.of("a", 1, "b", 1));
     }
 
@@ -93,9 +103,9 @@
     @Test
     public void shouldLetHeavyTaskWaitWhileServingOnesAreBusy() {
         WorkerRoom busy = room("busy", 5);
-        busy.bear(0.2);
-        assertEquals(placeAll(HEAVY, 3, busy), Map.of());
-        assertEquals(placeAll(0.01, 1, busy), Map.of("busy", 1));
+        busy.bear("web", 0.2);
+        assertEquals(placeAll("heavy", 3, busy), Map.of());
+        assertEquals(placeAll("light", 1, busy), Map.of("busy", 1));
     }
 
     /** Guards against a step whose last task stands still beside busy serving tasks. */
@@ -113,28 +123,36 @@
     /** Guards against heavy tasks that harm serving ones while a worker without any has room. */
     @Test
     public void shouldPutHeavyTasksOnWorkersWithoutServingOnesFirst() {
-        Map<String, Integer> placed = placeAll(HEAVY, 8, room("a", 5), room("empty", 0));
+        Map<String, Integer> placed = placeAll("heavy", 8, room("a", 5), room("empty", 0));
         assertEquals(placed, Map.of("empty", 8));
     }
 
     /** Guards against more filling tasks than a worker has idle processors for. */
     @Test
     public void shouldLetTasksWaitForIdleProcessors() {
-        assertEquals(placeAll(0, 40, room("empty", 0)), Map.of("empty", 9));
+        assertEquals(placeAll("light", 40, room("empty", 0)), Map.of("empty", 9));
+    }
+
+    /** Guards against an image that is kept from serving tasks which it does not press on. */
+    @Test
+    public void shouldPutHeavyTasksBesideServingOnesThatDoNotMind() {
+        Map<String, Integer> placed =
+                placeAll("heavy", 3, room("web", 5), room("tough", 5, "tough"), room("empty", 0));
+        assertEquals(placed, Map.of("tough", 3));
     }
 
     /** Guards against a serving task that lands beside pressure while another worker is calm. */
     @Test
     public void shouldPutServingTaskWhereLeastPresses() {
         WorkerRoom pressed = room("pressed", 3);
-        pressed.reserve("f", FILLING, filling(HEAVY).load());
+        pressed.reserve("f", FILLING, filling("heavy").load());
         WorkerRoom calm = room("calm", 2);
         WaitingTask serving =
                 new WaitingTask(
                         "s",
                         0,
                         SERVING,
-                        new WaitingTask.Load(LoadKind.SERVING, 0, 1_800),
+                        new WaitingTask.Load(LoadKind.SERVING, "web", 1_800),
                         0,
                         9_000,
                         27_000,
@@ -146,32 +164,33 @@
                 new PressureChoice().choose(serving, List.of(pressed, calm)).orElseThrow(), calm);
     }
 
-    /** Guards against pressure that is put down to images which only run beside the heavy one. */
+    /** Guards against pressure that is put down to images or serving tasks without part in it. */
     @Test
-    public void shouldLearnWhichImagePresses() {
+    public void shouldLearnWhichImagePressesOnWhich() {
         PressureEstimates estimates = new PressureEstimates();
         Random random = new Random(7);
-        double load = 0;
         for (int report = 0; report < 600; report++) {
-            load = 0.2 + 0.15 * Math.sin(report / 4.0);
+            double load = 0.2 + 0.15 * Math.sin(report / 4.0);
             int heavy = random.nextInt(2);
             int light = random.nextInt(5);
             List<PressureEstimates.Serving> serving = new ArrayList<>();
             for (int count = 0; count < 5; count++) {
-                serving.add(
-                        new PressureEstimates.Serving(
-                                "web", latency(load + HEAVY * heavy), TARGET));
+                String image = count < 3 ? "web" : "tough";
+                double pressure = count < 3 ? HEAVY * heavy : 0;
+                serving.add(new PressureEstimates.Serving(image, latency(load + pressure), TARGET));
             }
             estimates.observe(serving, Map.of("heavy", 1.0 * heavy, "light", 1.0 * light));
         }
-        assertEquals(estimates.pressure("heavy"), HEAVY, 0.12);
-        assertTrue(estimates.pressure("light") < 0.05, estimates.pressure("light") + " for light");
-        assertEquals(estimates.pressure("new"), PressureEstimates.UNKNOWN_PRESSURE);
+        assertEquals(estimates.of("web", "heavy"), HEAVY, 0.12);
+        assertTrue(estimates.of("web", "light") < 0.05, estimates.of("web", "light") + "");
+        assertTrue(estimates.of("tough", "heavy") < 0.1, estimates.of("tough", "heavy") + "");
+        assertEquals(estimates.of("new", "light"), Pressures.UNKNOWN);
     }
 
     /** One worker whose serving tasks swing, followed for a minute; returns what was seen. */
     private static Seen replay(double assumedPressure, double truePressure, int heavyTasks) {
         FillerPacing pacing = new FillerPacing();
+        Pressures assumed = (serving, filling) -> filling.equals("heavy") ? assumedPressure : 0;
         Map<Integer, Integer> percents = new LinkedHashMap<>();
         for (int task = 0; task < heavyTasks; task++) {
             percents.put(task, FillerPacing.FULL_SPEED);
@@ -202,13 +221,14 @@
                                         each ->
                                                 new FillerPacing.Filler<>(
                                                         each.getKey(),
-                                                        each.getKey() < 0 ? 0 : assumedPressure,
+                                                        each.getKey() < 0 ? "light" : "heavy",
                                                         each.getValue()))
                                 .toList();
                 percents.putAll(
                         pacing.decide(
                                 List.of(new PressureEstimates.Serving("web", figure, TARGET)),
                                 fillers,
+                                assumed,
                                 now));
             }
         }
@@ -239,6 +259,25 @@
         assertTrue(seen.longestOverMillis() <= 3_000, seen.toString());
     }
 
+    /** Guards against a task that is slowed down for serving tasks on which it does not press. */
+    @Test
+    public void shouldSlowDownOnlyWhatPressesOnMissedTarget() {
+        Pressures pairs =
+                (serving, filling) -> serving.equals("web") == filling.equals("a") ? HEAVY : 0;
+        Map<String, Integer> changes =
+                new FillerPacing()
+                        .decide(
+                                List.of(
+                                        new PressureEstimates.Serving("web", 60, TARGET),
+                                        new PressureEstimates.Serving("shop", 6, TARGET)),
+                                List.of(
+                                        new FillerPacing.Filler<>("a", "a", 100),
+                                        new FillerPacing.Filler<>("b", "b", 100)),
+                                pairs,
+                                0);
+        assertEquals(changes.keySet(), Set.of("a"));
+    }
+
     /** Guards against speed that never comes back after a short disturbance. */
     @Test
     public void shouldGiveSpeedBackInSteps() {
@@ -248,7 +287,8 @@
             Map<String, Integer> changes =
                     pacing.decide(
                             List.of(new PressureEstimates.Serving("web", 6, TARGET)),
-                            List.of(new FillerPacing.Filler<>("f", HEAVY, percent)),
+                            List.of(new FillerPacing.Filler<>("f", "heavy", percent)),
+                            PRESSURES,
                             now);
             percent = changes.getOrDefault("f", percent);
         }
@@ -264,7 +304,8 @@
             Map<String, Integer> changes =
                     pacing.decide(
                             List.of(new PressureEstimates.Serving("web", 40, 20)),
-                            List.of(new FillerPacing.Filler<>("f", 0.2, percent)),
+                            List.of(new FillerPacing.Filler<>("f", "heavy", percent)),
+                            PRESSURES,
                             now);
             percent = changes.getOrDefault("f", percent);
         }
--- a/src/test/java/org/yuccabank/policy/workflow/WorkflowPolicyTest.java
+++ b/src/test/java/org/yuccabank/policy/workflow/WorkflowPolicyTest.java
@@ -18,11 +18,17 @@
     private static final Resources TASK = Resources.of(2_000, 1_000, 0);
 
     private static WorkerRoom room(String workerId) {
-        return new WorkerRoom(workerId, "service", "rack", Set.of("a", "rack"), CAPACITY);
+        return new WorkerRoom(
+                workerId,
+                "service",
+                "rack",
+                Set.of("a", "rack"),
+                CAPACITY,
+                (serving, filling) -> 0);
     }
 
     private static WaitingTask.Load load(LoadKind kind) {
-        return new WaitingTask.Load(kind, 0, TASK.processorMillis());
+        return new WaitingTask.Load(kind, "", TASK.processorMillis());
     }
 
     private static WaitingTask task(String step, LoadKind kind, int priority, long deadline) {
