Try unknown pairs with one task, and leave no slowed task standing

Five tasks of an image that pressed joined two serving ones before it was known.

Change: doubt is added to what few reports have shown; what ends soonest gets its speed back first, and every task that stays slowed for 2.5 s goes on elsewhere. Admission counts the speed that serving tasks leave instead of idle processors.

--- a/src/main/java/org/yuccabank/agent/workflow/RunTable.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunTable.java
@@ -173,7 +173,8 @@
                                 new FillerPacing.Filler<>(
                                         entry,
                                         entry.order().orElseThrow().getImage(),
-                                        entry.percent()))
+                                        entry.percent(),
+                                        entry.listed().getPercent()))
                 .toList();
     }
 
--- a/src/main/java/org/yuccabank/control/workflow/AdmissionDesk.java
+++ b/src/main/java/org/yuccabank/control/workflow/AdmissionDesk.java
@@ -1,9 +1,11 @@
 package org.yuccabank.control.workflow;
 
 import java.util.Collection;
+import java.util.List;
 import java.util.OptionalLong;
 import org.yuccabank.policy.workflow.BacklogAdmission;
 import org.yuccabank.policy.workflow.WaitingTask;
+import org.yuccabank.protocol.generated.ActiveRun;
 import org.yuccabank.protocol.generated.QueueDefinition;
 import org.yuccabank.protocol.generated.StepDefinition;
 import org.yuccabank.protocol.generated.WorkflowDefinition;
@@ -15,6 +17,7 @@
 final class AdmissionDesk {
 
     private static final double CORE_MILLIS = 1_000.0;
+    private static final double WHOLE = 100.0;
 
     private AdmissionDesk() {}
 
@@ -63,22 +66,47 @@
                 StepEstimates.LATE_FACTOR * objective);
     }
 
-    /** Cores that the other tasks are expected to leave to filling ones. */
+    /**
+     * Cores that filling tasks have: all that is idle on a worker without serving tasks, and what
+     * the tasks that run beside serving ones are allowed to use now.
+     */
     private static double fillingCores(WorkflowRecords records, Collection<WorkerOffer> offers) {
         double millis = 0;
         for (WorkerOffer offer : offers) {
-            long used =
+            List<StepDefinition> steps =
                     records.openRuns(offer.report().getWorker()).stream()
                             .map(AdmissionDesk::step)
-                            .map(StepEstimates::load)
-                            .filter(load -> load.kind() != WaitingTask.LoadKind.FILLING)
-                            .mapToLong(WaitingTask.Load::usedMillis)
-                            .sum();
-            millis += Math.max(0, offer.report().getCapacity().getProcessorMillis() - used);
+                            .toList();
+            boolean serves = steps.stream().anyMatch(StepDefinition::getLasting);
+            millis += serves ? usedMillis(records, offer) : idleMillis(steps, offer);
         }
         return millis / CORE_MILLIS;
     }
 
+    private static double idleMillis(List<StepDefinition> steps, WorkerOffer offer) {
+        long used =
+                steps.stream()
+                        .map(StepEstimates::load)
+                        .filter(load -> load.kind() != WaitingTask.LoadKind.FILLING)
+                        .mapToLong(WaitingTask.Load::usedMillis)
+                        .sum();
+        return Math.max(0, offer.report().getCapacity().getProcessorMillis() - used);
+    }
+
+    private static double usedMillis(WorkflowRecords records, WorkerOffer offer) {
+        double used = 0;
+        for (ActiveRun run : offer.report().getActiveList()) {
+            used +=
+                    records.openRun(run.getRun())
+                            .map(AdmissionDesk::step)
+                            .map(StepEstimates::load)
+                            .filter(load -> load.kind() == WaitingTask.LoadKind.FILLING)
+                            .map(load -> load.usedMillis() * (1 - run.getSlowedByPercent() / WHOLE))
+                            .orElse(0.0);
+        }
+        return used;
+    }
+
     private static StepDefinition step(WorkflowTask task) {
         return task.workflow().step(task.address().getStep());
     }
--- a/src/main/java/org/yuccabank/policy/workflow/FillerPacing.java
+++ b/src/main/java/org/yuccabank/policy/workflow/FillerPacing.java
@@ -50,9 +50,10 @@
      * @param key names the task
      * @param image its image
      * @param percent its speed
+     * @param progressPercent its progress
      * @param <K> type of the name
      */
-    public record Filler<K>(K key, String image, int percent) {}
+    public record Filler<K>(K key, String image, int percent, int progressPercent) {}
 
     /**
      * Decides the speed of the filling tasks.
@@ -134,13 +135,13 @@
             }
         }
 
-        /** Gives speed to tasks that no pressed image is beside, the furthest ones first. */
+        /** Gives speed to tasks that no pressed image is beside, those that end soonest first. */
         private void giveBack(Map<String, Double> free) {
             Map<String, Double> given = new LinkedHashMap<>();
             free.forEach((image, headroom) -> given.put(image, RETURNED_SHARE * headroom));
-            Comparator<Filler<K>> fastestFirst =
-                    Comparator.comparingInt((Filler<K> each) -> -each.percent());
-            for (Filler<K> filler : fillers.stream().sorted(fastestFirst).toList()) {
+            Comparator<Filler<K>> furthestFirst =
+                    Comparator.comparingInt((Filler<K> each) -> -each.progressPercent());
+            for (Filler<K> filler : fillers.stream().sorted(furthestFirst).toList()) {
                 int before = percents.get(filler.key());
                 if (before < filler.percent() || before == FULL_SPEED) {
                     continue;
--- a/src/main/java/org/yuccabank/policy/workflow/PressureChoice.java
+++ b/src/main/java/org/yuccabank/policy/workflow/PressureChoice.java
@@ -20,7 +20,7 @@
     private static final double LIGHT_PRESSURE = 0.04;
 
     /** A task that is alone in pressing may be slowed down to this part of its speed. */
-    private static final double LEAST_SPEED = 0.7;
+    private static final double LEAST_SPEED = 0.8;
 
     /** A filling task starts where this part of the processors that it wants is idle. */
     private static final double LEAST_IDLE_SHARE = 0.75;
--- a/src/main/java/org/yuccabank/policy/workflow/PressureEstimates.java
+++ b/src/main/java/org/yuccabank/policy/workflow/PressureEstimates.java
@@ -28,7 +28,19 @@
     /** Tail latencies are capped by the worker, which hides how much more is taken. */
     private static final double SATURATED = 0.9;
 
+    /**
+     * Added to the pressure of a pair until it is known better, so that a first task joins serving
+     * ones alone.
+     */
+    private static final double DOUBT = 0.1;
+
+    /**
+     * Observations, each counted with the filling tasks in it, after which half the doubt is left.
+     */
+    private static final double HALF_KNOWN = 4;
+
     private final Map<Pair, Double> pressures = new HashMap<>();
+    private final Map<Pair, Double> observed = new HashMap<>();
     private final Map<String, Double> ownLoads = new HashMap<>();
     private final IdleLatency idle = new IdleLatency();
 
@@ -87,7 +99,7 @@
         double pressure = 0;
         double square = 1;
         for (Map.Entry<String, Double> each : filling.entrySet()) {
-            pressure += each.getValue() * of(image, each.getKey());
+            pressure += each.getValue() * estimate(new Pair(image, each.getKey()));
             square += each.getValue() * each.getValue();
         }
         double ownLoad = ownLoads.getOrDefault(image, FIRST_OWN_LOAD);
@@ -95,19 +107,30 @@
         if (taken < SATURATED || error > 0) {
             ownLoads.put(image, Math.max(0, ownLoad + OWN_CORRECTED_SHARE * error / square));
             double step = CORRECTED_SHARE * error / square;
-            filling.forEach((other, count) -> correct(new Pair(image, other), step * count));
+            filling.forEach(
+                    (other, count) -> {
+                        correct(new Pair(image, other), step * count);
+                        observed.merge(new Pair(image, other), count, Double::sum);
+                    });
         }
         return new Observation(Math.max(0, taken - pressure), bearable);
     }
 
     private void correct(Pair pair, double change) {
-        double corrected = of(pair.serving(), pair.filling()) + change;
+        double corrected = estimate(pair) + change;
         pressures.put(pair, Math.max(0, Math.min(1, corrected)));
     }
 
+    private double estimate(Pair pair) {
+        return pressures.getOrDefault(pair, UNKNOWN);
+    }
+
+    /** The estimate and the doubt that is left: what is not known is taken for worse than it is. */
     @Override
     public double of(String servingImage, String fillingImage) {
-        return pressures.getOrDefault(new Pair(servingImage, fillingImage), UNKNOWN);
+        Pair pair = new Pair(servingImage, fillingImage);
+        double known = observed.getOrDefault(pair, 0.0);
+        return estimate(pair) + DOUBT * HALF_KNOWN / (HALF_KNOWN + known);
     }
 
     /**
@@ -117,6 +140,8 @@
      * @param pressure the estimate
      */
     public void learn(Pair pair, double pressure) {
-        pressures.putIfAbsent(pair, pressure);
+        if (pressures.putIfAbsent(pair, pressure) == null) {
+            observed.put(pair, HALF_KNOWN);
+        }
     }
 }
--- a/src/main/java/org/yuccabank/policy/workflow/Pressures.java
+++ b/src/main/java/org/yuccabank/policy/workflow/Pressures.java
@@ -4,7 +4,7 @@
 @FunctionalInterface
 public interface Pressures {
 
-    /** Pressure of a pair that was not seen yet: two such tasks may join a serving one. */
+    /** Pressure of a pair that was not seen yet, about the mean of those seen on the bench. */
     double UNKNOWN = 0.15;
 
     /**
--- a/src/main/java/org/yuccabank/policy/workflow/SlowedRun.java
+++ b/src/main/java/org/yuccabank/policy/workflow/SlowedRun.java
@@ -16,7 +16,10 @@
     /** Progress that may be lost by a task that does not save it, in percent. */
     private static final int SMALL_PROGRESS = 25;
 
-    /** A task that is nearly done is left to end. */
+    /** Time after which a task goes on elsewhere although its progress is lost. */
+    private static final long LONG_PATIENCE_MILLIS = 2_500;
+
+    /** A task that is nearly done is left to end for as long as one whose progress is lost. */
     private static final int NEARLY_DONE = 90;
 
     private long slowedSinceMillis = Long.MAX_VALUE;
@@ -37,9 +40,9 @@
             return false;
         }
         slowedSinceMillis = Math.min(slowedSinceMillis, nowMillis);
-        boolean cheap = keepsProgress || progressPercent < SMALL_PROGRESS;
-        return cheap
-                && progressPercent < NEARLY_DONE
-                && nowMillis - slowedSinceMillis >= PATIENCE_MILLIS;
+        boolean cheap =
+                (keepsProgress || progressPercent < SMALL_PROGRESS)
+                        && progressPercent < NEARLY_DONE;
+        return nowMillis - slowedSinceMillis >= (cheap ? PATIENCE_MILLIS : LONG_PATIENCE_MILLIS);
     }
 }
