--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -45,7 +45,7 @@
     private static final Duration REPORT_TIMEOUT = Duration.ofMillis(1_000);
 
     /** Longest wait of the worker for an end, while it runs something. */
-    private static final long LIST_WAIT_MILLIS = 400;
+    private static final long LIST_WAIT_MILLIS = 300;
 
     /** Pause after a list that failed. */
     private static final long LIST_PAUSE_MILLIS = 200;
--- a/src/main/java/org/yuccabank/policy/workflow/FillerPacing.java
+++ b/src/main/java/org/yuccabank/policy/workflow/FillerPacing.java
@@ -26,7 +26,7 @@
     private static final double RETURNED_SHARE = 0.6;
 
     /** Time between two changes: a figure covers the last half second. */
-    private static final long CHANGE_MILLIS = 600;
+    private static final long CHANGE_MILLIS = 500;
 
     /**
      * Least pressure that a task is taken to have, so that tasks whose estimates are too low are
@@ -81,7 +81,8 @@
         free.forEach(
                 (image, headroom) -> {
                     if (headroom < 0) {
-                        speeds.cut(image, cutFactor * (CUT_MARGIN - headroom));
+                        boolean targetMissed = missesTarget(served, image);
+                        speeds.cut(image, cutFactor * (CUT_MARGIN - headroom), targetMissed);
                     }
                 });
         speeds.giveBack(free);
@@ -92,6 +93,12 @@
         return changes;
     }
 
+    private static boolean missesTarget(List<PressureEstimates.Serving> served, String image) {
+        return served.stream()
+                .filter(each -> each.image().equals(image))
+                .anyMatch(each -> each.latencyMillis() > each.targetMillis());
+    }
+
     /** Headroom of a serving task below the latency that it is held to, negative above. */
     private double freeHeadroom(PressureEstimates.Serving served) {
         double idleMillis =
@@ -117,12 +124,25 @@
             return Math.max(LEAST_PRESSURE, pressures.of(servingImage, filler.image()));
         }
 
-        /** Takes speed from those that press most on a serving image. */
-        private void cut(String servingImage, double needed) {
-            double left = needed;
+        /**
+         * Takes speed from those that press most on a serving image. Tasks that are not known to
+         * press lose theirs only once all others stand still and the target is missed none the
+         * less.
+         */
+        private void cut(String servingImage, double needed, boolean targetMissed) {
             Comparator<Filler<K>> heaviestFirst =
                     Comparator.comparingDouble((Filler<K> each) -> -pressure(servingImage, each));
-            for (Filler<K> filler : fillers.stream().sorted(heaviestFirst).toList()) {
+            List<Filler<K>> running =
+                    fillers.stream()
+                            .filter(each -> percents.get(each.key()) > 0)
+                            .sorted(heaviestFirst)
+                            .toList();
+            List<Filler<K>> pressing =
+                    running.stream()
+                            .filter(each -> pressure(servingImage, each) > LEAST_PRESSURE)
+                            .toList();
+            double left = needed;
+            for (Filler<K> filler : pressing.isEmpty() && targetMissed ? running : pressing) {
                 double pressure = pressure(servingImage, filler);
                 int before = percents.get(filler.key());
                 double kept = Math.max(0, pressure * before / FULL_SPEED - left);
--- a/src/main/java/org/yuccabank/policy/workflow/Headroom.java
+++ b/src/main/java/org/yuccabank/policy/workflow/Headroom.java
@@ -8,8 +8,11 @@
  */
 final class Headroom {
 
-    /** Share of the target that the tail latency is held to: leaves room for a lagging figure. */
-    static final double HELD_SHARE = 0.85;
+    /**
+     * Share of the target that the tail latency is held to: a second over the target costs as much
+     * as twenty seconds of a filling task earn, and figures lag.
+     */
+    static final double HELD_SHARE = 0.65;
 
     private Headroom() {}
 
