--- a/src/main/java/org/yuccabank/control/workflow/InterferenceWatch.java
+++ b/src/main/java/org/yuccabank/control/workflow/InterferenceWatch.java
@@ -97,10 +97,9 @@
                                         step.getLatencyTargetMillis()));
                     }
                 }
-                case FILLING -> {
-                    filling.merge(
-                            step.getImage(), 1 - run.getSlowedByPercent() / WHOLE, Double::sum);
-                }
+                case FILLING ->
+                        filling.merge(
+                                step.getImage(), 1 - run.getSlowedByPercent() / WHOLE, Double::sum);
                 case PLAIN -> {
                     // Plain tasks do not press.
                 }
@@ -147,6 +146,11 @@
                 .collect(Collectors.toSet());
     }
 
+    /** Forgets a worker that was replaced. */
+    void forget(String workerId) {
+        workers.remove(workerId);
+    }
+
     /** Forgets what the workers ran; what was learned of images stays true. */
     void clear() {
         workers.clear();
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -224,6 +224,7 @@
         }
         if (!before.equals(view.worker())) {
             log.workerReplaced(before, view.worker());
+            interference.forget(before.getWorkerId());
         }
         endFormerIncarnations(view.worker());
         if (report.getLeaving()) {
