Plan once for a report without news, and look at each room once a task

Cause: each report of an agent planned anew, two and a half times a second and worker, and each comparison of two workers added up the pressures of all tasks on them.

--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -237,7 +237,10 @@
             interference.report(valid, records(), now);
         }
         valid.getEndedList().forEach(this::noteEnd);
-        wantRound();
+        // A report without news waits for the tick, as a plan looks at every workflow.
+        if (!pendingEnds.isEmpty()) {
+            wantRound();
+        }
         return directives(view, report.getSequence()).build();
     }
 
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowPlanner.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowPlanner.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -81,6 +82,7 @@
                         .collect(Collectors.toMap(Candidate::waiting, Candidate::task));
         List<Assignment> plan = new ArrayList<>();
         Map<String, List<WaitingTask>> gangs = new HashMap<>();
+        Set<String> withoutRoom = new HashSet<>();
         for (WaitingTask waiting : order.order(List.copyOf(tasks.keySet()), nowMillis)) {
             WorkflowTask task = tasks.get(waiting);
             StepDefinition step = task.workflow().step(task.address().getStep());
@@ -91,15 +93,15 @@
                 if (members.size() == step.getTaskCount()) {
                     plan.addAll(placeGang(members, tasks, rooms, identities));
                 }
-            } else {
-                place(waiting, rooms)
-                        .ifPresent(
-                                key ->
-                                        plan.add(
-                                                assignment(
-                                                        task,
-                                                        task.attempts() + 1,
-                                                        identities.get(key))));
+            } else if (!withoutRoom.contains(waiting.stepKey())) {
+                Optional<String> key = place(waiting, rooms);
+                if (key.isPresent()) {
+                    int attempt = task.attempts() + 1;
+                    plan.add(assignment(task, attempt, identities.get(key.get())));
+                } else {
+                    // Rooms only shrink in a round, and the tasks of a step ask for the same.
+                    withoutRoom.add(waiting.stepKey());
+                }
             }
         }
         return plan;
--- a/src/main/java/org/yuccabank/policy/workflow/PressureChoice.java
+++ b/src/main/java/org/yuccabank/policy/workflow/PressureChoice.java
@@ -25,54 +25,55 @@
     /** A filling task starts where this part of the processors that it wants is idle. */
     private static final double LEAST_IDLE_SHARE = 0.75;
 
-    private static final Comparator<WorkerRoom> MOST_IDLE =
-            Comparator.comparingLong(WorkerRoom::idleMillis).reversed();
+    private static final int UNNOTICED = 0;
+    private static final int ALONE = 1;
+    private static final int PRESSING = 2;
 
-    private static final Comparator<WorkerRoom> FOR_PLAIN =
-            Comparator.comparing((WorkerRoom room) -> room.serving() == 0)
-                    .thenComparing(Comparator.comparingDouble(WorkerRoom::freeShare).reversed());
+    /** A room with what decides about it, worked out once. */
+    private record Scored(WorkerRoom room, boolean far, double first, double second, double third) {
+
+        /** The least of each figure is best. */
+        private static final Comparator<Scored> BEST_FIRST =
+                Comparator.comparing(Scored::far)
+                        .thenComparingDouble(Scored::first)
+                        .thenComparingDouble(Scored::second)
+                        .thenComparingDouble(Scored::third)
+                        .thenComparing(scored -> scored.room().workerId());
+    }
 
     @Override
     public Optional<WorkerRoom> choose(WaitingTask task, Collection<WorkerRoom> rooms) {
-        Optional<String> rack = task.constraints().preferredRack();
-        Comparator<WorkerRoom> near =
-                Comparator.comparing(room -> rack.isPresent() && !rack.get().equals(room.rack()));
         return rooms.stream()
                 .filter(room -> room.admits(task))
                 .filter(room -> isBearable(task, room))
-                .min(near.thenComparing(order(task)).thenComparing(WorkerRoom::workerId));
+                .map(room -> score(task, room))
+                .min(Scored.BEST_FIRST)
+                .map(Scored::room);
     }
 
-    private static Comparator<WorkerRoom> order(WaitingTask task) {
+    private static Scored score(WaitingTask task, WorkerRoom room) {
+        Optional<String> rack = task.constraints().preferredRack();
+        boolean far = rack.isPresent() && !rack.get().equals(room.rack());
         String image = task.load().image();
         return switch (task.load().kind()) {
             case SERVING ->
-                    Comparator.comparingDouble((WorkerRoom room) -> room.pressureOn(image))
-                            .thenComparing(Comparator.comparingInt(WorkerRoom::serving).reversed())
-                            .thenComparing(WorkerRoom::freeShare);
-            case PLAIN -> FOR_PLAIN;
-            case FILLING ->
-                    Comparator.comparingInt((WorkerRoom room) -> rank(room, image))
-                            .thenComparing(
-                                    Comparator.comparingDouble(
-                                                    (WorkerRoom room) ->
-                                                            headroomThatCounts(room, image))
-                                            .reversed())
-                            .thenComparing(MOST_IDLE);
+                    new Scored(
+                            room, far, room.pressureOn(image), -room.serving(), room.freeShare());
+            case PLAIN -> new Scored(room, far, room.serving() == 0 ? 1 : 0, -room.freeShare(), 0);
+            case FILLING -> {
+                int rank = rank(room, image);
+                double headroom = rank == PRESSING ? room.headroomWith(image, 1) : 0;
+                yield new Scored(room, far, rank, -headroom, -room.idleMillis());
+            }
         };
     }
 
     /** Serving tasks that hardly notice the task come first, then workers without any. */
     private static int rank(WorkerRoom room, String image) {
         if (room.serving() == 0) {
-            return 1;
+            return ALONE;
         }
-        return room.addedPressure(image) < LIGHT_PRESSURE ? 0 : 2;
-    }
-
-    /** Where the task hardly presses, idle processors count and headroom does not. */
-    private static double headroomThatCounts(WorkerRoom room, String image) {
-        return rank(room, image) == 2 ? room.headroomWith(image, 1) : 0;
+        return room.addedPressure(image) < LIGHT_PRESSURE ? UNNOTICED : PRESSING;
     }
 
     private static boolean isBearable(WaitingTask task, WorkerRoom room) {
@@ -81,8 +82,7 @@
         }
         String image = task.load().image();
         boolean idle = room.idleMillis() >= LEAST_IDLE_SHARE * task.load().usedMillis();
-        boolean light = room.addedPressure(image) < LIGHT_PRESSURE;
         double speed = room.isPressed() ? 1 : LEAST_SPEED;
-        return idle && (light || room.headroomWith(image, speed) >= 0);
+        return idle && (rank(room, image) != PRESSING || room.headroomWith(image, speed) >= 0);
     }
 }
--- a/src/main/java/org/yuccabank/policy/workflow/WorkerRoom.java
+++ b/src/main/java/org/yuccabank/policy/workflow/WorkerRoom.java
@@ -29,8 +29,11 @@
     private int serving;
     private final Pressures pressures;
     private final Map<String, Double> bearable = new HashMap<>();
-    private final Map<String, Integer> servingImages = new HashMap<>();
     private final Map<String, Integer> fillingImages = new HashMap<>();
+
+    /** Pressure on each serving image that is here; kept up to date, as it is asked for often. */
+    private final Map<String, Double> pressed = new HashMap<>();
+
     private long usedMillis;
     private int tasks;
     private boolean probed;
@@ -76,9 +79,12 @@
         switch (load.kind()) {
             case SERVING -> {
                 serving++;
-                servingImages.merge(load.image(), 1, Integer::sum);
+                pressed.computeIfAbsent(load.image(), this::pressureOn);
+            }
+            case FILLING -> {
+                fillingImages.merge(load.image(), 1, Integer::sum);
+                pressed.replaceAll((image, sum) -> sum + pressures.of(image, load.image()));
             }
-            case FILLING -> fillingImages.merge(load.image(), 1, Integer::sum);
             case PLAIN -> {
                 // Plain tasks do not press.
             }
@@ -114,10 +120,11 @@
      * @return the pressure, 0 without serving tasks
      */
     public double addedPressure(String fillingImage) {
-        return servingImages.keySet().stream()
-                .mapToDouble(image -> pressures.of(image, fillingImage))
-                .max()
-                .orElse(0);
+        double most = 0;
+        for (String image : pressed.keySet()) {
+            most = Math.max(most, pressures.of(image, fillingImage));
+        }
+        return most;
     }
 
     /**
@@ -128,14 +135,15 @@
      * @return the least headroom of any serving task, below 0 if the task should not join
      */
     public double headroomWith(String fillingImage, double speed) {
-        return servingImages.keySet().stream()
-                .mapToDouble(
-                        image ->
-                                bearable.getOrDefault(image, USUAL_BEARABLE)
-                                        - pressureOn(image)
-                                        - speed * pressures.of(image, fillingImage))
-                .min()
-                .orElse(Double.MAX_VALUE);
+        double least = Double.MAX_VALUE;
+        for (Map.Entry<String, Double> each : pressed.entrySet()) {
+            double headroom =
+                    bearable.getOrDefault(each.getKey(), USUAL_BEARABLE)
+                            - each.getValue()
+                            - speed * pressures.of(each.getKey(), fillingImage);
+            least = Math.min(least, headroom);
+        }
+        return least;
     }
 
     /**
@@ -144,8 +152,7 @@
      * @return true if they do
      */
     public boolean isPressed() {
-        return servingImages.keySet().stream()
-                .anyMatch(image -> pressureOn(image) >= NOTICEABLE_PRESSURE);
+        return pressed.values().stream().anyMatch(sum -> sum >= NOTICEABLE_PRESSURE);
     }
 
     /** Lets the worker have one task at a time. */
