Let no workflow wait for better neighbours while most of the room is free

Change: with more than half of the room free, a workflow with nothing running starts one task where most headroom is left; the agent slows it down.

--- a/src/main/java/org/yuccabank/control/workflow/InterferenceWatch.java
+++ b/src/main/java/org/yuccabank/control/workflow/InterferenceWatch.java
@@ -100,7 +100,7 @@
                 case FILLING ->
                         filling.merge(
                                 step.getImage(), 1 - run.getSlowedByPercent() / WHOLE, Double::sum);
-                case PLAIN -> {
+                default -> {
                     // Plain tasks do not press.
                 }
             }
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowPlanner.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowPlanner.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.yuccabank.model.Resources;
+import org.yuccabank.policy.workflow.LastResortChoice;
 import org.yuccabank.policy.workflow.TaskOrder;
 import org.yuccabank.policy.workflow.WaitingTask;
 import org.yuccabank.policy.workflow.WorkerChoice;
@@ -37,6 +38,7 @@
 
     private final TaskOrder order;
     private final WorkerChoice choice;
+    private final WorkerChoice lastResort = new LastResortChoice();
 
     WorkflowPlanner(TaskOrder order, WorkerChoice choice) {
         this.order = order;
@@ -83,6 +85,8 @@
         List<Assignment> plan = new ArrayList<>();
         Map<String, List<WaitingTask>> gangs = new HashMap<>();
         Set<String> withoutRoom = new HashSet<>();
+        Set<String> running = runningWorkflows(records);
+        boolean mostlyFree = isMostlyFree(rooms.values());
         for (WaitingTask waiting : order.order(List.copyOf(tasks.keySet()), nowMillis)) {
             WorkflowTask task = tasks.get(waiting);
             StepDefinition step = task.workflow().step(task.address().getStep());
@@ -94,8 +98,13 @@
                     plan.addAll(placeGang(members, tasks, rooms, identities));
                 }
             } else if (!withoutRoom.contains(waiting.stepKey())) {
-                Optional<String> key = place(waiting, rooms);
+                String workflowId = task.address().getWorkflowId();
+                Optional<String> key = place(waiting, rooms, choice);
+                if (key.isEmpty() && mostlyFree && !running.contains(workflowId)) {
+                    key = place(waiting, rooms, lastResort);
+                }
                 if (key.isPresent()) {
+                    running.add(workflowId);
                     int attempt = task.attempts() + 1;
                     plan.add(assignment(task, attempt, identities.get(key.get())));
                 } else {
@@ -107,7 +116,21 @@
         return plan;
     }
 
-    private Optional<String> place(WaitingTask waiting, Map<String, WorkerRoom> rooms) {
+    private static Set<String> runningWorkflows(WorkflowRecords records) {
+        Set<String> running = new HashSet<>();
+        for (WorkerIdentity worker : records.workersWithOpenRuns()) {
+            records.openRuns(worker).forEach(task -> running.add(task.address().getWorkflowId()));
+        }
+        return running;
+    }
+
+    /** With more than half of the room free, no workflow may wait for better neighbours. */
+    private static boolean isMostlyFree(Collection<WorkerRoom> rooms) {
+        return rooms.stream().mapToDouble(WorkerRoom::freeShare).sum() > rooms.size() / 2.0;
+    }
+
+    private static Optional<String> place(
+            WaitingTask waiting, Map<String, WorkerRoom> rooms, WorkerChoice choice) {
         Optional<WorkerRoom> chosen = choice.choose(waiting, rooms.values());
         chosen.ifPresent(
                 room -> room.reserve(waiting.stepKey(), waiting.resources(), waiting.load()));
@@ -124,7 +147,7 @@
                 members.stream().mapToInt(each -> tasks.get(each).attempts()).max().orElse(0) + 1;
         List<Assignment> placed = new ArrayList<>();
         for (WaitingTask member : members) {
-            Optional<String> key = place(member, rooms);
+            Optional<String> key = place(member, rooms, choice);
             if (key.isEmpty()) {
                 return List.of();
             }
--- a/src/main/java/org/yuccabank/policy/workflow/WorkerRoom.java
+++ b/src/main/java/org/yuccabank/policy/workflow/WorkerRoom.java
@@ -85,7 +85,7 @@
                 fillingImages.merge(load.image(), 1, Integer::sum);
                 pressed.replaceAll((image, sum) -> sum + pressures.of(image, load.image()));
             }
-            case PLAIN -> {
+            default -> {
                 // Plain tasks do not press.
             }
         }
--- a/src/test/java/org/yuccabank/agent/workflow/WorkerLeaseTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/WorkerLeaseTest.java
@@ -6,6 +6,7 @@
 import java.util.OptionalLong;
 import org.testng.annotations.Test;
 
+/** Holds how long a worker may run tasks without its leader. */
 public final class WorkerLeaseTest {
 
     private static final LeaseTerms TERMS = new LeaseTerms(9_000, 5_000);
--- a/src/test/java/org/yuccabank/control/workflow/VoterPlanTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/VoterPlanTest.java
@@ -10,6 +10,7 @@
 import org.testng.annotations.Test;
 import org.yuccabank.replication.ReplicaMember;
 
+/** Holds which replicas vote. */
 public final class VoterPlanTest {
 
     private static final List<ReplicaMember> THREE =
--- a/src/test/java/org/yuccabank/control/workflow/WorkerViewTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/WorkerViewTest.java
@@ -7,6 +7,7 @@
 import org.yuccabank.protocol.generated.WorkerIdentity;
 import org.yuccabank.protocol.generated.WorkerReport;
 
+/** Holds what the leader concludes from reports. */
 public final class WorkerViewTest {
 
     private static final LeaseBound LEASE = new LeaseBound(9_000, 0.03);
--- a/src/test/java/org/yuccabank/control/workflow/WorkflowPlannerTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/WorkflowPlannerTest.java
@@ -105,6 +105,38 @@
         assertEquals(plan(worker(4, WorkerTrust.Standing.TRUSTED)).size(), 4);
     }
 
+    /**
+     * Guards against late work that starves, as nothing bears it, while most of the room is free
+     * (scale-1 of fas-etna, seed 75678829732).
+     */
+    @Test
+    public void shouldStartOneTaskOfWaitingWorkflowWhileMostRoomIsFree() {
+        records.apply(accept("serving", step(1).setLasting(true).setImage("web")), NOW);
+        records.apply(assign(run("serving", 0, 0, 1)), NOW);
+        records.apply(accept("late", step(3).setImage("heavy").setOpportunistic(true)), NOW);
+        LearnedEstimates unbearable =
+                new LearnedEstimates() {
+                    @Override
+                    public double runTimeRatio(String queueName) {
+                        return 1;
+                    }
+
+                    @Override
+                    public Pressures pressures() {
+                        return (serving, filling) -> 1;
+                    }
+
+                    @Override
+                    public Map<String, Double> bearablePressures(String workerId) {
+                        return Map.of("web", 0.1);
+                    }
+                };
+        WorkerOffer free = worker(9, WorkerTrust.Standing.TRUSTED);
+        WorkerOffer full = worker(1, WorkerTrust.Standing.TRUSTED);
+        assertEquals(planner.plan(records, List.of(free), unbearable, NOW).size(), 1);
+        assertEquals(planner.plan(records, List.of(full), unbearable, NOW).size(), 0);
+    }
+
     /** Guards against an occurrence that starts before its time. */
     @Test
     public void shouldWaitForDueTime() {
--- a/src/test/java/org/yuccabank/policy/workflow/OutageAdviceTest.java
+++ b/src/test/java/org/yuccabank/policy/workflow/OutageAdviceTest.java
@@ -4,6 +4,7 @@
 
 import org.testng.annotations.Test;
 
+/** Holds when callers are told to come back. */
 public final class OutageAdviceTest {
 
     private static final int TRIES = 5;
