Let probes look for a leader for their whole second

Cause: by reading: while no leader was known, probes gave up after 0.3 s, less than the 0.4 s that one host without power takes to connect to.

--- a/src/main/java/org/yuccabank/entry/workflow/WorkflowGateway.java
+++ b/src/main/java/org/yuccabank/entry/workflow/WorkflowGateway.java
@@ -112,7 +112,7 @@
                         .setConfiguration(ConfigurationQuery.getDefaultInstance())
                         .build();
         probes =
-                Mono.defer(() -> sendWithin(request, PROBE_LIMIT))
+                Mono.defer(() -> sendWithin(request, PROBE_LIMIT, PROBE_LIMIT))
                         .delaySubscription(PROBE_INTERVAL)
                         .repeat()
                         .subscribe(
@@ -159,12 +159,13 @@
      *     accepted, {@link Verdict#UNCERTAIN} if it may have been
      */
     public Mono<WorkflowReply> send(WorkflowRequest request, Duration limit) {
-        return sendWithin(request, limit);
+        return sendWithin(request, limit, unsentLimit(request));
     }
 
-    private Mono<WorkflowReply> sendWithin(WorkflowRequest request, Duration limit) {
+    private Mono<WorkflowReply> sendWithin(
+            WorkflowRequest request, Duration limit, Duration unsentLimit) {
         long now = steadyMillis();
-        long unsentMillis = Math.min(limit.toMillis(), unsentLimit(request).toMillis());
+        long unsentMillis = Math.min(limit.toMillis(), unsentLimit.toMillis());
         Patience patience = new Patience(now + limit.toMillis(), now + unsentMillis);
         return attempt(request, patience, false);
     }
