Keep workers to one serving image

Change: a serving task starts beside others of its image, else on an empty worker; tasks that may not stand together share workers with others of this kind. Pressures below a step of 0.15 do not decide.

--- a/src/main/java/org/yuccabank/control/workflow/StepEstimates.java
+++ b/src/main/java/org/yuccabank/control/workflow/StepEstimates.java
@@ -70,7 +70,7 @@
         long declared = step.getResources().getProcessorMillis();
         boolean serves = kind == WaitingTask.LoadKind.SERVING;
         long used = serves ? Math.round(SERVING_USE * declared) : declared;
-        return new WaitingTask.Load(kind, step.getImage(), used);
+        return new WaitingTask.Load(kind, step.getImage(), used, step.getMostPerWorker() > 0);
     }
 
     /** What a task reserves; an opportunistic one reserves no processors. */
--- a/src/main/java/org/yuccabank/policy/workflow/PressureChoice.java
+++ b/src/main/java/org/yuccabank/policy/workflow/PressureChoice.java
@@ -8,10 +8,14 @@
 import java.util.PriorityQueue;
 
 /**
- * Puts filling tasks beside serving ones as far as these bear it, and packs serving tasks so that
- * whole workers stay free for images that press much. Answers the load in which filling tasks need
- * the processors that serving ones leave unused, while some pairs of images multiply the tail
- * latency. Immutable.
+ * Puts filling tasks beside serving ones as far as these bear it, and serving tasks beside others
+ * of their image. Answers the load in which serving tasks reserve most of the fleet, filling tasks
+ * need the processors that these leave unused, and some pairs of images multiply the tail latency.
+ * Immutable.
+ *
+ * <p>A filling image joins a worker if every serving image there bears it, so that a worker with
+ * one serving image is open to several times as many filling images as one with five. Serving tasks
+ * that may not stand together share workers with others of this kind.
  *
  * <p>A filling task waits rather than join a worker whose processors are in use or whose serving
  * tasks would miss their targets. A worker where nothing presses takes an image that presses a
@@ -28,6 +32,14 @@
     /** A filling task starts where this part of the processors that it wants is idle. */
     private static final double LEAST_IDLE_SHARE = 0.75;
 
+    /** Pressures that differ by less do not decide where a serving task starts. */
+    private static final double PRESSURE_STEP = 0.15;
+
+    private static final int SAME_IMAGE = 0;
+    private static final int SAME_KIND = 1;
+    private static final int OTHER_KIND = 2;
+    private static final int OTHER_IMAGE = 3;
+
     private static final int UNNOTICED = 0;
     private static final int ALONE = 1;
     private static final int PRESSING = 2;
@@ -85,7 +97,11 @@
         return switch (task.load().kind()) {
             case SERVING ->
                     new Scored(
-                            room, far, room.pressureOn(image), -room.serving(), room.freeShare());
+                            room,
+                            far,
+                            Math.floor(room.pressureOn(image) / PRESSURE_STEP),
+                            company(task, room),
+                            room.freeShare());
             case PLAIN -> new Scored(room, far, room.serving() == 0 ? 1 : 0, -room.freeShare(), 0);
             case FILLING -> {
                 int rank = rank(room, image);
@@ -95,6 +111,20 @@
         };
     }
 
+    /** How well a serving task fits to those that are there. */
+    private static int company(WaitingTask task, WorkerRoom room) {
+        if (room.serves(task.load().image())) {
+            return SAME_IMAGE;
+        }
+        if (room.isShared()) {
+            return task.load().apart() ? SAME_KIND : OTHER_KIND;
+        }
+        if (room.serving() == 0) {
+            return task.load().apart() ? OTHER_KIND : SAME_KIND;
+        }
+        return OTHER_IMAGE;
+    }
+
     /** Serving tasks that hardly notice the task come first, then workers without any. */
     private static int rank(WorkerRoom room, String image) {
         if (room.serving() == 0) {
--- a/src/main/java/org/yuccabank/policy/workflow/WaitingTask.java
+++ b/src/main/java/org/yuccabank/policy/workflow/WaitingTask.java
@@ -55,14 +55,26 @@
      * @param kind how it affects them
      * @param image its image, empty if it has none
      * @param usedMillis processors that it is expected to use, in thousandths of a core
+     * @param apart whether few tasks of its step may run on one worker
      */
-    public record Load(LoadKind kind, String image, long usedMillis) {
+    public record Load(LoadKind kind, String image, long usedMillis, boolean apart) {
 
         /** Checks the parts. */
         public Load {
             Objects.requireNonNull(kind, "kind is null");
             Objects.requireNonNull(image, "image is null");
         }
+
+        /**
+         * Creates the load of a task whose step may run together.
+         *
+         * @param kind how it affects the others
+         * @param image its image, empty if it has none
+         * @param usedMillis processors that it is expected to use, in thousandths of a core
+         */
+        public Load(LoadKind kind, String image, long usedMillis) {
+            this(kind, image, usedMillis, false);
+        }
     }
 
     /**
--- a/src/main/java/org/yuccabank/policy/workflow/WorkerRoom.java
+++ b/src/main/java/org/yuccabank/policy/workflow/WorkerRoom.java
@@ -27,6 +27,7 @@
     private final Map<String, Integer> tasksOfStep = new HashMap<>();
     private Resources free;
     private int serving;
+    private boolean shared;
     private final Pressures pressures;
     private final Map<String, Double> bearable = new HashMap<>();
     private final Map<String, Integer> fillingImages = new HashMap<>();
@@ -79,6 +80,7 @@
         switch (load.kind()) {
             case SERVING -> {
                 serving++;
+                shared |= load.apart();
                 pressed.computeIfAbsent(load.image(), this::pressureOn);
             }
             case FILLING -> {
@@ -212,6 +214,25 @@
         return rack;
     }
 
+    /**
+     * Tells whether a serving task of an image is here.
+     *
+     * @param servingImage the image
+     * @return true if one is here
+     */
+    public boolean serves(String servingImage) {
+        return pressed.containsKey(servingImage);
+    }
+
+    /**
+     * Tells whether a serving task is here whose step may not run together.
+     *
+     * @return true if one is here
+     */
+    public boolean isShared() {
+        return shared;
+    }
+
     /**
      * Serving tasks on the worker.
      *
--- a/src/test/java/org/yuccabank/policy/workflow/InterferencePolicyTest.java
+++ b/src/test/java/org/yuccabank/policy/workflow/InterferencePolicyTest.java
@@ -176,6 +176,50 @@
                 new PressureChoice().choose(serving, List.of(pressed, calm)).orElseThrow(), calm);
     }
 
+    /**
+     * Guards against serving images that stand mixed on all workers, so that hardly any worker
+     * bears a filling image: at the start of quiet-1 of the grown third site, serving tasks reserve
+     * three quarters of the fleet, and work that fills earned 0.08 of its worth (1864955d).
+     */
+    @Test
+    public void shouldKeepMostWorkersWithServingTasksToOneImage() {
+        List<WorkerRoom> rooms = new ArrayList<>();
+        for (int number = 0; number < 20; number++) {
+            rooms.add(
+                    new WorkerRoom("w" + number, "service", "rack", Set.of(), CAPACITY, PRESSURES));
+        }
+        for (int job = 0; job < 6; job++) {
+            boolean apart = job % 3 == 0;
+            WaitingTask task = serving("step " + job, "image " + job, apart);
+            assertEquals(new PressureChoice().reserve(task, 12, rooms).size(), 12);
+        }
+        long ofOneImage = rooms.stream().filter(room -> images(room) == 1).count();
+        assertTrue(ofOneImage >= 8, "workers with one image: " + ofOneImage);
+    }
+
+    private static int images(WorkerRoom room) {
+        int images = 0;
+        for (int job = 0; job < 6; job++) {
+            images += room.serves("image " + job) ? 1 : 0;
+        }
+        return images;
+    }
+
+    private static WaitingTask serving(String step, String image, boolean apart) {
+        return new WaitingTask(
+                step,
+                0,
+                SERVING,
+                new WaitingTask.Load(LoadKind.SERVING, image, 1_800, apart),
+                0,
+                9_000,
+                27_000,
+                0,
+                1.0,
+                new WaitingTask.Constraints(
+                        "service", Optional.empty(), Optional.empty(), apart ? 1 : 0));
+    }
+
     /** Guards against pressure that is put down to images or serving tasks without part in it. */
     @Test
     public void shouldLearnWhichImagePressesOnWhich() {
