Serve, call and send on one network thread in each process

Cause: an agent passes each list and each report between the threads of the HTTP client, of the HTTP server and of the inner protocol; each pass wakes up a thread.

Change: the roles of platform/ create one network thread and hand it to server, client and transport, which no longer own it.

--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -1,6 +1,7 @@
 package org.yuccabank.agent.workflow;
 
 import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -17,8 +18,6 @@
 import org.yuccabank.policy.workflow.FillerPacing;
 import org.yuccabank.protocol.LeaderClient;
 import org.yuccabank.protocol.PeerConnection;
-import org.yuccabank.protocol.PeerSecurity;
-import org.yuccabank.protocol.PeerTimings;
 import org.yuccabank.protocol.PeerTransport;
 import org.yuccabank.protocol.generated.Envelope;
 import org.yuccabank.protocol.generated.Hello;
@@ -89,7 +88,8 @@
     private boolean reportWanted;
     private boolean stopped;
 
-    private WorkflowAgent(WorkflowAgentConfiguration configuration, WorkerPort port) {
+    private WorkflowAgent(
+            WorkflowAgentConfiguration configuration, WorkerPort port, EventLoopGroup threads) {
         this.configuration = configuration;
         this.port = port;
         Hello greeting =
@@ -99,9 +99,7 @@
                         .setDataCentre(configuration.dataCentre())
                         .setIncarnation(System.currentTimeMillis())
                         .build();
-        transport =
-                PeerTransport.start(
-                        greeting, () -> 0, PeerTimings.standard(), PeerSecurity.off(), 1);
+        transport = PeerTransport.startOn(greeting, threads);
         loop = transport.eventLoop();
         leader = LeaderClient.of(transport, configuration.controlAddresses(), this::onMessage);
         lease = new WorkerLease(configuration.lease());
@@ -112,11 +110,13 @@
      *
      * @param configuration its configuration
      * @param port the worker beside it
+     * @param threads network threads; the agent runs on one of them and does not end them
      * @return the agent
      */
-    public static WorkflowAgent start(WorkflowAgentConfiguration configuration, WorkerPort port) {
+    public static WorkflowAgent start(
+            WorkflowAgentConfiguration configuration, WorkerPort port, EventLoopGroup threads) {
         Objects.requireNonNull(port, "port is null");
-        WorkflowAgent agent = new WorkflowAgent(configuration, port);
+        WorkflowAgent agent = new WorkflowAgent(configuration, port, threads);
         var unused =
                 agent.loop.scheduleWithFixedDelay(
                         agent::tick,
--- a/src/main/java/org/yuccabank/entry/workflow/WorkflowGateway.java
+++ b/src/main/java/org/yuccabank/entry/workflow/WorkflowGateway.java
@@ -1,5 +1,6 @@
 package org.yuccabank.entry.workflow;
 
+import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
@@ -13,8 +14,6 @@
 import org.yuccabank.protocol.PeerAddress;
 import org.yuccabank.protocol.PeerException;
 import org.yuccabank.protocol.PeerHandler;
-import org.yuccabank.protocol.PeerSecurity;
-import org.yuccabank.protocol.PeerTimings;
 import org.yuccabank.protocol.PeerTransport;
 import org.yuccabank.protocol.generated.ConfigurationQuery;
 import org.yuccabank.protocol.generated.Envelope;
@@ -71,10 +70,14 @@
      * @param processId identifier of the process
      * @param dataCentre data centre of the process
      * @param controlAddresses addresses of control processes, at least one
+     * @param threads network threads, which the gateway does not end
      * @return the gateway
      */
     public static WorkflowGateway start(
-            String processId, String dataCentre, List<InetSocketAddress> controlAddresses) {
+            String processId,
+            String dataCentre,
+            List<InetSocketAddress> controlAddresses,
+            EventLoopGroup threads) {
         Hello greeting =
                 Hello.newBuilder()
                         .setProcessId(processId)
@@ -82,9 +85,7 @@
                         .setDataCentre(dataCentre)
                         .setIncarnation(System.currentTimeMillis())
                         .build();
-        PeerTransport transport =
-                PeerTransport.start(
-                        greeting, () -> 0, PeerTimings.standard(), PeerSecurity.off(), 1);
+        PeerTransport transport = PeerTransport.startOn(greeting, threads);
         WorkflowGateway gateway = new WorkflowGateway(transport, controlAddresses);
         gateway.probe();
         return gateway;
--- a/src/main/java/org/yuccabank/protocol/PeerTransport.java
+++ b/src/main/java/org/yuccabank/protocol/PeerTransport.java
@@ -49,6 +49,7 @@
     private final PeerTimings timings;
     private final PeerSecurity security;
     private final EventLoopGroup threads;
+    private final boolean ownsThreads;
     private final Set<PeerConnection> connections = ConcurrentHashMap.newKeySet();
 
     private PeerTransport(
@@ -56,14 +57,26 @@
             LongSupplier configurationVersion,
             PeerTimings timings,
             PeerSecurity security,
-            int threadCount) {
+            EventLoopGroup threads,
+            boolean ownsThreads) {
         this.greeting = greeting.toBuilder().setProtocolVersion(PROTOCOL_VERSION).build();
         this.configurationVersion = configurationVersion;
         this.timings = timings;
         this.security = security;
-        ThreadFactory names = new DefaultThreadFactory("network-" + greeting.getProcessId());
-        this.threads =
-                new MultiThreadIoEventLoopGroup(threadCount, names, NioIoHandler.newFactory());
+        this.threads = threads;
+        this.ownsThreads = ownsThreads;
+    }
+
+    /**
+     * Creates network threads, for a process whose servers, clients and transport share them.
+     *
+     * @param name name of the threads
+     * @param threadCount number of threads
+     * @return the threads, which their creator shuts down
+     */
+    public static EventLoopGroup threads(String name, int threadCount) {
+        ThreadFactory names = new DefaultThreadFactory("network-" + name);
+        return new MultiThreadIoEventLoopGroup(threadCount, names, NioIoHandler.newFactory());
     }
 
     /**
@@ -83,12 +96,39 @@
             PeerSecurity security,
             int threadCount) {
         Objects.requireNonNull(greeting, "greeting is null");
-        return new PeerTransport(greeting, configurationVersion, timings, security, threadCount);
+        EventLoopGroup owned = threads(greeting.getProcessId(), threadCount);
+        return new PeerTransport(greeting, configurationVersion, timings, security, owned, true);
     }
 
-    /** Closes all connections and ends the network threads. */
+    /**
+     * Starts a transport without TLS on network threads that others use too. Work that passes from
+     * a server to the transport then stays on its thread and wakes up no other.
+     *
+     * @param greeting what this process says about itself on each connection
+     * @param threads the threads, which outlive the transport
+     * @return the transport
+     */
+    public static PeerTransport startOn(Hello greeting, EventLoopGroup threads) {
+        Objects.requireNonNull(greeting, "greeting is null");
+        Objects.requireNonNull(threads, "threads is null");
+        return new PeerTransport(
+                greeting, () -> 0, PeerTimings.standard(), PeerSecurity.off(), threads, false);
+    }
+
+    /** Closes all connections and ends the network threads if they are its own. */
     public void stop() {
         connections.forEach(PeerConnection::close);
+        if (ownsThreads) {
+            end(threads);
+        }
+    }
+
+    /**
+     * Ends network threads after what they have begun.
+     *
+     * @param threads the threads
+     */
+    public static void end(EventLoopGroup threads) {
         threads.shutdownGracefully(
                         SHUTDOWN_QUIET_MILLIS, SHUTDOWN_LIMIT_MILLIS, TimeUnit.MILLISECONDS)
                 .awaitUninterruptibly(SHUTDOWN_LIMIT_MILLIS);
--- a/src/test/java/org/yuccabank/entry/workflow/WorkflowGatewayTest.java
+++ b/src/test/java/org/yuccabank/entry/workflow/WorkflowGatewayTest.java
@@ -3,10 +3,13 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import org.testng.annotations.AfterClass;
 import org.testng.annotations.Test;
+import org.yuccabank.protocol.PeerTransport;
 import org.yuccabank.protocol.generated.WorkflowReply;
 import org.yuccabank.protocol.generated.WorkflowRequest;
 
@@ -18,10 +21,17 @@
 
     private static final Duration CALLER_LIMIT = Duration.ofSeconds(10);
 
+    private final EventLoopGroup threads = PeerTransport.threads("test", 1);
+
+    @AfterClass
+    public void endThreads() {
+        PeerTransport.end(threads);
+    }
+
     /** Guards against callers who wait until their deadline for a refusal that was certain. */
     @Test
     public void shouldRefuseSoonAndTrulyWithoutLeader() {
-        WorkflowGateway gateway = WorkflowGateway.start("p", "d", List.of(NOBODY));
+        WorkflowGateway gateway = WorkflowGateway.start("p", "d", List.of(NOBODY), threads);
         try {
             long start = System.nanoTime();
             WorkflowReply reply =
@@ -42,7 +52,7 @@
      */
     @Test
     public void shouldCountOutageFromOwnStart() {
-        WorkflowGateway gateway = WorkflowGateway.start("p", "d", List.of(NOBODY));
+        WorkflowGateway gateway = WorkflowGateway.start("p", "d", List.of(NOBODY), threads);
         try {
             WorkflowReply reply =
                     gateway.send(WorkflowRequest.getDefaultInstance(), CALLER_LIMIT).block();
--- a/src/test/java/org/yuccabank/platform/StandInMinion.java
+++ b/src/test/java/org/yuccabank/platform/StandInMinion.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -10,6 +11,7 @@
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import org.yuccabank.protocol.PeerTransport;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
 
@@ -26,6 +28,7 @@
     private final Map<Long, String> finished = new LinkedHashMap<>();
     private final List<String> starts = new CopyOnWriteArrayList<>();
     private final List<Long> swallowedMillis = new CopyOnWriteArrayList<>();
+    private final EventLoopGroup threads = PeerTransport.threads("minion", 1);
     private final DisposableServer server;
     private long lastNumber;
     private volatile boolean answersStarts = true;
@@ -35,7 +38,7 @@
 
     StandInMinion(InetSocketAddress address, long born) {
         this.born = born;
-        server = HttpCalls.serve(address, this::answer);
+        server = HttpCalls.serve(address, threads, this::answer);
     }
 
     /** Names and attempts of all starts, in order. */
@@ -74,6 +77,7 @@
 
     void stop() {
         server.disposeNow(Duration.ofSeconds(1));
+        PeerTransport.end(threads);
     }
 
     private static long clock() {
