--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -141,6 +141,7 @@
         pendingEnds.clear();
         watch.clear();
         interference.clear();
+        forecast = Optional.empty();
         roundInProgress = false;
     }
 
--- a/src/main/java/org/yuccabank/policy/workflow/Headroom.java
+++ b/src/main/java/org/yuccabank/policy/workflow/Headroom.java
@@ -9,8 +9,8 @@
 final class Headroom {
 
     /**
-     * Share of the target that the tail latency is held to: a second over the target costs as much
-     * as twenty seconds of a filling task earn, and figures lag.
+     * Share of the target that the tail latency is held to. The rest is for figures that lag. With
+     * 0.65 the ordinary peaks of the serving tasks' own load stop all filling tasks beside them.
      */
     static final double HELD_SHARE = 0.85;
 
--- a/src/main/java/org/yuccabank/policy/workflow/PressureChoice.java
+++ b/src/main/java/org/yuccabank/policy/workflow/PressureChoice.java
@@ -35,9 +35,16 @@
     /** Pressures that differ by less do not decide where a serving task starts. */
     private static final double PRESSURE_STEP = 0.15;
 
+    /** The serving task closes the worker to no further filling image. */
     private static final int SAME_IMAGE = 0;
-    private static final int SAME_KIND = 1;
-    private static final int OTHER_KIND = 2;
+
+    /** The worker is empty, or shared and the task is one of those that share workers. */
+    private static final int FITTING = 1;
+
+    /** The worker is shared though the task could stand with its mates, or the other way round. */
+    private static final int UNFITTING = 2;
+
+    /** The worker has served one image up to now. */
     private static final int OTHER_IMAGE = 3;
 
     private static final int UNNOTICED = 0;
@@ -117,10 +124,10 @@
             return SAME_IMAGE;
         }
         if (room.isShared()) {
-            return task.load().apart() ? SAME_KIND : OTHER_KIND;
+            return task.load().apart() ? FITTING : UNFITTING;
         }
         if (room.serving() == 0) {
-            return task.load().apart() ? OTHER_KIND : SAME_KIND;
+            return task.load().apart() ? UNFITTING : FITTING;
         }
         return OTHER_IMAGE;
     }
