--- a/src/main/java/org/yuccabank/event/JsonEventFormat.java
+++ b/src/main/java/org/yuccabank/event/JsonEventFormat.java
@@ -1,16 +1,15 @@
 package org.yuccabank.event;
 
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonGenerator;
-import java.io.IOException;
-import java.io.StringWriter;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Instant;
 import java.time.InstantSource;
 
 /** One JSON object a line, for programs that read logs. Immutable; thread-safe. */
 final class JsonEventFormat implements EventFormat {
 
-    private static final JsonFactory JSON = new JsonFactory();
+    private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final String process;
     private final InstantSource clock;
@@ -23,31 +22,30 @@
     @Override
     public String format(Event event, long leftOut, Object... details) {
         Instant now = clock.instant();
-        StringWriter text = new StringWriter();
-        try (JsonGenerator line = JSON.createGenerator(text)) {
-            line.writeStartObject();
-            line.writeStringField("time", now.toString());
-            line.writeStringField("process", process);
-            line.writeNumberField("number", event.number());
-            line.writeStringField("event", event.name());
-            for (int index = 0; index + 1 < details.length; index += 2) {
-                write(line, String.valueOf(details[index]), details[index + 1]);
-            }
-            if (leftOut > 0) {
-                line.writeNumberField("leftOut", leftOut);
-            }
-            line.writeEndObject();
-        } catch (IOException exception) {
-            throw new IllegalStateException("a line can always be written to memory", exception);
+        ObjectNode line =
+                MAPPER.createObjectNode()
+                        .put("time", now.toString())
+                        .put("process", process)
+                        .put("number", event.number())
+                        .put("event", event.name());
+        for (int index = 0; index + 1 < details.length; index += 2) {
+            put(line, String.valueOf(details[index]), details[index + 1]);
+        }
+        if (leftOut > 0) {
+            line.put("leftOut", leftOut);
+        }
+        try {
+            return MAPPER.writeValueAsString(line);
+        } catch (JsonProcessingException exception) {
+            throw new IllegalStateException("a tree of values can always be written", exception);
         }
-        return text.toString();
     }
 
-    private static void write(JsonGenerator line, String name, Object value) throws IOException {
+    private static void put(ObjectNode line, String name, Object value) {
         if (value instanceof Integer || value instanceof Long) {
-            line.writeNumberField(name, ((Number) value).longValue());
+            line.put(name, ((Number) value).longValue());
         } else {
-            line.writeStringField(name, String.valueOf(value));
+            line.put(name, String.valueOf(value));
         }
     }
 }
