Run the relay on the network thread of its process

The scan for unacknowledged ends in each directive is made only while lists are paused.

ControlRelayTest is new, as nothing covered the relay.

--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -352,7 +352,7 @@
         leader.learnMembers(directives.getControlAddressesList());
         runs.acknowledge(directives.getAcknowledgedNumber());
         runs.settle(directives.getSettledList());
-        if (!runs.hasUnacknowledgedEnds()) {
+        if (listsPaused && !runs.hasUnacknowledgedEnds()) {
             resumeLists();
         }
         runs.learnPressures(directives.getPressuresList());
--- a/src/main/java/org/yuccabank/control/ControlRelay.java
+++ b/src/main/java/org/yuccabank/control/ControlRelay.java
@@ -1,14 +1,13 @@
 package org.yuccabank.control;
 
+import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.Supplier;
 import org.yuccabank.event.Event;
 import org.yuccabank.event.EventLog;
-import org.yuccabank.protocol.PeerSecurity;
 import org.yuccabank.protocol.PeerServer;
-import org.yuccabank.protocol.PeerTimings;
 import org.yuccabank.protocol.PeerTransport;
 import org.yuccabank.protocol.generated.Envelope;
 import org.yuccabank.protocol.generated.Hello;
@@ -22,8 +21,6 @@
  */
 public final class ControlRelay {
 
-    private static final int NETWORK_THREADS = 1;
-
     private final PeerTransport transport;
     private final PeerServer server;
 
@@ -39,13 +36,15 @@
      * @param dataCentre data centre of the process
      * @param address where it listens
      * @param leaderAddress address of the leader, empty while none is known
+     * @param threads network threads, which the relay does not end
      * @return the relay
      */
     public static ControlRelay start(
             String processId,
             String dataCentre,
             InetSocketAddress address,
-            Supplier<Optional<String>> leaderAddress) {
+            Supplier<Optional<String>> leaderAddress,
+            EventLoopGroup threads) {
         Objects.requireNonNull(leaderAddress, "leaderAddress is null");
         Hello greeting =
                 Hello.newBuilder()
@@ -54,13 +53,7 @@
                         .setDataCentre(dataCentre)
                         .setIncarnation(System.currentTimeMillis())
                         .build();
-        PeerTransport transport =
-                PeerTransport.start(
-                        greeting,
-                        () -> 0,
-                        PeerTimings.standard(),
-                        PeerSecurity.off(),
-                        NETWORK_THREADS);
+        PeerTransport transport = PeerTransport.startOn(greeting, threads);
         PeerServer server =
                 PeerServer.start(
                         transport,
--- /dev/null
+++ b/src/test/java/org/yuccabank/control/ControlRelayTest.java
@@ -0,0 +1,51 @@
+package org.yuccabank.control;
+
+import static org.testng.Assert.assertEquals;
+
+import io.netty.channel.EventLoopGroup;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.Optional;
+import org.testng.annotations.Test;
+import org.yuccabank.protocol.PeerClient;
+import org.yuccabank.protocol.PeerHandler;
+import org.yuccabank.protocol.PeerTransport;
+import org.yuccabank.protocol.generated.Envelope;
+import org.yuccabank.protocol.generated.Hello;
+import org.yuccabank.protocol.generated.WorkflowRequest;
+
+/** Holds what a control process without a replica answers. */
+public final class ControlRelayTest {
+
+    private static final Duration LIMIT = Duration.ofSeconds(5);
+
+    /** Guards against callers of a host without a disk who do not find the leader. */
+    @Test
+    public void shouldNameLeader() throws Exception {
+        InetSocketAddress address;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            address = (InetSocketAddress) free.getLocalSocketAddress();
+        }
+        EventLoopGroup threads = PeerTransport.threads("relay", 1);
+        ControlRelay relay =
+                ControlRelay.start("p", "d", address, () -> Optional.of("127.0.0.1:7"), threads);
+        PeerTransport transport = PeerTransport.startOn(Hello.getDefaultInstance(), threads);
+        try {
+            Envelope request =
+                    Envelope.newBuilder()
+                            .setWorkflowRequest(WorkflowRequest.getDefaultInstance())
+                            .build();
+            Envelope answer =
+                    PeerClient.of(transport, address, PeerHandler.none())
+                            .request(request, LIMIT)
+                            .block(LIMIT);
+            assertEquals(answer.getProtocolError().getLeaderAddress(), "127.0.0.1:7");
+        } finally {
+            transport.stop();
+            relay.stop();
+            PeerTransport.end(threads);
+        }
+    }
+}
