Log the voters and the quorum of a control group

Event 306 names the replica and the index of a change of membership, but not who votes since then, so that the logs could not tell a group with a lost voter that still counts (quorum 3 of 4) from an election that fails for another reason.

Change: events 301 and 306 carry the voters and the quorum; the metrics replica_voters and replica_quorum show them while the process runs.

--- a/src/main/java/org/yuccabank/control/ControlService.java
+++ b/src/main/java/org/yuccabank/control/ControlService.java
@@ -173,10 +173,14 @@
         Gauge<Long> commit = () -> replica.status().commitIndex();
         Gauge<Long> term = () -> replica.status().term();
         Gauge<Integer> leads = () -> replica.isLeader() ? 1 : 0;
+        Gauge<Integer> voters = () -> replica.status().voters().size();
+        Gauge<Integer> quorum = () -> replica.status().quorum();
         Gauge<Integer> connections = transport::connectionCount;
         metrics.register("replica_commit_index", commit);
         metrics.register("replica_term", term);
         metrics.register("replica_is_leader", leads);
+        metrics.register("replica_voters", voters);
+        metrics.register("replica_quorum", quorum);
         metrics.register("connections", connections);
         leader.registerMetrics(metrics);
     }
--- a/src/main/java/org/yuccabank/replication/ReplicaNode.java
+++ b/src/main/java/org/yuccabank/replication/ReplicaNode.java
@@ -358,7 +358,11 @@
                     "replica",
                     settings.replicaId(),
                     "index",
-                    entry.getIndex());
+                    entry.getIndex(),
+                    "voters",
+                    status().voters(),
+                    "quorum",
+                    status().quorum());
         }
         pendingRequests.onApplied(entry, result);
     }
@@ -401,7 +405,15 @@
             leaderTerm = 0;
             endLeadership("this replica no longer leads");
             eventListener.onEvent(
-                    Event.LEADER_STEPPED_DOWN, "replica", settings.replicaId(), "term", term);
+                    Event.LEADER_STEPPED_DOWN,
+                    "replica",
+                    settings.replicaId(),
+                    "term",
+                    term,
+                    "voters",
+                    status().voters(),
+                    "quorum",
+                    status().quorum());
         }
         if (isLeader) {
             leaderTerm = term;
--- a/src/main/java/org/yuccabank/replication/ReplicaStatus.java
+++ b/src/main/java/org/yuccabank/replication/ReplicaStatus.java
@@ -28,4 +28,23 @@
         long lastIndex,
         List<ReplicaMember> members,
         Map<String, Long> millisSinceReply,
-        Optional<String> stopReason) {}
+        Optional<String> stopReason) {
+
+    /**
+     * Returns the voters according to the latest membership in the log.
+     *
+     * @return their identifiers, in the order in which they joined
+     */
+    public List<String> voters() {
+        return members.stream().filter(ReplicaMember::voter).map(ReplicaMember::replicaId).toList();
+    }
+
+    /**
+     * Returns the number of voters that an election or a commit needs.
+     *
+     * @return the smallest majority of the voters
+     */
+    public int quorum() {
+        return voters().size() / 2 + 1;
+    }
+}
