Test that a host is replaced after a change of leader

Cause: a new replica knows no member, so its replies have no address and a control process drops them. Both test harnesses delivered such a message by the identifier of its receiver, which no transport does.

Change: the harnesses of MembershipManagerTest and ReplicaServiceTest drop a message without an address, as ControlService does, and a test replaces a host under a leader of the second term.

--- a/src/test/java/org/yuccabank/control/workflow/MembershipManagerTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/MembershipManagerTest.java
@@ -126,14 +126,9 @@
     }
 
     private void deliver(String address, ReplicaMessage message) {
-        // A replica that knows no member yet replies to the sender of the message.
-        Optional<Replica> receiver =
-                address.isEmpty()
-                        ? replicas.values().stream()
-                                .filter(each -> each.id().equals(message.getTo()))
-                                .findFirst()
-                        : Optional.ofNullable(replicas.get(address));
-        receiver.ifPresent(replica -> replica.service().receive(message));
+        // As in a control process, a message without an address is lost.
+        Optional.ofNullable(replicas.get(address))
+                .ifPresent(replica -> replica.service().receive(message));
     }
 
     private Optional<Replica> leader() {
@@ -252,4 +247,17 @@
         propose("after the return");
         await("three voters", () -> voterCount() == DESIRED_VOTERS);
     }
+
+    /** Guards against a new replica that only a leader of the first term can add. */
+    @Test
+    public void shouldReplaceHostLostAfterLeaderChange() throws Exception {
+        String address = leader().orElseThrow().address();
+        replicas.remove(address).service().stop();
+        propose("after the leader change");
+        start(address, address, voters());
+        loseFollower();
+        start("d", "d", List.of());
+        await("the vote of d", () -> replicas.get("d").member().voter());
+        propose("after the replacement");
+    }
 }
--- a/src/test/java/org/yuccabank/replication/ReplicaServiceTest.java
+++ b/src/test/java/org/yuccabank/replication/ReplicaServiceTest.java
@@ -70,7 +70,8 @@
     }
 
     private void deliver(String address, ReplicaMessage message) {
-        ReplicaService service = services.get(address.isEmpty() ? message.getTo() : address);
+        // As in a control process, a message without an address is lost.
+        ReplicaService service = services.get(address);
         if (service != null) {
             service.receive(message);
         }
