Let a replica answer a sender that it does not know as a member

A host is lost and its successor joins, but never becomes a voter, so that the next lost disk ends the service for good (LOST of lasting tasks, every request refused).

Cause: a replica takes the addresses of the others from the membership in its log. A new replica has none, and the replies of a replica that is behind to a leader which joined later have no address either; a control process drops them. Under a leader of the first term this went unnoticed, because that leader sends its log from the first entry, which holds the members. A leader of a later term starts at the first entry of its term and needs the answer that its follower lacks the entries before. The state that is needed to answer was part of the state to be transferred.

Change: each message between replicas names the address of its sender, and a replica answers a sender outside its membership at that address.

--- a/src/main/java/org/yuccabank/replication/ReplicaNode.java
+++ b/src/main/java/org/yuccabank/replication/ReplicaNode.java
@@ -2,7 +2,9 @@
 
 import com.google.protobuf.ByteString;
 import java.io.IOException;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -39,6 +41,13 @@
     private final ReplicaStorage storage;
     private final ReplicaCore core;
     private final PendingRequests pendingRequests = new PendingRequests();
+
+    /**
+     * Addresses of senders that are not in the membership of this replica, because it has not
+     * received that part of the log yet. Without them it could not ask for the log.
+     */
+    private final Map<String, String> unknownSenderAddresses = new HashMap<>();
+
     private LeaderListener leaderListener = (leader, term) -> {};
     private Optional<String> stopReason = Optional.empty();
     private long leaderTerm;
@@ -166,11 +175,22 @@
      */
     public void receive(ReplicaMessage message, long nowMillis) {
         if (isRunning() && message.getGroup().equals(settings.group())) {
+            recordUnknownSender(message);
             core.receive(message, nowMillis);
             detectStepDown();
         }
     }
 
+    private void recordUnknownSender(ReplicaMessage message) {
+        if (member(message.getFrom()).isEmpty() && !message.getFromAddress().isEmpty()) {
+            unknownSenderAddresses.put(message.getFrom(), message.getFromAddress());
+        }
+    }
+
+    private Optional<ReplicaMember> member(String replicaId) {
+        return core.state().membership().member(replicaId);
+    }
+
     /**
      * Advances the time.
      *
@@ -325,13 +345,13 @@
     }
 
     private void send(ReplicaMessage message) {
+        String receiver = message.getTo();
         String address =
-                core.state()
-                        .membership()
-                        .member(message.getTo())
+                member(receiver)
                         .map(ReplicaMember::address)
-                        .orElse("");
-        transport.send(address, message);
+                        .orElseGet(() -> unknownSenderAddresses.getOrDefault(receiver, ""));
+        String ownAddress = member(settings.replicaId()).map(ReplicaMember::address).orElse("");
+        transport.send(address, message.toBuilder().setFromAddress(ownAddress).build());
     }
 
     private void write(WriteBatch batch) {
@@ -516,8 +536,7 @@
     }
 
     private Optional<ReplicaMember> leader() {
-        CoreState state = core.state();
-        return state.membership().member(state.leaderId());
+        return member(core.state().leaderId());
     }
 
     private Optional<ReplicaMember> otherLeader() {
--- a/src/test/java/org/yuccabank/control/workflow/MembershipManagerTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/MembershipManagerTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -260,4 +261,39 @@
         await("the vote of d", () -> replicas.get("d").member().voter());
         propose("after the replacement");
     }
+
+    /** Guards against a voter that cannot answer a leader which joined while it was down. */
+    @Test
+    public void shouldCatchUpVoterThatMissedAllChanges() throws Exception {
+        String absent = loseFollower();
+        replaceBy("d");
+        replicas.remove(leader().orElseThrow().address()).service().stop();
+        replaceBy("e");
+        await("a leader that joined later", this::hasLeaderThatJoinedLater);
+        start(absent, absent, voters());
+        Replica returned = replicas.get(absent);
+        await(
+                "catch-up",
+                () ->
+                        returned.service().status().lastIndex()
+                                >= leader().orElseThrow().service().status().lastIndex());
+    }
+
+    private void replaceBy(String id) throws Exception {
+        start(id, id, List.of());
+        await("the vote of " + id, () -> replicas.get(id).member().voter());
+        await("three voters", () -> voterCount() == DESIRED_VOTERS);
+        propose("after " + id);
+    }
+
+    private boolean hasLeaderThatJoinedLater() {
+        Optional<Replica> leader = leader();
+        boolean joinedLater =
+                leader.map(Replica::id).filter(Set.of("d", "e")::contains).isPresent();
+        if (!joinedLater) {
+            leader.ifPresent(
+                    each -> each.service().transferLeadership().toCompletableFuture().join());
+        }
+        return joinedLater;
+    }
 }
