--- a/src/test/java/org/yuccabank/control/workflow/MembershipManagerTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/MembershipManagerTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -126,14 +127,9 @@
     }
 
     private void deliver(String address, ReplicaMessage message) {
-        // A replica that knows no member yet replies to the sender of the message.
-        Optional<Replica> receiver =
-                address.isEmpty()
-                        ? replicas.values().stream()
-                                .filter(each -> each.id().equals(message.getTo()))
-                                .findFirst()
-                        : Optional.ofNullable(replicas.get(address));
-        receiver.ifPresent(replica -> replica.service().receive(message));
+        // As in a control process, a message without an address is lost.
+        Optional.ofNullable(replicas.get(address))
+                .ifPresent(replica -> replica.service().receive(message));
     }
 
     private Optional<Replica> leader() {
@@ -252,4 +248,52 @@
         propose("after the return");
         await("three voters", () -> voterCount() == DESIRED_VOTERS);
     }
+
+    /** Guards against a new replica that only a leader of the first term can add. */
+    @Test
+    public void shouldReplaceHostLostAfterLeaderChange() throws Exception {
+        String address = leader().orElseThrow().address();
+        replicas.remove(address).service().stop();
+        propose("after the leader change");
+        start(address, address, voters());
+        loseFollower();
+        start("d", "d", List.of());
+        await("the vote of d", () -> replicas.get("d").member().voter());
+        propose("after the replacement");
+    }
+
+    /** Guards against a voter that cannot answer a leader which joined while it was down. */
+    @Test
+    public void shouldCatchUpVoterThatMissedAllChanges() throws Exception {
+        String absent = loseFollower();
+        replaceBy("d");
+        replicas.remove(leader().orElseThrow().address()).service().stop();
+        replaceBy("e");
+        await("a leader that joined later", this::hasLeaderThatJoinedLater);
+        start(absent, absent, voters());
+        Replica returned = replicas.get(absent);
+        await(
+                "catch-up",
+                () ->
+                        returned.service().status().lastIndex()
+                                >= leader().orElseThrow().service().status().lastIndex());
+    }
+
+    private void replaceBy(String id) throws Exception {
+        start(id, id, List.of());
+        await("the vote of " + id, () -> replicas.get(id).member().voter());
+        await("three voters", () -> voterCount() == DESIRED_VOTERS);
+        propose("after " + id);
+    }
+
+    private boolean hasLeaderThatJoinedLater() {
+        Optional<Replica> leader = leader();
+        boolean joinedLater =
+                leader.map(Replica::id).filter(Set.of("d", "e")::contains).isPresent();
+        if (!joinedLater) {
+            leader.ifPresent(
+                    each -> each.service().transferLeadership().toCompletableFuture().join());
+        }
+        return joinedLater;
+    }
 }
