Lose messages without an address in the schedules of verify

Cause: the schedules delivered a message by the identifier of its receiver, so that they could not find a replica which knows no address.

Change: SimulatedReplica drops a message without an address, as a control process does.

--- a/src/main/java/org/yuccabank/verify/SimulatedReplica.java
+++ b/src/main/java/org/yuccabank/verify/SimulatedReplica.java
@@ -95,7 +95,7 @@
         ReplicaNode.Environment environment =
                 new ReplicaNode.Environment(
                         stateMachine,
-                        (address, message) -> send(message),
+                        this::send,
                         disk,
                         this::onEvent,
                         Simulation.newRandomGenerator(simulation.random().nextLong()));
@@ -123,7 +123,10 @@
         group.onEvent(event);
     }
 
-    private void send(ReplicaMessage message) {
+    private void send(String address, ReplicaMessage message) {
+        if (address.isEmpty()) {
+            return;
+        }
         group.network()
                 .send(
                         id(),
