Test that the loss of a successor at its promotion is survived

Cause: found in review. A successor counts as a voter from the moment its promotion is in the log; if it stops before it acknowledges that entry, the lost voter and it are two of four that do not answer.

Change: two tests lose the successor with the message that promotes it, one at a new address and one at the address of a lost disk.

--- a/src/test/java/org/yuccabank/control/workflow/MembershipManagerTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/MembershipManagerTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertTrue;
 
+import com.google.protobuf.InvalidProtocolBufferException;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -17,6 +18,8 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.yuccabank.protocol.generated.JoinRequest;
+import org.yuccabank.protocol.generated.LogEntry;
+import org.yuccabank.protocol.generated.Membership;
 import org.yuccabank.protocol.generated.ReplicaMessage;
 import org.yuccabank.replication.ProposalOutcome;
 import org.yuccabank.replication.ReplicaMember;
@@ -30,14 +33,11 @@
 
     private static final int DESIRED_VOTERS = 3;
 
-    /**
-     * Time after which the successor of a lost host counts, so that the group has to tolerate
-     * another loss; the bound of the users' platform.
-     */
+    /** Time after which the group has to tolerate the next loss, from the requirements. */
     private static final long CATCH_UP_MILLIS = 4_000;
 
-    /** A new leader is elected within a second; the rest allows for a busy machine. */
-    private static final long ELECTION_LIMIT_MILLIS = 10_000;
+    /** Time within which the service resumes after a loss, from the requirements. */
+    private static final long RECOVERY_LIMIT_MILLIS = 10_000;
 
     private static final long STEP_MILLIS = 50;
     private static final int SNAPSHOT_ENTRIES = 1_000;
@@ -45,6 +45,11 @@
     private final Map<String, Replica> replicas = new ConcurrentHashMap<>();
     private Path directory;
 
+    /** Replica that receives nothing from the message on that promotes it, empty for none. */
+    private volatile String lostAtPromotion = "";
+
+    private volatile boolean promotionLost;
+
     private record Replica(String id, String address, ReplicaService service, Manager manager) {
 
         private ReplicaMember member() {
@@ -90,6 +95,8 @@
     @BeforeMethod
     public void start() throws Exception {
         directory = Files.createTempDirectory("membership");
+        lostAtPromotion = "";
+        promotionLost = false;
         for (String id : List.of("a", "b", "c")) {
             start(id, id, voters());
         }
@@ -127,11 +134,33 @@
     }
 
     private void deliver(String address, ReplicaMessage message) {
+        promotionLost |= isPromotion(message, lostAtPromotion);
+        if (promotionLost
+                && List.of(message.getFrom(), message.getTo()).contains(lostAtPromotion)) {
+            return;
+        }
         // As in a control process, a message without an address is lost.
         Optional.ofNullable(replicas.get(address))
                 .ifPresent(replica -> replica.service().receive(message));
     }
 
+    /** Returns whether a message to a replica contains the entry that makes it a voter. */
+    private static boolean isPromotion(ReplicaMessage message, String replicaId) {
+        return message.getTo().equals(replicaId)
+                && message.getAppendRequest().getEntriesList().stream()
+                        .filter(entry -> entry.getType() == LogEntry.Type.MEMBERSHIP)
+                        .anyMatch(entry -> hasVoter(entry, replicaId));
+    }
+
+    private static boolean hasVoter(LogEntry entry, String replicaId) {
+        try {
+            return Membership.parseFrom(entry.getPayload()).getMembersList().stream()
+                    .anyMatch(each -> each.getVoter() && each.getReplicaId().equals(replicaId));
+        } catch (InvalidProtocolBufferException exception) {
+            throw new AssertionError(exception);
+        }
+    }
+
     private Optional<Replica> leader() {
         return replicas.values().stream().filter(each -> each.service().isLeader()).findFirst();
     }
@@ -167,7 +196,7 @@
     }
 
     private void await(String awaited, BooleanSupplier condition) throws InterruptedException {
-        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ELECTION_LIMIT_MILLIS);
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RECOVERY_LIMIT_MILLIS);
         while (!condition.getAsBoolean()) {
             assertTrue(System.nanoTime() < end, "timed out waiting for " + awaited);
             runTimers();
@@ -296,4 +325,30 @@
         }
         return joinedLater;
     }
+
+    /** Guards against a group that depends on a successor which is lost at its promotion. */
+    @Test
+    public void shouldSurviveLossOfSuccessorAtItsPromotion() throws Exception {
+        loseFollower();
+        loseAtPromotion("d", "d");
+        propose("after the loss of the successor");
+        replaceBy("e");
+    }
+
+    /** Guards against a group that depends on a disk which is lost again at its promotion. */
+    @Test
+    public void shouldSurviveLossOfDiskTwice() throws Exception {
+        String address = loseFollower();
+        loseAtPromotion("d", address);
+        propose("after the second loss");
+        start("e", address, List.of());
+        await("the vote of e", () -> replicas.get(address).member().voter());
+    }
+
+    private void loseAtPromotion(String id, String address) throws Exception {
+        lostAtPromotion = id;
+        start(id, address, List.of());
+        await("the promotion of " + id, () -> promotionLost);
+        replicas.remove(address).service().stop();
+    }
 }
