--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -188,7 +188,7 @@
     /** Returns the addresses of the members, first those of the voters, one of which leads. */
     List<String> memberAddresses() {
         return replica.status().members().stream()
-                .sorted(Comparator.comparing(ReplicaMember::voter).reversed())
+                .sorted(Comparator.comparing((ReplicaMember member) -> !member.voter()))
                 .map(ReplicaMember::address)
                 .distinct()
                 .toList();
