Send join requests to the addresses of changed settings

Cause: a replica that has not joined yet keeps asking the control hosts of its first settings, although its settings name others since.

Change: the reload of settings reaches the join client too. A replica asks until it is a voter; that a former member is at its address does not matter any more, as the leader removes that one by itself.

--- a/src/main/java/org/yuccabank/control/ControlService.java
+++ b/src/main/java/org/yuccabank/control/ControlService.java
@@ -32,7 +32,6 @@
 import org.yuccabank.protocol.generated.Role;
 import org.yuccabank.protocol.generated.RulesVersion;
 import org.yuccabank.protocol.generated.WorkflowRequest;
-import org.yuccabank.replication.ReplicaMember;
 import org.yuccabank.replication.ReplicaService;
 import org.yuccabank.replication.ReplicaSettings;
 import org.yuccabank.replication.ReplicaStatus;
@@ -202,29 +201,14 @@
     }
 
     /**
-     * Sends a join request unless this replica is a voter and no former member remains at its
-     * address.
+     * Sends a join request unless this replica is a voter. A learner repeats it, because the entry
+     * that added it may be lost with its leader.
      */
     private void joinIfNeeded() {
-        List<ReplicaMember> members = replica.status().members();
-        String address = PeerAddress.format(configuration.protocolAddress());
-        boolean voter =
-                members.stream()
-                        .anyMatch(
-                                member ->
-                                        member.voter()
-                                                && member.replicaId()
-                                                        .equals(configuration.replicaId()));
-        boolean formerMemberPresent =
-                members.stream()
-                        .anyMatch(
-                                member ->
-                                        member.address().equals(address)
-                                                && !member.replicaId()
-                                                        .equals(configuration.replicaId()));
-        if (voter && !formerMemberPresent) {
+        if (replica.status().voters().contains(configuration.replicaId())) {
             return;
         }
+        String address = PeerAddress.format(configuration.protocolAddress());
         JoinRequest join =
                 JoinRequest.newBuilder()
                         .setReplicaId(configuration.replicaId())
@@ -260,6 +244,15 @@
         return PeerClient.of(transport, PeerAddress.parse(address), PeerHandler.none());
     }
 
+    /**
+     * Replaces the addresses to which a replica sends join requests.
+     *
+     * @param addresses addresses of control processes, at least one
+     */
+    public void replaceJoinAddresses(List<InetSocketAddress> addresses) {
+        joinClient.updateConfiguredAddresses(addresses);
+    }
+
     /**
      * Returns the address on which other processes reach this one.
      *
