Reproduce a task that crashes worker after worker

A task that crashes each worker that starts it is started again without limit: its runs end as RUN_WORKER_LOST, which nothing counts.

--- /dev/null
+++ b/src/test/java/org/yuccabank/control/workflow/CrashReplay.java
@@ -0,0 +1,226 @@
+package org.yuccabank.control.workflow;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.yuccabank.policy.workflow.FeasibleFirstOrder;
+import org.yuccabank.policy.workflow.InterferenceAwareSelector;
+import org.yuccabank.policy.workflow.Pressures;
+import org.yuccabank.policy.workflow.WorkerCircuitBreaker;
+import org.yuccabank.protocol.generated.Assignment;
+import org.yuccabank.protocol.generated.EndedRun;
+import org.yuccabank.protocol.generated.ResourceVector;
+import org.yuccabank.protocol.generated.RunAddress;
+import org.yuccabank.protocol.generated.RunEnding;
+import org.yuccabank.protocol.generated.SchedulingRound;
+import org.yuccabank.protocol.generated.TaskAddress;
+import org.yuccabank.protocol.generated.WorkerIdentity;
+import org.yuccabank.protocol.generated.WorkerReport;
+import org.yuccabank.protocol.generated.WorkflowCommand;
+import org.yuccabank.state.workflow.WorkflowRecords;
+import org.yuccabank.state.workflow.WorkflowTask;
+
+/**
+ * Replays the scheduling of workflows on fake workers, some tasks of which crash their worker. The
+ * time advances in fixed steps, so each replay gives the same result.
+ */
+final class CrashReplay {
+
+    private static final long STEP_MILLIS = 100;
+    private static final long REPORT_INTERVAL_MILLIS = 600;
+    private static final long RESTART_MILLIS = 3_000;
+    private static final long MAXIMUM_LIST_AGE_MILLIS = 1_500;
+
+    private static final LearnedEstimates ESTIMATES =
+            new LearnedEstimates() {
+                @Override
+                public double runMillis(String queueName, String stepKey, long declaredMillis) {
+                    return declaredMillis;
+                }
+
+                @Override
+                public Pressures pressures() {
+                    return (serving, bestEffort) -> 0;
+                }
+
+                @Override
+                public Map<String, Double> pressureLimits(String workerId) {
+                    return Map.of();
+                }
+            };
+
+    private final WorkflowRecords records = new WorkflowRecords();
+    private final WorkflowPlanner planner =
+            new WorkflowPlanner(new FeasibleFirstOrder(), new InterferenceAwareSelector());
+    private final List<FakeWorker> workers = new ArrayList<>();
+    private final Set<String> deadlyWorkflowIds;
+    private final long crashDelayMillis;
+    private final long runMillis;
+    private final Map<TaskAddress, Integer> crashes = new HashMap<>();
+    private long nowMillis;
+    private int workerCrashes;
+    private int startsAfterThirdCrash;
+
+    /** A worker that runs all that is assigned to it until it crashes. */
+    private static final class FakeWorker {
+
+        private final String id;
+        private final Map<RunAddress, Long> startedAtMillis = new LinkedHashMap<>();
+        private WorkerIdentity identity;
+        private long listedAtMillis;
+        private long upAtMillis;
+
+        private FakeWorker(String id) {
+            this.id = id;
+            identity = incarnation(0);
+        }
+
+        private WorkerIdentity incarnation(long bornMillis) {
+            return WorkerIdentity.newBuilder()
+                    .setWorkerId(id)
+                    .setHostId(id)
+                    .setBornMillis(bornMillis)
+                    .build();
+        }
+    }
+
+    CrashReplay(
+            int workerCount, Set<String> deadlyWorkflowIds, long crashDelayMillis, long runMillis) {
+        this.deadlyWorkflowIds = deadlyWorkflowIds;
+        this.crashDelayMillis = crashDelayMillis;
+        this.runMillis = runMillis;
+        for (int number = 0; number < workerCount; number++) {
+            workers.add(new FakeWorker("worker-" + number));
+        }
+    }
+
+    WorkflowRecords records() {
+        return records;
+    }
+
+    int workerCrashes() {
+        return workerCrashes;
+    }
+
+    /** Returns the starts of tasks under which three workers had crashed. */
+    int startsAfterThirdCrash() {
+        return startsAfterThirdCrash;
+    }
+
+    void apply(WorkflowCommand command) {
+        records.apply(command, nowMillis);
+    }
+
+    void advance(long millis) {
+        long endMillis = nowMillis + millis;
+        while (nowMillis < endMillis) {
+            nowMillis += STEP_MILLIS;
+            workers.forEach(this::advance);
+            planner.plan(records, availableWorkers(), ESTIMATES, false, nowMillis)
+                    .forEach(this::assign);
+        }
+    }
+
+    private void advance(FakeWorker worker) {
+        if (nowMillis < worker.upAtMillis) {
+            return;
+        }
+        if (worker.identity.getBornMillis() < worker.upAtMillis) {
+            endRunsOfCrashedWorker(worker);
+            worker.identity = worker.incarnation(worker.upAtMillis);
+            worker.listedAtMillis = nowMillis;
+        }
+        for (RunAddress run : List.copyOf(worker.startedAtMillis.keySet())) {
+            long ageMillis = nowMillis - worker.startedAtMillis.get(run);
+            if (isDeadly(run) && ageMillis >= crashDelayMillis) {
+                crash(worker);
+                return;
+            }
+            if (ageMillis >= runMillis) {
+                worker.startedAtMillis.remove(run);
+                end(run, RunEnding.RUN_DONE);
+            }
+        }
+        if (nowMillis - worker.listedAtMillis >= REPORT_INTERVAL_MILLIS) {
+            worker.listedAtMillis = nowMillis;
+        }
+    }
+
+    private boolean isDeadly(RunAddress run) {
+        return deadlyWorkflowIds.contains(run.getTask().getWorkflowId());
+    }
+
+    /** Crashes a worker at any time, as a fault of the worker itself does. */
+    void crash(int worker) {
+        crash(workers.get(worker));
+    }
+
+    private void crash(FakeWorker worker) {
+        workerCrashes++;
+        worker.startedAtMillis
+                .keySet()
+                .forEach(run -> crashes.merge(run.getTask(), 1, Integer::sum));
+        worker.startedAtMillis.clear();
+        worker.upAtMillis = nowMillis + RESTART_MILLIS;
+    }
+
+    private void endRunsOfCrashedWorker(FakeWorker worker) {
+        for (WorkflowTask task : Set.copyOf(records.openRuns(worker.identity))) {
+            end(task.run(), RunEnding.RUN_WORKER_LOST);
+        }
+    }
+
+    private void end(RunAddress run, RunEnding ending) {
+        apply(
+                WorkflowCommand.newBuilder()
+                        .setRound(
+                                SchedulingRound.newBuilder()
+                                        .addEnded(
+                                                EndedRun.newBuilder()
+                                                        .setRun(run)
+                                                        .setEnding(ending)))
+                        .build());
+    }
+
+    private List<AvailableWorker> availableWorkers() {
+        return workers.stream()
+                .filter(each -> nowMillis - each.listedAtMillis <= MAXIMUM_LIST_AGE_MILLIS)
+                .map(each -> new AvailableWorker(report(each), WorkerCircuitBreaker.State.CLOSED))
+                .toList();
+    }
+
+    private static WorkerReport report(FakeWorker worker) {
+        return WorkerReport.newBuilder()
+                .setHostId(worker.id)
+                .setWorker(worker.identity)
+                .setService("service")
+                .setCapacity(
+                        ResourceVector.newBuilder()
+                                .setProcessorMillis(8_000)
+                                .setMemoryMebibytes(64_000))
+                .build();
+    }
+
+    private void assign(Assignment assignment) {
+        RunAddress run = assignment.getRun();
+        apply(
+                WorkflowCommand.newBuilder()
+                        .setRound(SchedulingRound.newBuilder().addAssigned(assignment))
+                        .build());
+        FakeWorker worker =
+                workers.stream()
+                        .filter(each -> each.identity.equals(assignment.getWorker()))
+                        .findFirst()
+                        .orElseThrow();
+        if (nowMillis < worker.upAtMillis) {
+            return;
+        }
+        worker.startedAtMillis.put(run, nowMillis);
+        if (isDeadly(run) && crashes.getOrDefault(run.getTask(), 0) >= 3) {
+            startsAfterThirdCrash++;
+        }
+    }
+}
