Give up tasks that crash their workers, and start suspects apart

Callers saw one task take down worker after worker, with all that ran beside it. The runs of a crashed worker ended as RUN_WORKER_LOST, which nothing counted, and started again at once, the culprit among them.

The agent now reports a crash of its worker together with the runs that the worker had started less than half a second before its last answer, as it alone sees these times. The leader ends these runs as RUN_WORKER_CRASHED and counts them in the log; a run that outlasts the window or fails by itself resets the count. Suspects start on a worker on which no other run is recent, and nothing else starts there until they are stable, so the next crash has the suspects of a single workflow. The workflow fails with the round that records two crashes, one of them with it as the only suspect, or three crashes in any case. As the reports of an incarnation keep the evidence, a new leader counts the same.

A worker that does not answer its agent gets no tasks. Before, the leader assigned tasks to it until its last list was 1.5 s old, and these waited for its restart.

--- a/src/main/java/org/yuccabank/agent/workflow/RunEntry.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunEntry.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import org.yuccabank.policy.workflow.BestEffortThrottle;
 import org.yuccabank.protocol.generated.ActiveRun;
 import org.yuccabank.protocol.generated.EndedRun;
@@ -15,6 +16,12 @@
  */
 final class RunEntry {
 
+    /**
+     * Time after its start within which a task that crashes its worker does so. Such tasks do it as
+     * they start, so this covers the delay of the answers.
+     */
+    private static final long CRASH_WINDOW_MILLIS = 500;
+
     /** The stage of a run as known to the agent. */
     enum Stage {
         /** The start call has to be sent or is in progress. */
@@ -37,6 +44,8 @@
     private Stage stage;
     private long absenceCheckedFromMillis;
     private int startAttempts;
+    private boolean startSent;
+    private OptionalLong confirmedAtMillis = OptionalLong.empty();
     private boolean callInProgress;
     private boolean stopRequested;
     private long stopSentAtMillis = Long.MIN_VALUE / 2;
@@ -97,6 +106,34 @@
         return stage == Stage.AWAITING_ABSENCE && listRequestedMillis > absenceCheckedFromMillis;
     }
 
+    void recordStartSent() {
+        startSent = true;
+    }
+
+    /** Records that the worker has confirmed the start or listed the run. */
+    void recordConfirmed(long nowMillis) {
+        if (confirmedAtMillis.isEmpty()) {
+            confirmedAtMillis = OptionalLong.of(nowMillis);
+        }
+    }
+
+    /**
+     * Returns whether the run has lasted for longer than tasks that crash their worker do.
+     *
+     * @param answeredMillis time of the latest answer of the worker
+     */
+    boolean isStable(long answeredMillis) {
+        return confirmedAtMillis.isPresent()
+                && answeredMillis - confirmedAtMillis.getAsLong() >= CRASH_WINDOW_MILLIS;
+    }
+
+    /** Returns whether the run may have crashed the worker if this crashed after its answer. */
+    boolean isCrashSuspect(long answeredMillis) {
+        return stage != Stage.ENDED
+                && (startSent || confirmedAtMillis.isPresent())
+                && !isStable(answeredMillis);
+    }
+
     int countStartAttempt() {
         return ++startAttempts;
     }
--- a/src/main/java/org/yuccabank/agent/workflow/RunTable.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunTable.java
@@ -5,10 +5,12 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.yuccabank.policy.workflow.BestEffortThrottle;
 import org.yuccabank.policy.workflow.PressureEstimates;
 import org.yuccabank.policy.workflow.Pressures;
@@ -30,6 +32,7 @@
     private final Map<RunAddress, RunEntry> entries = new LinkedHashMap<>();
     private final Map<PressureEstimates.ImagePair, Double> pressures = new HashMap<>();
     private long acknowledgedNumber;
+    private long answeredMillis;
 
     void clear() {
         entries.clear();
@@ -44,6 +47,24 @@
         return List.copyOf(entries.values());
     }
 
+    /**
+     * Records an answer of the worker.
+     *
+     * @param confirmed the runs that it confirms to run
+     */
+    void recordAnswer(Collection<RunAddress> confirmed, long nowMillis) {
+        answeredMillis = nowMillis;
+        confirmed.forEach(run -> entry(run).ifPresent(each -> each.recordConfirmed(nowMillis)));
+    }
+
+    /** Returns the runs that may have crashed the worker if it has just crashed. */
+    Set<RunAddress> crashSuspects() {
+        return entries.values().stream()
+                .filter(entry -> entry.isCrashSuspect(answeredMillis))
+                .map(RunEntry::run)
+                .collect(Collectors.toCollection(LinkedHashSet::new));
+    }
+
     /** Adds a run to start and returns its entry, empty if the run is already known. */
     Optional<RunEntry> addStart(StartRun startRequest) {
         RunEntry knownEntry = entries.get(startRequest.getRun());
@@ -144,17 +165,19 @@
     List<ActiveRun> active() {
         return entries.values().stream()
                 .filter(entry -> entry.stage() != RunEntry.Stage.ENDED)
-                .map(RunTable::toReported)
+                .map(this::toReported)
                 .toList();
     }
 
-    private static ActiveRun toReported(RunEntry entry) {
+    private ActiveRun toReported(RunEntry entry) {
         int slowedByPercent = BestEffortThrottle.FULL_SPEED_PERCENT - entry.speedPercent();
         boolean startRequestUnknown = entry.startRequest().isEmpty();
-        return slowedByPercent > 0 || startRequestUnknown
+        boolean stable = entry.isStable(answeredMillis);
+        return slowedByPercent > 0 || startRequestUnknown || stable
                 ? entry.listed().toBuilder()
                         .setSlowedByPercent(slowedByPercent)
                         .setUnknown(startRequestUnknown)
+                        .setStable(stable)
                         .build()
                 : entry.listed();
     }
--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -19,6 +19,7 @@
 import org.yuccabank.protocol.LeaderClient;
 import org.yuccabank.protocol.PeerConnection;
 import org.yuccabank.protocol.PeerTransport;
+import org.yuccabank.protocol.generated.ActiveRun;
 import org.yuccabank.protocol.generated.Envelope;
 import org.yuccabank.protocol.generated.Hello;
 import org.yuccabank.protocol.generated.ResourceVector;
@@ -71,6 +72,7 @@
     private final LeaderClient leader;
     private final WorkerLease lease;
     private final RunTable runs = new RunTable();
+    private final CrashEvidence crashEvidence = new CrashEvidence();
     private final BestEffortThrottle throttle = new BestEffortThrottle();
     private final List<MonoSink<Boolean>> waitingForLeader = new ArrayList<>();
     private Optional<WorkerAnnouncement> worker = Optional.empty();
@@ -195,8 +197,10 @@
                 announcement.draining()
                         && !(sameIncarnation
                                 && worker.map(WorkerAnnouncement::draining).orElse(false));
+        Optional<WorkerAnnouncement> previous = worker;
         worker = Optional.of(announcement);
         if (!sameIncarnation) {
+            previous.ifPresent(this::onReplaced);
             onNewIncarnation(announcement);
         }
         if (startsDraining) {
@@ -207,6 +211,11 @@
         }
     }
 
+    private void onReplaced(WorkerAnnouncement previous) {
+        crashEvidence.recordReplaced(
+                previous.identity(), leaving || previous.draining(), runs.crashSuspects());
+    }
+
     private void onNewIncarnation(WorkerAnnouncement announcement) {
         runs.clear();
         lease.reset();
@@ -317,6 +326,7 @@
             report.addAllPressures(runs.knownPressures());
             reportedTerm = listedTerm;
         }
+        crashEvidence.latest().ifPresent(report::setCrash);
         lease.promiseTimeLeft(now).ifPresent(report::setLeaseLeftMillis);
         return report.build();
     }
@@ -394,6 +404,7 @@
             return;
         }
         entry.setCallInProgress(true);
+        entry.recordStartSent();
         WorkerAnnouncement target = worker.orElseThrow();
         api.start(
                         target,
@@ -410,6 +421,7 @@
         }
         if (outcome instanceof WorkerApi.CallOutcome.Done) {
             entry.setStage(RunEntry.Stage.STARTED);
+            runs.recordAnswer(List.of(entry.run()), nowMillis());
         } else if (outcome instanceof WorkerApi.CallOutcome.Refused refused) {
             onStartRefused(entry, refused.refusal());
         } else {
@@ -532,6 +544,9 @@
         }
         if (outcome instanceof WorkerApi.ListOutcome.Unavailable unavailable) {
             lease.markUnresponsive();
+            if (crashEvidence.recordUnresponsive(identity, runs.crashSuspects())) {
+                requestReport();
+            }
             EventLog.warning(
                     Event.WORKER_UNREACHABLE,
                     "worker",
@@ -549,8 +564,10 @@
         lease.sampleClock(listing.clockMillis(), now);
         lease.markResponsive();
         boolean changed = runs.applyListing(listing.active(), listing.ended(), requestedMillis);
+        runs.recordAnswer(listing.active().stream().map(ActiveRun::getRun).toList(), now);
+        boolean recovered = crashEvidence.recordResponsive(identity);
         adjustSpeeds(target, now);
-        if (changed || firstOfTerm) {
+        if (changed || firstOfTerm || recovered) {
             requestReport();
         }
         if (runs.hasUnacknowledgedEnds()) {
--- a/src/main/java/org/yuccabank/control/workflow/RunMonitor.java
+++ b/src/main/java/org/yuccabank/control/workflow/RunMonitor.java
@@ -30,6 +30,7 @@
 
     private final Map<RunAddress, RunProgress> progress = new HashMap<>();
     private final Set<RunAddress> restarts = new HashSet<>();
+    private final Set<RunAddress> clearedRuns = new HashSet<>();
     private final Map<RunAddress, ThrottledRun> throttledRuns = new HashMap<>();
     private final WorkerCircuitBreaker circuitBreaker = new WorkerCircuitBreaker();
     private final RunTimes runTimes = new RunTimes();
@@ -41,6 +42,9 @@
      */
     void updateProgress(
             ActiveRun run, WorkflowTask task, long nowMillis, Predicate<WorkflowTask> canMigrate) {
+        if (run.getStable() && CrashSuspects.isSuspect(task)) {
+            clearedRuns.add(run.getRun());
+        }
         StepDefinition step = task.workflow().step(task.address().getStep());
         if (restarts.contains(run.getRun()) || step.getGang()) {
             return;
@@ -89,10 +93,16 @@
                 run.getSlowedByPercent());
     }
 
+    /** Returns whether an open run of a suspect has been seen not to crash its worker. */
+    boolean isCleared(RunAddress run) {
+        return clearedRuns.contains(run);
+    }
+
     /** Processes the end of an open run. */
     void recordEnd(EndedRun ended, WorkflowTask task, long nowMillis) {
         Optional<RunProgress> runProgress = Optional.ofNullable(progress.remove(ended.getRun()));
         restarts.remove(ended.getRun());
+        clearedRuns.remove(ended.getRun());
         throttledRuns.remove(ended.getRun());
         StepDefinition step = task.workflow().step(task.address().getStep());
         boolean lasting = step.getLasting();
@@ -154,6 +164,7 @@
     void clear() {
         progress.clear();
         restarts.clear();
+        clearedRuns.clear();
         throttledRuns.clear();
     }
 }
--- a/src/main/java/org/yuccabank/control/workflow/WorkerView.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkerView.java
@@ -15,6 +15,7 @@
 import org.yuccabank.protocol.generated.Envelope;
 import org.yuccabank.protocol.generated.ImagePressure;
 import org.yuccabank.protocol.generated.RunAddress;
+import org.yuccabank.protocol.generated.WorkerCrash;
 import org.yuccabank.protocol.generated.WorkerDirectives;
 import org.yuccabank.protocol.generated.WorkerIdentity;
 import org.yuccabank.protocol.generated.WorkerReport;
@@ -107,9 +108,20 @@
         return report.getWorkerPresent()
                 && !report.getDraining()
                 && !report.getLeaving()
+                && crashOf(worker()).isEmpty()
                 && nowMillis - listedAtMillis <= maximumListAgeMillis;
     }
 
+    /**
+     * Returns what the agent has reported on the crash of a worker, either of its current one that
+     * does not answer or of the one before.
+     */
+    Optional<WorkerCrash> crashOf(WorkerIdentity worker) {
+        return report.hasCrash() && report.getCrash().getWorker().equals(worker)
+                ? Optional.of(report.getCrash())
+                : Optional.empty();
+    }
+
     boolean isListed() {
         return report.getListed();
     }
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -25,10 +25,10 @@
 import org.yuccabank.protocol.generated.CommandResult;
 import org.yuccabank.protocol.generated.EndedRun;
 import org.yuccabank.protocol.generated.RunAddress;
-import org.yuccabank.protocol.generated.RunEnding;
 import org.yuccabank.protocol.generated.SchedulingRound;
 import org.yuccabank.protocol.generated.StateCommand;
 import org.yuccabank.protocol.generated.StepDefinition;
+import org.yuccabank.protocol.generated.WorkerCrash;
 import org.yuccabank.protocol.generated.WorkerDirectives;
 import org.yuccabank.protocol.generated.WorkerIdentity;
 import org.yuccabank.protocol.generated.WorkerReport;
@@ -80,6 +80,7 @@
     private final Map<RunAddress, EndedRun> pendingEnds = new LinkedHashMap<>();
     private final WorkflowLog log = new WorkflowLog();
     private final RunMonitor runMonitor = new RunMonitor();
+    private final CrashCounters crashes = new CrashCounters();
     private final InterferenceMonitor interferenceMonitor = new InterferenceMonitor();
     private final LearnedStateKeeper learnedState =
             new LearnedStateKeeper(interferenceMonitor.pressures(), runMonitor.runTimes());
@@ -162,6 +163,7 @@
         Gauge<Integer> workerCount = workers::size;
         metrics.register("workflows", workflowCount);
         metrics.register("workers", workerCount);
+        crashes.registerMetrics(metrics);
     }
 
     /**
@@ -243,9 +245,9 @@
             log.workerReplaced(previous, view.worker());
             interferenceMonitor.remove(previous.getWorkerId());
         }
-        endEarlierIncarnations(view.worker());
+        endEarlierIncarnations(view);
         if (report.getLeaving()) {
-            endRuns(view.worker(), RunEnding.RUN_WORKER_LOST, "the worker has left");
+            endRuns(view.worker(), Optional.empty(), "the worker has left");
         }
         for (ActiveRun active : valid.getActiveList()) {
             records()
@@ -288,38 +290,42 @@
      * Ends the runs of earlier incarnations. A host runs one worker at a time, so the start of a
      * worker proves the end of its predecessors.
      */
-    private void endEarlierIncarnations(WorkerIdentity current) {
+    private void endEarlierIncarnations(WorkerView view) {
+        WorkerIdentity current = view.worker();
         for (WorkerIdentity worker : Set.copyOf(records().workersWithOpenRuns())) {
             if (worker.getHostId().equals(current.getHostId())
                     && worker.getBornMillis() < current.getBornMillis()) {
-                endRuns(worker, RunEnding.RUN_WORKER_LOST, "a new incarnation has started");
+                endRuns(worker, view.crashOf(worker), "a new incarnation has started");
             }
         }
     }
 
     private void enqueueEnd(EndedRun ended) {
         Optional<WorkflowTask> task = records().openRun(ended.getRun());
-        if (task.isPresent() && pendingEnds.putIfAbsent(ended.getRun(), ended) == null) {
-            runMonitor.recordEnd(ended, task.get(), monotonicMillis());
+        if (task.isEmpty() || pendingEnds.containsKey(ended.getRun())) {
+            return;
         }
-    }
-
-    private void endRuns(WorkerIdentity worker, RunEnding ending, String reason) {
-        for (WorkflowTask task : Set.copyOf(records().openRuns(worker))) {
-            EndedRun ended =
-                    EndedRun.newBuilder()
-                            .setRun(task.run())
-                            .setEnding(ending)
-                            .setCheckpoint(savedCheckpoint(task))
-                            .setReason(reason)
-                            .build();
-            enqueueEnd(ended);
+        EndedRun recorded =
+                runMonitor.isCleared(ended.getRun())
+                        ? ended.toBuilder().setStable(true).build()
+                        : ended;
+        pendingEnds.put(ended.getRun(), recorded);
+        runMonitor.recordEnd(recorded, task.get(), monotonicMillis());
+    }
+
+    private void endRuns(WorkerIdentity worker, Optional<WorkerCrash> crash, String reason) {
+        Set<WorkflowTask> openRuns = Set.copyOf(records().openRuns(worker));
+        boolean ended = openRuns.stream().allMatch(task -> pendingEnds.containsKey(task.run()));
+        if (crash.isPresent() && !ended) {
+            crashes.recordCrash(crash.get(), openRuns.size());
         }
+        CrashSuspects.endsOf(openRuns, crash, reason, this::savedCheckpoint)
+                .forEach(this::enqueueEnd);
     }
 
-    private String savedCheckpoint(WorkflowTask task) {
+    private String savedCheckpoint(RunAddress run) {
         return workers.values().stream()
-                .map(view -> view.checkpoint(task.run()))
+                .map(view -> view.checkpoint(run))
                 .filter(saved -> !saved.isEmpty())
                 .findFirst()
                 .orElse("");
@@ -414,7 +420,7 @@
         for (WorkerView view : workers.values()) {
             if (view.isLeaseExpired(nowMillis) && !records().openRuns(view.worker()).isEmpty()) {
                 log.workerLost(view.worker(), records().openRuns(view.worker()).size());
-                endRuns(view.worker(), RunEnding.RUN_WORKER_LOST, "the lease is over");
+                endRuns(view.worker(), view.crashOf(view.worker()), "the lease is over");
             }
         }
         if (nowMillis - leaderSinceMillis > lease.maximumMillis()) {
@@ -433,7 +439,7 @@
         for (WorkerIdentity worker : Set.copyOf(records().workersWithOpenRuns())) {
             if (!known.contains(worker)) {
                 log.workerLost(worker, records().openRuns(worker).size());
-                endRuns(worker, RunEnding.RUN_WORKER_LOST, "the worker is unknown");
+                endRuns(worker, Optional.empty(), "the worker is unknown");
             }
         }
     }
@@ -533,6 +539,7 @@
             pendingEnds.remove(ended.getRun());
             workers.values().forEach(view -> view.removeCheckpoint(ended.getRun()));
         }
+        crashes.recordCommitted(round.getEndedList(), records());
         if (!round.getEndedList().isEmpty()) {
             workers.values().stream()
                     .filter(view -> reportsAny(view, round.getEndedList()))
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowPlanner.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowPlanner.java
@@ -1,17 +1,14 @@
 package org.yuccabank.control.workflow;
 
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.IdentityHashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.yuccabank.model.Resources;
-import org.yuccabank.policy.workflow.MaximumHeadroomSelector;
 import org.yuccabank.policy.workflow.TaskOrder;
 import org.yuccabank.policy.workflow.WaitingTask;
 import org.yuccabank.policy.workflow.WorkerCapacity;
@@ -19,9 +16,7 @@
 import org.yuccabank.policy.workflow.WorkerSelector;
 import org.yuccabank.protocol.generated.Assignment;
 import org.yuccabank.protocol.generated.ResourceVector;
-import org.yuccabank.protocol.generated.RunAddress;
 import org.yuccabank.protocol.generated.StepDefinition;
-import org.yuccabank.protocol.generated.WorkerIdentity;
 import org.yuccabank.protocol.generated.WorkerReport;
 import org.yuccabank.state.workflow.Workflow;
 import org.yuccabank.state.workflow.WorkflowRecords;
@@ -31,30 +26,19 @@
  * Plans the assignment of waiting tasks to workers from the records and the worker reports.
  *
  * <p>Invariants: open runs count against the capacity of their worker until their end is recorded;
- * a task starts only when its occurrence is due and the steps that it depends on are done; a gang
- * starts as a whole. Stateless.
+ * a task starts only when its occurrence is due and the steps that it depends on are done; tasks
+ * that may crash their worker are placed before all others. Stateless.
  */
 final class WorkflowPlanner {
 
     private final TaskOrder order;
     private final WorkerSelector selector;
-    private final WorkerSelector lastResortSelector = new MaximumHeadroomSelector();
 
     WorkflowPlanner(TaskOrder order, WorkerSelector selector) {
         this.order = order;
         this.selector = selector;
     }
 
-    /**
-     * The waiting tasks of one step. Their requirements are equal, so one task represents them all.
-     */
-    private record StepCandidates(WaitingTask representative, List<WorkflowTask> tasks) {
-
-        private String workflowId() {
-            return tasks.get(0).workflow().id();
-        }
-    }
-
     /**
      * Plans the next assignments.
      *
@@ -80,26 +64,21 @@
         if (candidates.isEmpty() || workers.isEmpty()) {
             return List.of();
         }
-        Map<String, WorkerIdentity> identities = new HashMap<>();
-        workers.forEach(
-                worker ->
-                        identities.put(
-                                workerKey(worker.report().getWorker()),
-                                worker.report().getWorker()));
-        Map<String, WorkerCapacity> capacities = workerCapacities(records, workers, estimates);
-        List<Assignment> plan = new ArrayList<>();
-        Set<String> runningWorkflowIds = runningWorkflowIds(records);
-        boolean mostlyFree = isMostlyFree(capacities.values());
-        for (WaitingTask waiting : order.order(List.copyOf(candidates.keySet()), nowMillis)) {
-            StepCandidates step = candidates.get(waiting);
-            boolean mayInterfere = mostlyFree && !runningWorkflowIds.contains(step.workflowId());
-            List<Assignment> placed = place(step, mayInterfere, capacities.values(), identities);
-            if (!placed.isEmpty()) {
-                runningWorkflowIds.add(step.workflowId());
-                plan.addAll(placed);
-            }
-        }
-        return plan;
+        boolean suspectsWaiting = candidates.values().stream().anyMatch(StepCandidates::isSuspect);
+        PlanningRound round =
+                new PlanningRound(
+                        selector,
+                        records,
+                        workers,
+                        workerCapacities(records, workers, estimates).values(),
+                        CrashSuspects.isolation(records, workers, suspectsWaiting));
+        List<StepCandidates> ordered =
+                order.order(List.copyOf(candidates.keySet()), nowMillis).stream()
+                        .map(candidates::get)
+                        .toList();
+        ordered.stream().filter(StepCandidates::isSuspect).forEach(round::placeSuspects);
+        ordered.stream().filter(step -> !step.isSuspect()).forEach(round::place);
+        return round.plan();
     }
 
     private static Map<String, WorkerCapacity> workerCapacities(
@@ -108,7 +87,7 @@
             LearnedEstimates estimates) {
         Map<String, WorkerCapacity> capacities = new LinkedHashMap<>();
         for (AvailableWorker worker : workers) {
-            String key = workerKey(worker.report().getWorker());
+            String key = worker.key();
             WorkerCapacity capacity = workerCapacity(key, worker.report(), records, estimates);
             if (worker.circuitState() == WorkerCircuitBreaker.State.HALF_OPEN) {
                 capacity.limitToProbe();
@@ -145,63 +124,7 @@
                         task.address().getStep(),
                         task,
                         WorkEstimator.of(records, estimates));
-        return capacity.tryReserve(request, workerKey(task.worker().orElseThrow()));
-    }
-
-    /**
-     * Places as many tasks of a step as the capacity allows, or a gang as a whole. If the selector
-     * finds no worker and the step may interfere, one task is placed on the worker with the most
-     * headroom.
-     */
-    private List<Assignment> place(
-            StepCandidates step,
-            boolean mayInterfere,
-            Collection<WorkerCapacity> capacities,
-            Map<String, WorkerIdentity> identities) {
-        List<WorkflowTask> tasks = step.tasks();
-        boolean gang = tasks.get(0).workflow().step(tasks.get(0).address().getStep()).getGang();
-        List<WorkerCapacity> selected =
-                selector.reserve(step.representative(), tasks.size(), capacities);
-        if (gang && selected.size() < tasks.size()) {
-            // The reservations are kept until the end of the round to prevent starvation of the
-            // gang.
-            return List.of();
-        }
-        if (selected.isEmpty() && mayInterfere) {
-            selected = lastResortSelector.reserve(step.representative(), 1, capacities);
-        }
-        int gangAttempt = tasks.stream().mapToInt(WorkflowTask::latestAttempt).max().orElse(0) + 1;
-        List<Assignment> placed = new ArrayList<>();
-        for (int index = 0; index < selected.size(); index++) {
-            WorkflowTask task = tasks.get(index);
-            int attempt = gang ? gangAttempt : task.latestAttempt() + 1;
-            placed.add(assignment(task, attempt, identities.get(selected.get(index).workerId())));
-        }
-        return placed;
-    }
-
-    private static Set<String> runningWorkflowIds(WorkflowRecords records) {
-        Set<String> running = new HashSet<>();
-        for (WorkerIdentity worker : records.workersWithOpenRuns()) {
-            records.openRuns(worker).forEach(task -> running.add(task.address().getWorkflowId()));
-        }
-        return running;
-    }
-
-    /**
-     * Returns whether more than half of the capacity is free. If so, no workflow should wait for a
-     * worker with less interference.
-     */
-    private static boolean isMostlyFree(Collection<WorkerCapacity> capacities) {
-        return capacities.stream().mapToDouble(WorkerCapacity::freeShare).sum()
-                > capacities.size() / 2.0;
-    }
-
-    private static Assignment assignment(WorkflowTask task, int attempt, WorkerIdentity worker) {
-        return Assignment.newBuilder()
-                .setRun(RunAddress.newBuilder().setTask(task.address()).setAttempt(attempt))
-                .setWorker(worker)
-                .build();
+        return capacity.tryReserve(request, AvailableWorker.key(task.worker().orElseThrow()));
     }
 
     private static Map<WaitingTask, StepCandidates> candidates(
@@ -216,7 +139,7 @@
                 for (int step : StepEstimates.stepIndices(workflow)) {
                     if (!workflow.isDone(occurrence, step) && workflow.isReady(occurrence, step)) {
                         stepCandidates(workflow, occurrence, step, estimator)
-                                .ifPresent(each -> found.put(each.representative(), each));
+                                .forEach(each -> found.put(each.representative(), each));
                     }
                 }
             }
@@ -224,19 +147,38 @@
         return found;
     }
 
-    private static Optional<StepCandidates> stepCandidates(
+    private static List<StepCandidates> stepCandidates(
             Workflow workflow, int occurrence, int number, WorkEstimator estimator) {
         List<WorkflowTask> tasks =
                 workflow.tasks(occurrence, number).stream()
                         .filter(WorkflowTask::isWaiting)
                         .toList();
         StepDefinition step = workflow.step(number);
-        boolean incompleteGang = step.getGang() && tasks.size() < step.getTaskCount();
-        if (tasks.isEmpty() || incompleteGang) {
-            return Optional.empty();
+        if (step.getGang()) {
+            return tasks.size() < step.getTaskCount()
+                    ? List.of()
+                    : List.of(stepCandidates(tasks, estimator));
         }
-        WaitingTask waiting = waitingTask(workflow, occurrence, number, tasks.get(0), estimator);
-        return Optional.of(new StepCandidates(waiting, tasks));
+        return tasks.stream()
+                .collect(Collectors.partitioningBy(CrashSuspects::isSuspect))
+                .values()
+                .stream()
+                .filter(group -> !group.isEmpty())
+                .map(group -> stepCandidates(group, estimator))
+                .toList();
+    }
+
+    private static StepCandidates stepCandidates(
+            List<WorkflowTask> tasks, WorkEstimator estimator) {
+        WorkflowTask first = tasks.get(0);
+        WaitingTask waiting =
+                waitingTask(
+                        first.workflow(),
+                        first.address().getOccurrence(),
+                        first.address().getStep(),
+                        first,
+                        estimator);
+        return new StepCandidates(waiting, tasks);
     }
 
     private static WaitingTask waitingTask(
@@ -296,8 +238,4 @@
     private static Optional<String> toOptional(String value) {
         return value.isEmpty() ? Optional.empty() : Optional.of(value);
     }
-
-    private static String workerKey(WorkerIdentity worker) {
-        return worker.getWorkerId() + "/" + worker.getBornMillis();
-    }
 }
--- a/src/main/java/org/yuccabank/event/Event.java
+++ b/src/main/java/org/yuccabank/event/Event.java
@@ -84,6 +84,8 @@
      * Best-effort tasks wait because many serving tasks are without a worker, or no longer wait.
      */
     BEST_EFFORT_HELD(617),
+    /** A task is not started again because it crashes its workers; its workflow has failed. */
+    TASK_GIVEN_UP(618),
     /** A host announced itself. */
     HOST_JOINED(700),
     /** A host has not reported for the suspicion timeout. */
@@ -102,6 +104,8 @@
     WORKER_REPLACED(707),
     /** The list of runs of a worker cannot be retrieved. */
     WORKER_UNREACHABLE(708),
+    /** A worker crashed; the runs that it had started last are suspected of the cause. */
+    WORKER_CRASHED(709),
     /** A credential was rejected. */
     CREDENTIAL_REFUSED(800),
     /** A reload of changed keys completed or failed, as its result states. */
--- a/src/main/java/org/yuccabank/policy/workflow/WorkerCapacity.java
+++ b/src/main/java/org/yuccabank/policy/workflow/WorkerCapacity.java
@@ -248,6 +248,15 @@
         return servingCount;
     }
 
+    /**
+     * Returns the number of tasks on the worker.
+     *
+     * @return the number of tasks
+     */
+    public int taskCount() {
+        return tasks;
+    }
+
     /**
      * Returns the processors that the tasks on the worker are expected to leave idle.
      *
--- a/src/main/java/org/yuccabank/state/workflow/WorkflowRecords.java
+++ b/src/main/java/org/yuccabank/state/workflow/WorkflowRecords.java
@@ -29,11 +29,18 @@
  *
  * <p>Invariants: the version of the configuration never decreases, and other content under the same
  * version changes nothing; an identifier refers to a single workflow even if it is submitted
- * repeatedly; the end of a run is counted once; a run of a final workflow is never opened. Confined
+ * repeatedly; the end of a run is counted once; a run of a final workflow is never opened; the
+ * workflow of a task that crashes its workers ends with the round that records the crash. Confined
  * to the replica thread.
  */
 public final class WorkflowRecords {
 
+    /** Crashes after which a task is given up if it was the only suspect of one of them. */
+    private static final int CONFIRMED_CRASHES = 2;
+
+    /** Crashes after which a task is given up in any case. */
+    private static final int MAXIMUM_CRASHES = 3;
+
     private final Map<String, Workflow> workflows = new LinkedHashMap<>();
     private final Map<String, Workflow> liveWorkflows = new LinkedHashMap<>();
     private final Map<String, QueueWork> queueWork = new HashMap<>();
@@ -206,12 +213,32 @@
         if (success) {
             workflow.markTaskDone(task.address(), nowMillis);
         }
-        if (failed && areAttemptsExhausted(task)) {
+        updateCrashes(task, ended);
+        if ((failed && areAttemptsExhausted(task)) || isGivenUp(task)) {
             workflow.end(WorkflowPhase.WORKFLOW_FAILED, nowMillis);
         }
         removeFromLiveIfFinal(workflow);
     }
 
+    private static void updateCrashes(WorkflowTask task, EndedRun ended) {
+        if (ended.getEnding() == RunEnding.RUN_WORKER_CRASHED) {
+            task.recordCrash(ended.getSoleSuspect());
+        } else if (ended.getStable() || ended.getEnding() == RunEnding.RUN_FAILED) {
+            task.clearCrashes();
+        }
+    }
+
+    /**
+     * Returns whether a task is no longer started because it crashes its workers.
+     *
+     * @param task the task
+     * @return true if its workflow fails for this reason
+     */
+    public static boolean isGivenUp(WorkflowTask task) {
+        return task.crashes() >= MAXIMUM_CRASHES
+                || (task.crashes() >= CONFIRMED_CRASHES && task.isSoleSuspect());
+    }
+
     /**
      * Returns whether a task has used up its attempts. The failures of a gang are added up, as the
      * failure of one member ends all of them.
--- a/src/main/java/org/yuccabank/state/workflow/WorkflowTask.java
+++ b/src/main/java/org/yuccabank/state/workflow/WorkflowTask.java
@@ -20,6 +20,8 @@
     private boolean done;
     private int latestAttempt;
     private int failures;
+    private int crashes;
+    private boolean soleSuspect;
     private String checkpoint = "";
     private WorkerIdentity worker;
 
@@ -74,6 +76,26 @@
         return failures;
     }
 
+    /**
+     * Returns the number of workers that crashed shortly after starting the task. A run that is
+     * known not to have crashed its worker resets the number.
+     *
+     * @return the count
+     */
+    public int crashes() {
+        return crashes;
+    }
+
+    /**
+     * Returns whether the task was the only suspect of one of these crashes, apart from tasks of
+     * its own workflow.
+     *
+     * @return true if it was
+     */
+    public boolean isSoleSuspect() {
+        return soleSuspect;
+    }
+
     /**
      * Returns the latest saved checkpoint.
      *
@@ -131,6 +153,16 @@
         checkpoint = newCheckpoint.isEmpty() ? checkpoint : newCheckpoint;
     }
 
+    void recordCrash(boolean sole) {
+        crashes++;
+        soleSuspect |= sole;
+    }
+
+    void clearCrashes() {
+        crashes = 0;
+        soleSuspect = false;
+    }
+
     WorkflowTaskRecord toRecord() {
         WorkflowTaskRecord.Builder record =
                 WorkflowTaskRecord.newBuilder()
@@ -138,7 +170,9 @@
                         .setDone(done)
                         .setAttempts(latestAttempt)
                         .setFailures(failures)
-                        .setCheckpoint(checkpoint);
+                        .setCheckpoint(checkpoint)
+                        .setCrashes(crashes)
+                        .setSoleSuspect(soleSuspect);
         worker().ifPresent(record::setWorker);
         return record.build();
     }
@@ -148,6 +182,8 @@
         latestAttempt = record.getAttempts();
         failures = record.getFailures();
         checkpoint = record.getCheckpoint();
+        crashes = record.getCrashes();
+        soleSuspect = record.getSoleSuspect();
         worker = record.hasWorker() ? record.getWorker() : null;
     }
 }
--- a/src/test/java/org/yuccabank/control/workflow/CrashReplay.java
+++ b/src/test/java/org/yuccabank/control/workflow/CrashReplay.java
@@ -5,11 +5,13 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.yuccabank.policy.workflow.FeasibleFirstOrder;
 import org.yuccabank.policy.workflow.InterferenceAwareSelector;
 import org.yuccabank.policy.workflow.Pressures;
 import org.yuccabank.policy.workflow.WorkerCircuitBreaker;
+import org.yuccabank.protocol.generated.ActiveRun;
 import org.yuccabank.protocol.generated.Assignment;
 import org.yuccabank.protocol.generated.EndedRun;
 import org.yuccabank.protocol.generated.ResourceVector;
@@ -17,11 +19,11 @@
 import org.yuccabank.protocol.generated.RunEnding;
 import org.yuccabank.protocol.generated.SchedulingRound;
 import org.yuccabank.protocol.generated.TaskAddress;
+import org.yuccabank.protocol.generated.WorkerCrash;
 import org.yuccabank.protocol.generated.WorkerIdentity;
 import org.yuccabank.protocol.generated.WorkerReport;
 import org.yuccabank.protocol.generated.WorkflowCommand;
 import org.yuccabank.state.workflow.WorkflowRecords;
-import org.yuccabank.state.workflow.WorkflowTask;
 
 /**
  * Replays the scheduling of workflows on fake workers, some tasks of which crash their worker. The
@@ -33,6 +35,7 @@
     private static final long REPORT_INTERVAL_MILLIS = 600;
     private static final long RESTART_MILLIS = 3_000;
     private static final long MAXIMUM_LIST_AGE_MILLIS = 1_500;
+    private static final long STABLE_MILLIS = 500;
 
     private static final LearnedEstimates ESTIMATES =
             new LearnedEstimates() {
@@ -55,6 +58,7 @@
     private final WorkflowRecords records = new WorkflowRecords();
     private final WorkflowPlanner planner =
             new WorkflowPlanner(new FeasibleFirstOrder(), new InterferenceAwareSelector());
+    private final RunMonitor runMonitor = new RunMonitor();
     private final List<FakeWorker> workers = new ArrayList<>();
     private final Set<String> deadlyWorkflowIds;
     private final long crashDelayMillis;
@@ -70,6 +74,8 @@
         private final String id;
         private final Map<RunAddress, Long> startedAtMillis = new LinkedHashMap<>();
         private WorkerIdentity identity;
+        private List<ActiveRun> listed = List.of();
+        private Optional<WorkerCrash> crash = Optional.empty();
         private long listedAtMillis;
         private long upAtMillis;
 
@@ -132,6 +138,7 @@
             endRunsOfCrashedWorker(worker);
             worker.identity = worker.incarnation(worker.upAtMillis);
             worker.listedAtMillis = nowMillis;
+            worker.listed = List.of();
         }
         for (RunAddress run : List.copyOf(worker.startedAtMillis.keySet())) {
             long ageMillis = nowMillis - worker.startedAtMillis.get(run);
@@ -141,14 +148,38 @@
             }
             if (ageMillis >= runMillis) {
                 worker.startedAtMillis.remove(run);
-                end(run, RunEnding.RUN_DONE);
+                end(EndedRun.newBuilder().setRun(run).setEnding(RunEnding.RUN_DONE).build());
             }
         }
         if (nowMillis - worker.listedAtMillis >= REPORT_INTERVAL_MILLIS) {
-            worker.listedAtMillis = nowMillis;
+            list(worker);
+        }
+    }
+
+    private void list(FakeWorker worker) {
+        worker.listedAtMillis = nowMillis;
+        worker.listed =
+                worker.startedAtMillis.entrySet().stream()
+                        .map(
+                                each ->
+                                        ActiveRun.newBuilder()
+                                                .setRun(each.getKey())
+                                                .setStable(isStable(each.getValue()))
+                                                .build())
+                        .toList();
+        for (ActiveRun active : worker.listed) {
+            records.openRun(active.getRun())
+                    .ifPresent(
+                            task ->
+                                    runMonitor.updateProgress(
+                                            active, task, nowMillis, other -> false));
         }
     }
 
+    private boolean isStable(long startedMillis) {
+        return nowMillis - startedMillis >= STABLE_MILLIS;
+    }
+
     private boolean isDeadly(RunAddress run) {
         return deadlyWorkflowIds.contains(run.getTask().getWorkflowId());
     }
@@ -163,25 +194,37 @@
         worker.startedAtMillis
                 .keySet()
                 .forEach(run -> crashes.merge(run.getTask(), 1, Integer::sum));
+        worker.crash =
+                Optional.of(
+                        WorkerCrash.newBuilder()
+                                .setWorker(worker.identity)
+                                .addAllSuspects(
+                                        worker.startedAtMillis.entrySet().stream()
+                                                .filter(each -> !isStable(each.getValue()))
+                                                .map(Map.Entry::getKey)
+                                                .toList())
+                                .build());
         worker.startedAtMillis.clear();
         worker.upAtMillis = nowMillis + RESTART_MILLIS;
     }
 
     private void endRunsOfCrashedWorker(FakeWorker worker) {
-        for (WorkflowTask task : Set.copyOf(records.openRuns(worker.identity))) {
-            end(task.run(), RunEnding.RUN_WORKER_LOST);
-        }
+        CrashSuspects.endsOf(
+                        Set.copyOf(records.openRuns(worker.identity)),
+                        worker.crash,
+                        "a new incarnation has started",
+                        run -> "")
+                .forEach(this::end);
     }
 
-    private void end(RunAddress run, RunEnding ending) {
+    private void end(EndedRun ended) {
+        EndedRun recorded =
+                ended.toBuilder().setStable(runMonitor.isCleared(ended.getRun())).build();
+        records.openRun(ended.getRun())
+                .ifPresent(task -> runMonitor.recordEnd(recorded, task, nowMillis));
         apply(
                 WorkflowCommand.newBuilder()
-                        .setRound(
-                                SchedulingRound.newBuilder()
-                                        .addEnded(
-                                                EndedRun.newBuilder()
-                                                        .setRun(run)
-                                                        .setEnding(ending)))
+                        .setRound(SchedulingRound.newBuilder().addEnded(recorded))
                         .build());
     }
 
@@ -197,6 +240,7 @@
                 .setHostId(worker.id)
                 .setWorker(worker.identity)
                 .setService("service")
+                .addAllActive(worker.listed)
                 .setCapacity(
                         ResourceVector.newBuilder()
                                 .setProcessorMillis(8_000)
