--- a/src/test/java/org/yuccabank/control/workflow/CrashReplayTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/CrashReplayTest.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.testng.annotations.Test;
 import org.yuccabank.protocol.generated.WorkflowPhase;
+import org.yuccabank.state.workflow.WorkflowTask;
 
 /** Tests how many workers a task costs that crashes every worker that starts it. */
 public final class CrashReplayTest {
@@ -34,4 +35,43 @@
         }
         assertTrue(replay.workerCrashes() <= 3, "crashes: " + replay.workerCrashes());
     }
+
+    /** Guards against giving up tasks that ran beside culprits or on workers with other faults. */
+    @Test
+    public void shouldCompleteAllOthersBesideSeveralCulpritsAndFaultyWorkers() {
+        Set<String> deadly = Set.of("deadly-0", "deadly-1", "deadly-2", "deadly-3", "deadly-4");
+        CrashReplay replay = new CrashReplay(11, deadly, 100, 2_000);
+        for (int number = 0; number < 30; number++) {
+            if (number < deadly.size()) {
+                replay.apply(accept("deadly-" + number, step(4)));
+            }
+            replay.apply(accept("innocent-" + number, step(4), step(4, 0)));
+            if (number % 10 == 5) {
+                replay.crash(number % 11);
+                replay.crash((number + 1) % 11);
+            }
+            replay.advance(400);
+        }
+        replay.advance(60_000);
+        deadly.forEach(id -> assertEquals(phase(replay, id), WorkflowPhase.WORKFLOW_FAILED));
+        for (int number = 0; number < 30; number++) {
+            assertEquals(phase(replay, "innocent-" + number), WorkflowPhase.WORKFLOW_COMPLETED);
+        }
+        assertEquals(replay.startsAfterThirdCrash(), 0);
+    }
+
+    /** Guards against lasting tasks that wait until all suspects have started apart. */
+    @Test
+    public void shouldRestartLastingTasksWithinThreeSeconds() {
+        CrashReplay replay = new CrashReplay(11, Set.of("deadly"), 100, Long.MAX_VALUE);
+        replay.apply(accept("lasting", step(22).setLasting(true)));
+        replay.apply(accept("deadly", step(4)));
+        replay.advance(3_200);
+        replay.advance(3_000);
+        assertEquals(
+                replay.records().workflow("lasting").orElseThrow().allTasks().stream()
+                        .filter(WorkflowTask::isWaiting)
+                        .count(),
+                0);
+    }
 }
