Resume the runs of a crashed worker from their checkpoints

The checkpoints of a worker were dropped as soon as its next incarnation reported, just before the runs of the previous one were ended, so all of them started from the beginning. They are now kept until these ends are committed. The new test failed before with an empty checkpoint.

--- a/src/main/java/org/yuccabank/control/workflow/WorkerView.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkerView.java
@@ -38,6 +38,10 @@
     private long listedAtMillis = Long.MIN_VALUE / 2;
     private final Map<RunAddress, ActiveRun> active = new LinkedHashMap<>();
     private final Map<RunAddress, String> checkpoints = new HashMap<>();
+
+    /** Checkpoints of the previous incarnation, whose runs end when the next one reports. */
+    private final Map<RunAddress, String> previousCheckpoints = new HashMap<>();
+
     private final Map<PressureEstimates.ImagePair, Double> sentPressures = new HashMap<>();
     private long pressuresResetAtMillis = Long.MIN_VALUE / 2;
 
@@ -61,6 +65,8 @@
             return false;
         }
         if (!sameIncarnation) {
+            previousCheckpoints.clear();
+            previousCheckpoints.putAll(checkpoints);
             checkpoints.clear();
             listedAtMillis = Long.MIN_VALUE / 2;
         }
@@ -168,11 +174,12 @@
     }
 
     String checkpoint(RunAddress run) {
-        return checkpoints.getOrDefault(run, "");
+        return checkpoints.getOrDefault(run, previousCheckpoints.getOrDefault(run, ""));
     }
 
     void removeCheckpoint(RunAddress run) {
         checkpoints.remove(run);
+        previousCheckpoints.remove(run);
     }
 
     /** Returns the numbered ends that the worker listed, ordered by number. */
--- a/src/test/java/org/yuccabank/control/workflow/WorkerViewTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/WorkerViewTest.java
@@ -6,7 +6,9 @@
 
 import java.util.List;
 import org.testng.annotations.Test;
+import org.yuccabank.protocol.generated.ActiveRun;
 import org.yuccabank.protocol.generated.ImagePressure;
+import org.yuccabank.protocol.generated.RunAddress;
 import org.yuccabank.protocol.generated.WorkerIdentity;
 import org.yuccabank.protocol.generated.WorkerReport;
 
@@ -47,6 +49,25 @@
         assertTrue(view.update(report(1).setReporterId(8).build(), null, 2_200, LEASE));
     }
 
+    /** Guards against losing the checkpoints of a crashed worker before its runs have ended. */
+    @Test
+    public void shouldKeepCheckpointsOfPreviousIncarnation() {
+        RunAddress run = RunAddress.newBuilder().setAttempt(1).build();
+        ActiveRun active = ActiveRun.newBuilder().setRun(run).setCheckpoint("saved").build();
+        WorkerView view = new WorkerView(report(1).build());
+        view.update(report(1).setListed(true).addActive(active).build(), null, 0, LEASE);
+        view.update(incarnation(2), null, 4_000, LEASE);
+        assertEquals(view.checkpoint(run), "saved");
+        view.update(incarnation(3), null, 8_000, LEASE);
+        assertEquals(view.checkpoint(run), "");
+    }
+
+    private static WorkerReport incarnation(long bornMillis) {
+        return report(bornMillis)
+                .setWorker(WorkerIdentity.newBuilder().setHostId("h").setBornMillis(bornMillis))
+                .build();
+    }
+
     private static ImagePressure pressure(double value) {
         return ImagePressure.newBuilder()
                 .setServingImage("web")
