Log one line for each workflow that is given up, place lasting suspects first

One workflow with five suspects wrote five lines and counted five times. Lasting suspects go before the others, as their users wait meanwhile.

--- a/src/main/java/org/yuccabank/control/workflow/CrashCounters.java
+++ b/src/main/java/org/yuccabank/control/workflow/CrashCounters.java
@@ -2,28 +2,31 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import org.yuccabank.event.Event;
 import org.yuccabank.event.EventLog;
 import org.yuccabank.protocol.generated.EndedRun;
 import org.yuccabank.protocol.generated.RunEnding;
 import org.yuccabank.protocol.generated.WorkerCrash;
 import org.yuccabank.protocol.generated.WorkerIdentity;
+import org.yuccabank.protocol.generated.WorkflowPhase;
 import org.yuccabank.state.workflow.WorkflowRecords;
 import org.yuccabank.state.workflow.WorkflowTask;
 
 /**
- * Counts and logs the crashes of workers and the tasks that are given up because of them. Confined
- * to the replica thread.
+ * Counts and logs the crashes of workers and the workflows that are given up because of them.
+ * Confined to the replica thread.
  */
 final class CrashCounters {
 
     private final Counter workerCrashes = new Counter();
-    private final Counter tasksGivenUp = new Counter();
+    private final Counter workflowsGivenUp = new Counter();
 
     void registerMetrics(MetricRegistry metrics) {
         metrics.register("workerCrashes", workerCrashes);
-        metrics.register("tasksGivenUp", tasksGivenUp);
+        metrics.register("workflowsGivenUp", workflowsGivenUp);
     }
 
     /** Records a crash of a worker with open runs. */
@@ -41,28 +44,33 @@
                 CrashSuspects.workflowCount(crash.getSuspectsList()));
     }
 
-    /** Records the tasks that committed ends have caused to be given up. */
+    /** Records the workflows that committed ends have caused to be given up. */
     void recordCommitted(List<EndedRun> ended, WorkflowRecords records) {
+        Map<String, WorkflowTask> givenUp = new LinkedHashMap<>();
         for (EndedRun each : ended) {
             if (each.getEnding() == RunEnding.RUN_WORKER_CRASHED) {
                 records.workflow(each.getRun().getTask().getWorkflowId())
                         .flatMap(workflow -> workflow.task(each.getRun().getTask()))
+                        .filter(task -> task.workflow().phase() == WorkflowPhase.WORKFLOW_FAILED)
                         .filter(WorkflowRecords::isGivenUp)
-                        .ifPresent(task -> recordGivenUp(task, each));
+                        .ifPresent(task -> givenUp.putIfAbsent(task.workflow().id(), task));
             }
         }
+        givenUp.values().forEach(this::recordGivenUp);
     }
 
-    private void recordGivenUp(WorkflowTask task, EndedRun ended) {
-        tasksGivenUp.inc();
+    private void recordGivenUp(WorkflowTask task) {
+        workflowsGivenUp.inc();
         EventLog.warning(
-                Event.TASK_GIVEN_UP,
+                Event.WORKFLOW_GIVEN_UP,
                 "workflow",
                 task.workflow().id(),
                 "run",
-                WorkflowLog.format(ended.getRun()),
+                WorkflowLog.format(task.run()),
                 "crashes",
-                task.crashes());
+                task.crashes(),
+                "soleSuspect",
+                task.isSoleSuspect());
     }
 
     private static String format(WorkerIdentity worker) {
--- a/src/main/java/org/yuccabank/control/workflow/StepCandidates.java
+++ b/src/main/java/org/yuccabank/control/workflow/StepCandidates.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.yuccabank.policy.workflow.WaitingTask;
+import org.yuccabank.protocol.generated.StepDefinition;
 import org.yuccabank.state.workflow.WorkflowTask;
 
 /**
@@ -18,7 +19,15 @@
     }
 
     boolean isGang() {
-        return tasks.get(0).workflow().step(tasks.get(0).address().getStep()).getGang();
+        return step().getGang();
+    }
+
+    boolean isLasting() {
+        return step().getLasting();
+    }
+
+    private StepDefinition step() {
+        return tasks.get(0).workflow().step(tasks.get(0).address().getStep());
     }
 
     /** Returns whether the tasks have to start apart from others; a gang as soon as one has to. */
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowPlanner.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowPlanner.java
@@ -1,6 +1,7 @@
 package org.yuccabank.control.workflow;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.IdentityHashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -76,7 +77,10 @@
                 order.order(List.copyOf(candidates.keySet()), nowMillis).stream()
                         .map(candidates::get)
                         .toList();
-        ordered.stream().filter(StepCandidates::isSuspect).forEach(round::placeSuspects);
+        ordered.stream()
+                .filter(StepCandidates::isSuspect)
+                .sorted(Comparator.comparing(StepCandidates::isLasting).reversed())
+                .forEach(round::placeSuspects);
         ordered.stream().filter(step -> !step.isSuspect()).forEach(round::place);
         return round.plan();
     }
--- a/src/main/java/org/yuccabank/event/Event.java
+++ b/src/main/java/org/yuccabank/event/Event.java
@@ -84,8 +84,8 @@
      * Best-effort tasks wait because many serving tasks are without a worker, or no longer wait.
      */
     BEST_EFFORT_HELD(617),
-    /** A task is not started again because it crashes its workers; its workflow has failed. */
-    TASK_GIVEN_UP(618),
+    /** A workflow has failed because one of its tasks crashes its workers. */
+    WORKFLOW_GIVEN_UP(618),
     /** A host announced itself. */
     HOST_JOINED(700),
     /** A host has not reported for the suspicion timeout. */
