Count a crash only against runs that had reached the worker

A workflow was given up after one crash under its task.

An agent now tells a start call that could not be sent from one without an answer. Only runs whose start is confirmed count towards the two crashes after which a task is given up. The evidence is taken when it is reported, as the outcomes of calls in progress are known by then.

--- a/src/main/java/org/yuccabank/agent/workflow/CrashEvidence.java
+++ b/src/main/java/org/yuccabank/agent/workflow/CrashEvidence.java
@@ -1,76 +1,61 @@
 package org.yuccabank.agent.workflow;
 
 import java.util.Optional;
-import java.util.Set;
-import org.yuccabank.protocol.generated.RunAddress;
+import java.util.function.Function;
 import org.yuccabank.protocol.generated.WorkerCrash;
 import org.yuccabank.protocol.generated.WorkerIdentity;
 
 /**
  * The latest crash of the worker and the runs that may have caused it.
  *
- * <p>Invariants: the suspects are those at the first sign of the crash; the evidence is kept while
- * the worker does not answer and throughout the life of the next incarnation, so that it reaches
- * any later leader; an incarnation that announced its end has not crashed. Confined to the agent's
- * event loop.
+ * <p>Invariants: a worker that does not answer counts as crashed until it answers; the evidence of
+ * an incarnation is kept throughout the life of the next one, so that it reaches any later leader;
+ * an incarnation that announced its end has not crashed. Confined to the agent's event loop.
  */
 final class CrashEvidence {
 
-    private Optional<WorkerCrash> latest = Optional.empty();
+    private final Function<WorkerIdentity, WorkerCrash> currentCrash;
+    private Optional<WorkerCrash> previousCrash = Optional.empty();
+    private boolean unresponsive;
 
-    /** Returns the evidence to report, empty if there was no crash. */
-    Optional<WorkerCrash> latest() {
-        return latest;
+    /**
+     * Creates an instance without evidence.
+     *
+     * @param currentCrash returns the crash of the current incarnation, if it has crashed
+     */
+    CrashEvidence(Function<WorkerIdentity, WorkerCrash> currentCrash) {
+        this.currentCrash = currentCrash;
     }
 
     /**
-     * Records that a worker does not answer.
+     * Returns the evidence to report.
      *
-     * @param unstableRuns the runs that it started last
-     * @return true if this is the first sign of a crash of this worker
+     * @param current the current incarnation
+     * @return its crash if it does not answer, else that of the previous incarnation, if any
      */
-    boolean recordUnresponsive(WorkerIdentity worker, Set<RunAddress> unstableRuns) {
-        if (concerns(worker)) {
-            return false;
-        }
-        latest =
-                Optional.of(
-                        WorkerCrash.newBuilder()
-                                .setWorker(worker)
-                                .addAllSuspects(unstableRuns)
-                                .build());
-        return true;
+    Optional<WorkerCrash> latest(WorkerIdentity current) {
+        return unresponsive ? Optional.of(currentCrash.apply(current)) : previousCrash;
     }
 
     /**
-     * Records that a worker answers.
+     * Records whether the current incarnation answers.
      *
-     * @return true if it had been recorded as unresponsive
+     * @return true if this has changed
      */
-    boolean recordResponsive(WorkerIdentity worker) {
-        if (!concerns(worker)) {
-            return false;
-        }
-        latest = Optional.empty();
-        return true;
+    boolean recordResponsive(boolean responsive) {
+        boolean changed = unresponsive == responsive;
+        unresponsive = !responsive;
+        return changed;
     }
 
     /**
      * Records that the next incarnation has started.
      *
-     * @param announcedEnd whether the previous incarnation announced its end
-     * @param unstableRuns the runs that it started last
+     * @param previous the previous incarnation
+     * @param announcedEnd whether it announced its end
      */
-    void recordReplaced(
-            WorkerIdentity previous, boolean announcedEnd, Set<RunAddress> unstableRuns) {
-        if (announcedEnd) {
-            latest = Optional.empty();
-        } else {
-            recordUnresponsive(previous, unstableRuns);
-        }
-    }
-
-    private boolean concerns(WorkerIdentity worker) {
-        return latest.filter(crash -> crash.getWorker().equals(worker)).isPresent();
+    void recordReplaced(WorkerIdentity previous, boolean announcedEnd) {
+        previousCrash = announcedEnd ? Optional.empty() : Optional.of(currentCrash.apply(previous));
+        unresponsive = false;
     }
 }
--- a/src/main/java/org/yuccabank/agent/workflow/RunEntry.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunEntry.java
@@ -44,7 +44,8 @@
     private Stage stage;
     private long absenceCheckedFromMillis;
     private int startAttempts;
-    private boolean startSent;
+    private boolean startInProgress;
+    private boolean startUncertain;
     private OptionalLong confirmedAtMillis = OptionalLong.empty();
     private boolean callInProgress;
     private boolean stopRequested;
@@ -106,8 +107,14 @@
         return stage == Stage.AWAITING_ABSENCE && listRequestedMillis > absenceCheckedFromMillis;
     }
 
-    void recordStartSent() {
-        startSent = true;
+    void beginStart() {
+        startInProgress = true;
+    }
+
+    /** Records the outcome of a start call that may have been executed if it is uncertain. */
+    void endStart(boolean uncertain) {
+        startInProgress = false;
+        startUncertain |= uncertain;
     }
 
     /** Records that the worker has confirmed the start or listed the run. */
@@ -127,11 +134,16 @@
                 && answeredMillis - confirmedAtMillis.getAsLong() >= CRASH_WINDOW_MILLIS;
     }
 
-    /** Returns whether the run may have crashed the worker if this crashed after its answer. */
+    /** Returns whether the run had started shortly before a crash that followed the answer. */
     boolean isCrashSuspect(long answeredMillis) {
+        return stage != Stage.ENDED && confirmedAtMillis.isPresent() && !isStable(answeredMillis);
+    }
+
+    /** Returns whether it is unknown if the run had started before a crash. */
+    boolean isUncertainCrashSuspect() {
         return stage != Stage.ENDED
-                && (startSent || confirmedAtMillis.isPresent())
-                && !isStable(answeredMillis);
+                && confirmedAtMillis.isEmpty()
+                && (startInProgress || startUncertain);
     }
 
     int countStartAttempt() {
--- a/src/main/java/org/yuccabank/agent/workflow/RunTable.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunTable.java
@@ -5,12 +5,10 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Collectors;
 import org.yuccabank.policy.workflow.BestEffortThrottle;
 import org.yuccabank.policy.workflow.PressureEstimates;
 import org.yuccabank.policy.workflow.Pressures;
@@ -19,6 +17,8 @@
 import org.yuccabank.protocol.generated.ImagePressure;
 import org.yuccabank.protocol.generated.RunAddress;
 import org.yuccabank.protocol.generated.StartRun;
+import org.yuccabank.protocol.generated.WorkerCrash;
+import org.yuccabank.protocol.generated.WorkerIdentity;
 
 /**
  * The runs of one incarnation of a worker.
@@ -57,12 +57,20 @@
         confirmed.forEach(run -> entry(run).ifPresent(each -> each.recordConfirmed(nowMillis)));
     }
 
-    /** Returns the runs that may have crashed the worker if it has just crashed. */
-    Set<RunAddress> crashSuspects() {
-        return entries.values().stream()
-                .filter(entry -> entry.isCrashSuspect(answeredMillis))
-                .map(RunEntry::run)
-                .collect(Collectors.toCollection(LinkedHashSet::new));
+    /**
+     * Returns the crash of the worker after its latest answer. The suspects do not change later,
+     * except that the outcomes of start calls in progress become known.
+     */
+    WorkerCrash crash(WorkerIdentity worker) {
+        WorkerCrash.Builder crash = WorkerCrash.newBuilder().setWorker(worker);
+        for (RunEntry entry : entries.values()) {
+            if (entry.isCrashSuspect(answeredMillis)) {
+                crash.addSuspects(entry.run());
+            } else if (entry.isUncertainCrashSuspect()) {
+                crash.addUncertainSuspects(entry.run());
+            }
+        }
+        return crash.build();
     }
 
     /** Adds a run to start and returns its entry, empty if the run is already known. */
--- a/src/main/java/org/yuccabank/agent/workflow/WorkerApi.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkerApi.java
@@ -93,6 +93,13 @@
          * @param detail description of the failure
          */
         record Unanswered(String detail) implements CallOutcome {}
+
+        /**
+         * No connection to the worker could be opened, so it has not received the call.
+         *
+         * @param detail description of the failure
+         */
+        record Unsent(String detail) implements CallOutcome {}
     }
 
     /** The reason for a refusal. */
--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -72,7 +72,7 @@
     private final LeaderClient leader;
     private final WorkerLease lease;
     private final RunTable runs = new RunTable();
-    private final CrashEvidence crashEvidence = new CrashEvidence();
+    private final CrashEvidence crashEvidence = new CrashEvidence(runs::crash);
     private final BestEffortThrottle throttle = new BestEffortThrottle();
     private final List<MonoSink<Boolean>> waitingForLeader = new ArrayList<>();
     private Optional<WorkerAnnouncement> worker = Optional.empty();
@@ -212,8 +212,7 @@
     }
 
     private void onReplaced(WorkerAnnouncement previous) {
-        crashEvidence.recordReplaced(
-                previous.identity(), leaving || previous.draining(), runs.crashSuspects());
+        crashEvidence.recordReplaced(previous.identity(), leaving || previous.draining());
     }
 
     private void onNewIncarnation(WorkerAnnouncement announcement) {
@@ -326,7 +325,7 @@
             report.addAllPressures(runs.knownPressures());
             reportedTerm = listedTerm;
         }
-        crashEvidence.latest().ifPresent(report::setCrash);
+        crashEvidence.latest(announced.identity()).ifPresent(report::setCrash);
         lease.promiseTimeLeft(now).ifPresent(report::setLeaseLeftMillis);
         return report.build();
     }
@@ -404,7 +403,7 @@
             return;
         }
         entry.setCallInProgress(true);
-        entry.recordStartSent();
+        entry.beginStart();
         WorkerAnnouncement target = worker.orElseThrow();
         api.start(
                         target,
@@ -416,6 +415,7 @@
     private void onStartOutcome(
             RunEntry entry, WorkerAnnouncement target, WorkerApi.CallOutcome outcome) {
         entry.setCallInProgress(false);
+        entry.endStart(outcome instanceof WorkerApi.CallOutcome.Unanswered);
         if (!isCurrent(entry, target) || entry.stage() != RunEntry.Stage.STARTING) {
             return;
         }
@@ -425,7 +425,7 @@
         } else if (outcome instanceof WorkerApi.CallOutcome.Refused refused) {
             onStartRefused(entry, refused.refusal());
         } else {
-            onStartUnanswered(entry, ((WorkerApi.CallOutcome.Unanswered) outcome).detail());
+            onStartUnanswered(entry, outcome.toString());
         }
         advance(entry);
     }
@@ -544,7 +544,7 @@
         }
         if (outcome instanceof WorkerApi.ListOutcome.Unavailable unavailable) {
             lease.markUnresponsive();
-            if (crashEvidence.recordUnresponsive(identity, runs.crashSuspects())) {
+            if (crashEvidence.recordResponsive(false)) {
                 requestReport();
             }
             EventLog.warning(
@@ -565,7 +565,7 @@
         lease.markResponsive();
         boolean changed = runs.applyListing(listing.active(), listing.ended(), requestedMillis);
         runs.recordAnswer(listing.active().stream().map(ActiveRun::getRun).toList(), now);
-        boolean recovered = crashEvidence.recordResponsive(identity);
+        boolean recovered = crashEvidence.recordResponsive(true);
         adjustSpeeds(target, now);
         if (changed || firstOfTerm || recovered) {
             requestReport();
--- a/src/main/java/org/yuccabank/control/workflow/CrashCounters.java
+++ b/src/main/java/org/yuccabank/control/workflow/CrashCounters.java
@@ -40,6 +40,8 @@
                 openRuns,
                 "suspects",
                 crash.getSuspectsCount(),
+                "uncertainSuspects",
+                crash.getUncertainSuspectsCount(),
                 "suspectWorkflows",
                 CrashSuspects.workflowCount(crash.getSuspectsList()));
     }
--- a/src/main/java/org/yuccabank/control/workflow/CrashSuspects.java
+++ b/src/main/java/org/yuccabank/control/workflow/CrashSuspects.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -40,23 +41,29 @@
             Optional<WorkerCrash> crash,
             String reason,
             Function<RunAddress, String> checkpoint) {
-        Set<RunAddress> suspects =
-                crash.map(each -> Set.copyOf(each.getSuspectsList())).orElse(Set.of());
+        Set<RunAddress> suspects = new HashSet<>();
+        Set<RunAddress> uncertain = new HashSet<>();
+        crash.ifPresent(
+                each -> {
+                    suspects.addAll(each.getSuspectsList());
+                    uncertain.addAll(each.getUncertainSuspectsList());
+                });
+        suspects.addAll(uncertain);
         boolean sole = workflowCount(suspects) == 1;
         List<EndedRun> ends = new ArrayList<>();
         for (WorkflowTask task : openRuns) {
-            boolean suspect = suspects.contains(task.run());
-            ends.add(
+            EndedRun.Builder end =
                     EndedRun.newBuilder()
                             .setRun(task.run())
-                            .setEnding(
-                                    suspect
-                                            ? RunEnding.RUN_WORKER_CRASHED
-                                            : RunEnding.RUN_WORKER_LOST)
-                            .setSoleSuspect(suspect && sole)
+                            .setEnding(RunEnding.RUN_WORKER_LOST)
                             .setCheckpoint(checkpoint.apply(task.run()))
-                            .setReason(reason)
-                            .build());
+                            .setReason(reason);
+            if (suspects.contains(task.run())) {
+                end.setEnding(RunEnding.RUN_WORKER_CRASHED)
+                        .setSoleSuspect(sole)
+                        .setUncertainStart(uncertain.contains(task.run()));
+            }
+            ends.add(end.build());
         }
         return ends;
     }
--- a/src/main/java/org/yuccabank/state/workflow/WorkflowRecords.java
+++ b/src/main/java/org/yuccabank/state/workflow/WorkflowRecords.java
@@ -35,7 +35,7 @@
  */
 public final class WorkflowRecords {
 
-    /** Crashes after which a task is given up if it was the only suspect of one of them. */
+    /** Confirmed crashes after which a task is given up if it was the only suspect of one. */
     private static final int CONFIRMED_CRASHES = 2;
 
     /** Crashes after which a task is given up in any case. */
@@ -222,7 +222,7 @@
 
     private static void updateCrashes(WorkflowTask task, EndedRun ended) {
         if (ended.getEnding() == RunEnding.RUN_WORKER_CRASHED) {
-            task.recordCrash(ended.getSoleSuspect());
+            task.recordCrash(!ended.getUncertainStart(), ended.getSoleSuspect());
         } else if (ended.getStable() || ended.getEnding() == RunEnding.RUN_FAILED) {
             task.clearCrashes();
         }
@@ -236,7 +236,7 @@
      */
     public static boolean isGivenUp(WorkflowTask task) {
         return task.crashes() >= MAXIMUM_CRASHES
-                || (task.crashes() >= CONFIRMED_CRASHES && task.isSoleSuspect());
+                || (task.confirmedCrashes() >= CONFIRMED_CRASHES && task.isSoleSuspect());
     }
 
     /**
--- a/src/main/java/org/yuccabank/state/workflow/WorkflowTask.java
+++ b/src/main/java/org/yuccabank/state/workflow/WorkflowTask.java
@@ -21,6 +21,7 @@
     private int latestAttempt;
     private int failures;
     private int crashes;
+    private int confirmedCrashes;
     private boolean soleSuspect;
     private String checkpoint = "";
     private WorkerIdentity worker;
@@ -77,8 +78,8 @@
     }
 
     /**
-     * Returns the number of workers that crashed shortly after starting the task. A run that is
-     * known not to have crashed its worker resets the number.
+     * Returns the number of workers that crashed shortly after they may have started the task. A
+     * run that is known not to have crashed its worker resets the number.
      *
      * @return the count
      */
@@ -86,6 +87,15 @@
         return crashes;
     }
 
+    /**
+     * Returns the number of these crashes before which the task had certainly started.
+     *
+     * @return the count
+     */
+    public int confirmedCrashes() {
+        return confirmedCrashes;
+    }
+
     /**
      * Returns whether the task was the only suspect of one of these crashes, apart from tasks of
      * its own workflow.
@@ -153,13 +163,15 @@
         checkpoint = newCheckpoint.isEmpty() ? checkpoint : newCheckpoint;
     }
 
-    void recordCrash(boolean sole) {
+    void recordCrash(boolean confirmed, boolean sole) {
         crashes++;
+        confirmedCrashes += confirmed ? 1 : 0;
         soleSuspect |= sole;
     }
 
     void clearCrashes() {
         crashes = 0;
+        confirmedCrashes = 0;
         soleSuspect = false;
     }
 
@@ -172,6 +184,7 @@
                         .setFailures(failures)
                         .setCheckpoint(checkpoint)
                         .setCrashes(crashes)
+                        .setConfirmedCrashes(confirmedCrashes)
                         .setSoleSuspect(soleSuspect);
         worker().ifPresent(record::setWorker);
         return record.build();
@@ -183,6 +196,7 @@
         failures = record.getFailures();
         checkpoint = record.getCheckpoint();
         crashes = record.getCrashes();
+        confirmedCrashes = record.getConfirmedCrashes();
         soleSuspect = record.getSoleSuspect();
         worker = record.hasWorker() ? record.getWorker() : null;
     }
--- a/src/test/java/org/yuccabank/state/workflow/WorkflowRecordsTest.java
+++ b/src/test/java/org/yuccabank/state/workflow/WorkflowRecordsTest.java
@@ -134,6 +134,23 @@
         assertEquals(phase("a"), WorkflowPhase.WORKFLOW_FAILED);
     }
 
+    /** Guards against giving up a task that had not started before one of two crashes. */
+    @Test
+    public void shouldKeepTaskWhoseStartBeforeCrashIsUncertain() {
+        EndedRun.Builder uncertain =
+                EndedRun.newBuilder()
+                        .setRun(run("a", 0, 0, 1))
+                        .setEnding(RunEnding.RUN_WORKER_CRASHED)
+                        .setSoleSuspect(true)
+                        .setUncertainStart(true);
+        apply(accept("a", step(1)), assign(run("a", 0, 0, 1)));
+        apply(round(SchedulingRound.newBuilder().addEnded(uncertain)));
+        apply(assign(run("a", 0, 0, 2)), crash(2, true));
+        assertEquals(phase("a"), WorkflowPhase.WORKFLOW_ACTIVE);
+        apply(assign(run("a", 0, 0, 3)), crash(3, true));
+        assertEquals(phase("a"), WorkflowPhase.WORKFLOW_FAILED);
+    }
+
     /** Guards against adding up crashes between which a run of the task has lasted. */
     @Test
     public void shouldForgetCrashesOnceRunIsStable() {
