Place lasting tasks before suspects

After a crash the suspects took the workers that had just joined, and no other task could start there until they were stable.

--- a/src/main/java/org/yuccabank/control/workflow/PlanningRound.java
+++ b/src/main/java/org/yuccabank/control/workflow/PlanningRound.java
@@ -86,7 +86,9 @@
                 capacities.stream()
                         .filter(worker -> isolation.admitsOthers(worker.workerId()))
                         .toList();
-        assign(step, step.tasks(), reserve(step, step.tasks().size(), open));
+        List<WorkerCapacity> selected = reserve(step, step.tasks().size(), open);
+        selected.forEach(worker -> isolation.addUnstableRun(worker.workerId(), false));
+        assign(step, step.tasks(), selected);
     }
 
     /**
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowPlanner.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowPlanner.java
@@ -1,7 +1,6 @@
 package org.yuccabank.control.workflow;
 
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.IdentityHashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -28,7 +27,7 @@
  *
  * <p>Invariants: open runs count against the capacity of their worker until their end is recorded;
  * a task starts only when its occurrence is due and the steps that it depends on are done; tasks
- * that may crash their worker are placed before all others. Stateless.
+ * that may crash their worker are placed before others that do not last. Stateless.
  */
 final class WorkflowPlanner {
 
@@ -77,14 +76,21 @@
                 order.order(List.copyOf(candidates.keySet()), nowMillis).stream()
                         .map(candidates::get)
                         .toList();
-        ordered.stream()
-                .filter(StepCandidates::isSuspect)
-                .sorted(Comparator.comparing(StepCandidates::isLasting).reversed())
-                .forEach(round::placeSuspects);
-        ordered.stream().filter(step -> !step.isSuspect()).forEach(round::place);
+        // Users of lasting tasks wait meanwhile, so these do not wait for suspects.
+        select(ordered, true, false).forEach(round::place);
+        select(ordered, true, true).forEach(round::placeSuspects);
+        select(ordered, false, true).forEach(round::placeSuspects);
+        select(ordered, false, false).forEach(round::place);
         return round.plan();
     }
 
+    private static List<StepCandidates> select(
+            List<StepCandidates> steps, boolean lasting, boolean suspect) {
+        return steps.stream()
+                .filter(step -> step.isLasting() == lasting && step.isSuspect() == suspect)
+                .toList();
+    }
+
     private static Map<String, WorkerCapacity> workerCapacities(
             WorkflowRecords records,
             Collection<AvailableWorker> workers,
