--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -222,12 +222,7 @@
         leaving = false;
         listedTerm = 0;
         listedAtMillis = Long.MIN_VALUE / 2;
-        EventLog.information(
-                Event.HOST_JOINED,
-                "worker",
-                announcement.identity().getWorkerId(),
-                "born",
-                announcement.identity().getBornMillis());
+        WorkflowAgentLog.joined(announcement.identity());
         requestReport();
         requestList();
     }
@@ -437,7 +432,7 @@
     }
 
     private void onStartRefused(RunEntry entry, WorkerApi.Refusal refusal) {
-        logUnsettledCall(entry, "start refused: " + refusal);
+        WorkflowAgentLog.unsettledCall(entry, "start refused: " + refusal);
         switch (refusal) {
             case LATE -> schedule(() -> advance(entry));
             case OUTDATED -> entry.awaitAbsence(nowMillis());
@@ -449,7 +444,7 @@
     }
 
     private void onStartUnanswered(RunEntry entry, String detail) {
-        logUnsettledCall(entry, "start not answered: " + detail);
+        WorkflowAgentLog.unsettledCall(entry, "start not answered: " + detail);
         if (entry.countStartAttempt() >= MAXIMUM_START_ATTEMPTS) {
             entry.setStage(RunEntry.Stage.UNCERTAIN);
         }
@@ -476,25 +471,10 @@
             entry.awaitAbsence(nowMillis());
             requestList();
         } else {
-            logUnsettledCall(entry, "stop: " + outcome);
+            WorkflowAgentLog.unsettledCall(entry, "stop: " + outcome);
         }
     }
 
-    private static void logUnsettledCall(RunEntry entry, String detail) {
-        EventLog.warning(
-                Event.ORDER_UNSETTLED,
-                "workflow",
-                entry.run().getTask().getWorkflowId(),
-                "step",
-                entry.run().getTask().getStep(),
-                "index",
-                entry.run().getTask().getIndex(),
-                "attempt",
-                entry.run().getAttempt(),
-                "detail",
-                detail);
-    }
-
     private void schedule(Runnable action) {
         var unused = loop.schedule(action, CALL_RETRY_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -547,12 +527,7 @@
             if (crashEvidence.recordResponsive(false)) {
                 requestReport();
             }
-            EventLog.warning(
-                    Event.WORKER_UNREACHABLE,
-                    "worker",
-                    identity.getWorkerId(),
-                    "detail",
-                    unavailable.detail());
+            WorkflowAgentLog.unreachable(identity, unavailable.detail());
             var unused = loop.schedule(this::requestList, LIST_RETRY_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowPlanner.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowPlanner.java
@@ -76,6 +76,10 @@
                 order.order(List.copyOf(candidates.keySet()), nowMillis).stream()
                         .map(candidates::get)
                         .toList();
+        if (!suspectsWaiting) {
+            ordered.forEach(round::place);
+            return round.plan();
+        }
         // Users of lasting tasks wait meanwhile, so these do not wait for suspects.
         select(ordered, true, false).forEach(round::place);
         select(ordered, true, true).forEach(round::placeSuspects);
