Test that suspects are told apart by starting them separately

The other replays pass even if suspects start like all other tasks. This one, with three culprits and three other workflows on two workers, fails then: an innocent workflow is given up.

--- a/src/test/java/org/yuccabank/control/workflow/CrashReplayTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/CrashReplayTest.java
@@ -60,6 +60,24 @@
         assertEquals(replay.startsAfterThirdCrash(), 0);
     }
 
+    /**
+     * Guards against suspects that start together again, so that all of them seem to be culprits.
+     */
+    @Test
+    public void shouldTellInnocentTasksFromCulpritsThatStartWithThem() {
+        Set<String> deadly = Set.of("deadly-0", "deadly-1", "deadly-2");
+        CrashReplay replay = new CrashReplay(2, deadly, 100, 2_000);
+        for (int number = 0; number < deadly.size(); number++) {
+            replay.apply(accept("deadly-" + number, step(1)));
+            replay.apply(accept("innocent-" + number, step(2)));
+        }
+        replay.advance(60_000);
+        deadly.forEach(id -> assertEquals(phase(replay, id), WorkflowPhase.WORKFLOW_FAILED));
+        for (int number = 0; number < deadly.size(); number++) {
+            assertEquals(phase(replay, "innocent-" + number), WorkflowPhase.WORKFLOW_COMPLETED);
+        }
+    }
+
     /** Guards against lasting tasks that wait until all suspects have started apart. */
     @Test
     public void shouldRestartLastingTasksWithinThreeSeconds() {
