--- a/src/main/java/org/yuccabank/agent/workflow/RunTable.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunTable.java
@@ -17,6 +17,8 @@
 import org.yuccabank.protocol.generated.ImagePressure;
 import org.yuccabank.protocol.generated.RunAddress;
 import org.yuccabank.protocol.generated.StartRun;
+import org.yuccabank.protocol.generated.WorkerCrash;
+import org.yuccabank.protocol.generated.WorkerIdentity;
 
 /**
  * The runs of one incarnation of a worker.
@@ -30,6 +32,7 @@
     private final Map<RunAddress, RunEntry> entries = new LinkedHashMap<>();
     private final Map<PressureEstimates.ImagePair, Double> pressures = new HashMap<>();
     private long acknowledgedNumber;
+    private long answeredMillis;
 
     void clear() {
         entries.clear();
@@ -44,6 +47,32 @@
         return List.copyOf(entries.values());
     }
 
+    /**
+     * Records an answer of the worker.
+     *
+     * @param confirmed the runs that it confirms to run
+     */
+    void recordAnswer(Collection<RunAddress> confirmed, long nowMillis) {
+        answeredMillis = nowMillis;
+        confirmed.forEach(run -> entry(run).ifPresent(each -> each.recordConfirmed(nowMillis)));
+    }
+
+    /**
+     * Returns the crash of the worker after its latest answer. The suspects do not change later,
+     * except that the outcomes of start calls in progress become known.
+     */
+    WorkerCrash crash(WorkerIdentity worker) {
+        WorkerCrash.Builder crash = WorkerCrash.newBuilder().setWorker(worker);
+        for (RunEntry entry : entries.values()) {
+            if (entry.isCrashSuspect(answeredMillis)) {
+                crash.addSuspects(entry.run());
+            } else if (entry.isUncertainCrashSuspect()) {
+                crash.addUncertainSuspects(entry.run());
+            }
+        }
+        return crash.build();
+    }
+
     /** Adds a run to start and returns its entry, empty if the run is already known. */
     Optional<RunEntry> addStart(StartRun startRequest) {
         RunEntry knownEntry = entries.get(startRequest.getRun());
@@ -144,17 +173,19 @@
     List<ActiveRun> active() {
         return entries.values().stream()
                 .filter(entry -> entry.stage() != RunEntry.Stage.ENDED)
-                .map(RunTable::toReported)
+                .map(this::toReported)
                 .toList();
     }
 
-    private static ActiveRun toReported(RunEntry entry) {
+    private ActiveRun toReported(RunEntry entry) {
         int slowedByPercent = BestEffortThrottle.FULL_SPEED_PERCENT - entry.speedPercent();
         boolean startRequestUnknown = entry.startRequest().isEmpty();
-        return slowedByPercent > 0 || startRequestUnknown
+        boolean stable = entry.isStable(answeredMillis);
+        return slowedByPercent > 0 || startRequestUnknown || stable
                 ? entry.listed().toBuilder()
                         .setSlowedByPercent(slowedByPercent)
                         .setUnknown(startRequestUnknown)
+                        .setStable(stable)
                         .build()
                 : entry.listed();
     }
--- a/src/main/java/org/yuccabank/control/workflow/WorkerView.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkerView.java
@@ -15,6 +15,7 @@
 import org.yuccabank.protocol.generated.Envelope;
 import org.yuccabank.protocol.generated.ImagePressure;
 import org.yuccabank.protocol.generated.RunAddress;
+import org.yuccabank.protocol.generated.WorkerCrash;
 import org.yuccabank.protocol.generated.WorkerDirectives;
 import org.yuccabank.protocol.generated.WorkerIdentity;
 import org.yuccabank.protocol.generated.WorkerReport;
@@ -37,6 +38,10 @@
     private long listedAtMillis = Long.MIN_VALUE / 2;
     private final Map<RunAddress, ActiveRun> active = new LinkedHashMap<>();
     private final Map<RunAddress, String> checkpoints = new HashMap<>();
+
+    /** Checkpoints of the previous incarnation, whose runs end when the next one reports. */
+    private final Map<RunAddress, String> previousCheckpoints = new HashMap<>();
+
     private final Map<PressureEstimates.ImagePair, Double> sentPressures = new HashMap<>();
     private long pressuresResetAtMillis = Long.MIN_VALUE / 2;
 
@@ -60,6 +65,8 @@
             return false;
         }
         if (!sameIncarnation) {
+            previousCheckpoints.clear();
+            previousCheckpoints.putAll(checkpoints);
             checkpoints.clear();
             listedAtMillis = Long.MIN_VALUE / 2;
         }
@@ -107,9 +114,20 @@
         return report.getWorkerPresent()
                 && !report.getDraining()
                 && !report.getLeaving()
+                && crashOf(worker()).isEmpty()
                 && nowMillis - listedAtMillis <= maximumListAgeMillis;
     }
 
+    /**
+     * Returns what the agent has reported on the crash of a worker, either of its current one that
+     * does not answer or of the one before.
+     */
+    Optional<WorkerCrash> crashOf(WorkerIdentity worker) {
+        return report.hasCrash() && report.getCrash().getWorker().equals(worker)
+                ? Optional.of(report.getCrash())
+                : Optional.empty();
+    }
+
     boolean isListed() {
         return report.getListed();
     }
@@ -156,11 +174,12 @@
     }
 
     String checkpoint(RunAddress run) {
-        return checkpoints.getOrDefault(run, "");
+        return checkpoints.getOrDefault(run, previousCheckpoints.getOrDefault(run, ""));
     }
 
     void removeCheckpoint(RunAddress run) {
         checkpoints.remove(run);
+        previousCheckpoints.remove(run);
     }
 
     /** Returns the numbered ends that the worker listed, ordered by number. */
