--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -19,6 +19,7 @@
 import org.yuccabank.protocol.LeaderClient;
 import org.yuccabank.protocol.PeerConnection;
 import org.yuccabank.protocol.PeerTransport;
+import org.yuccabank.protocol.generated.ActiveRun;
 import org.yuccabank.protocol.generated.Envelope;
 import org.yuccabank.protocol.generated.Hello;
 import org.yuccabank.protocol.generated.ResourceVector;
@@ -71,6 +72,7 @@
     private final LeaderClient leader;
     private final WorkerLease lease;
     private final RunTable runs = new RunTable();
+    private final CrashEvidence crashEvidence = new CrashEvidence(runs::crash);
     private final BestEffortThrottle throttle = new BestEffortThrottle();
     private final List<MonoSink<Boolean>> waitingForLeader = new ArrayList<>();
     private Optional<WorkerAnnouncement> worker = Optional.empty();
@@ -195,8 +197,10 @@
                 announcement.draining()
                         && !(sameIncarnation
                                 && worker.map(WorkerAnnouncement::draining).orElse(false));
+        Optional<WorkerAnnouncement> previous = worker;
         worker = Optional.of(announcement);
         if (!sameIncarnation) {
+            previous.ifPresent(this::onReplaced);
             onNewIncarnation(announcement);
         }
         if (startsDraining) {
@@ -207,6 +211,10 @@
         }
     }
 
+    private void onReplaced(WorkerAnnouncement previous) {
+        crashEvidence.recordReplaced(previous.identity(), leaving || previous.draining());
+    }
+
     private void onNewIncarnation(WorkerAnnouncement announcement) {
         runs.clear();
         lease.reset();
@@ -214,12 +222,7 @@
         leaving = false;
         listedTerm = 0;
         listedAtMillis = Long.MIN_VALUE / 2;
-        EventLog.information(
-                Event.HOST_JOINED,
-                "worker",
-                announcement.identity().getWorkerId(),
-                "born",
-                announcement.identity().getBornMillis());
+        WorkflowAgentLog.joined(announcement.identity());
         requestReport();
         requestList();
     }
@@ -317,6 +320,7 @@
             report.addAllPressures(runs.knownPressures());
             reportedTerm = listedTerm;
         }
+        crashEvidence.latest(announced.identity()).ifPresent(report::setCrash);
         lease.promiseTimeLeft(now).ifPresent(report::setLeaseLeftMillis);
         return report.build();
     }
@@ -394,6 +398,7 @@
             return;
         }
         entry.setCallInProgress(true);
+        entry.beginStart();
         WorkerAnnouncement target = worker.orElseThrow();
         api.start(
                         target,
@@ -405,15 +410,17 @@
     private void onStartOutcome(
             RunEntry entry, WorkerAnnouncement target, WorkerApi.CallOutcome outcome) {
         entry.setCallInProgress(false);
+        entry.endStart(outcome instanceof WorkerApi.CallOutcome.Unanswered);
         if (!isCurrent(entry, target) || entry.stage() != RunEntry.Stage.STARTING) {
             return;
         }
         if (outcome instanceof WorkerApi.CallOutcome.Done) {
             entry.setStage(RunEntry.Stage.STARTED);
+            runs.recordAnswer(List.of(entry.run()), nowMillis());
         } else if (outcome instanceof WorkerApi.CallOutcome.Refused refused) {
             onStartRefused(entry, refused.refusal());
         } else {
-            onStartUnanswered(entry, ((WorkerApi.CallOutcome.Unanswered) outcome).detail());
+            onStartUnanswered(entry, outcome.toString());
         }
         advance(entry);
     }
@@ -425,7 +432,7 @@
     }
 
     private void onStartRefused(RunEntry entry, WorkerApi.Refusal refusal) {
-        logUnsettledCall(entry, "start refused: " + refusal);
+        WorkflowAgentLog.unsettledCall(entry, "start refused: " + refusal);
         switch (refusal) {
             case LATE -> schedule(() -> advance(entry));
             case OUTDATED -> entry.awaitAbsence(nowMillis());
@@ -437,7 +444,7 @@
     }
 
     private void onStartUnanswered(RunEntry entry, String detail) {
-        logUnsettledCall(entry, "start not answered: " + detail);
+        WorkflowAgentLog.unsettledCall(entry, "start not answered: " + detail);
         if (entry.countStartAttempt() >= MAXIMUM_START_ATTEMPTS) {
             entry.setStage(RunEntry.Stage.UNCERTAIN);
         }
@@ -464,25 +471,10 @@
             entry.awaitAbsence(nowMillis());
             requestList();
         } else {
-            logUnsettledCall(entry, "stop: " + outcome);
+            WorkflowAgentLog.unsettledCall(entry, "stop: " + outcome);
         }
     }
 
-    private static void logUnsettledCall(RunEntry entry, String detail) {
-        EventLog.warning(
-                Event.ORDER_UNSETTLED,
-                "workflow",
-                entry.run().getTask().getWorkflowId(),
-                "step",
-                entry.run().getTask().getStep(),
-                "index",
-                entry.run().getTask().getIndex(),
-                "attempt",
-                entry.run().getAttempt(),
-                "detail",
-                detail);
-    }
-
     private void schedule(Runnable action) {
         var unused = loop.schedule(action, CALL_RETRY_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -532,12 +524,10 @@
         }
         if (outcome instanceof WorkerApi.ListOutcome.Unavailable unavailable) {
             lease.markUnresponsive();
-            EventLog.warning(
-                    Event.WORKER_UNREACHABLE,
-                    "worker",
-                    identity.getWorkerId(),
-                    "detail",
-                    unavailable.detail());
+            if (crashEvidence.recordResponsive(false)) {
+                requestReport();
+            }
+            WorkflowAgentLog.unreachable(identity, unavailable.detail());
             var unused = loop.schedule(this::requestList, LIST_RETRY_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
@@ -549,8 +539,10 @@
         lease.sampleClock(listing.clockMillis(), now);
         lease.markResponsive();
         boolean changed = runs.applyListing(listing.active(), listing.ended(), requestedMillis);
+        runs.recordAnswer(listing.active().stream().map(ActiveRun::getRun).toList(), now);
+        boolean recovered = crashEvidence.recordResponsive(true);
         adjustSpeeds(target, now);
-        if (changed || firstOfTerm) {
+        if (changed || firstOfTerm || recovered) {
             requestReport();
         }
         if (runs.hasUnacknowledgedEnds()) {
--- a/src/main/java/org/yuccabank/state/workflow/WorkflowTask.java
+++ b/src/main/java/org/yuccabank/state/workflow/WorkflowTask.java
@@ -20,6 +20,9 @@
     private boolean done;
     private int latestAttempt;
     private int failures;
+    private int crashes;
+    private int confirmedCrashes;
+    private boolean soleSuspect;
     private String checkpoint = "";
     private WorkerIdentity worker;
 
@@ -74,6 +77,35 @@
         return failures;
     }
 
+    /**
+     * Returns the number of workers that crashed shortly after they may have started the task. A
+     * run that is known not to have crashed its worker resets the number.
+     *
+     * @return the count
+     */
+    public int crashes() {
+        return crashes;
+    }
+
+    /**
+     * Returns the number of these crashes before which the task had certainly started.
+     *
+     * @return the count
+     */
+    public int confirmedCrashes() {
+        return confirmedCrashes;
+    }
+
+    /**
+     * Returns whether the task was the only suspect of one of these crashes, apart from tasks of
+     * its own workflow.
+     *
+     * @return true if it was
+     */
+    public boolean isSoleSuspect() {
+        return soleSuspect;
+    }
+
     /**
      * Returns the latest saved checkpoint.
      *
@@ -131,6 +163,18 @@
         checkpoint = newCheckpoint.isEmpty() ? checkpoint : newCheckpoint;
     }
 
+    void recordCrash(boolean confirmed, boolean sole) {
+        crashes++;
+        confirmedCrashes += confirmed ? 1 : 0;
+        soleSuspect |= sole;
+    }
+
+    void clearCrashes() {
+        crashes = 0;
+        confirmedCrashes = 0;
+        soleSuspect = false;
+    }
+
     WorkflowTaskRecord toRecord() {
         WorkflowTaskRecord.Builder record =
                 WorkflowTaskRecord.newBuilder()
@@ -138,7 +182,10 @@
                         .setDone(done)
                         .setAttempts(latestAttempt)
                         .setFailures(failures)
-                        .setCheckpoint(checkpoint);
+                        .setCheckpoint(checkpoint)
+                        .setCrashes(crashes)
+                        .setConfirmedCrashes(confirmedCrashes)
+                        .setSoleSuspect(soleSuspect);
         worker().ifPresent(record::setWorker);
         return record.build();
     }
@@ -148,6 +195,9 @@
         latestAttempt = record.getAttempts();
         failures = record.getFailures();
         checkpoint = record.getCheckpoint();
+        crashes = record.getCrashes();
+        confirmedCrashes = record.getConfirmedCrashes();
+        soleSuspect = record.getSoleSuspect();
         worker = record.hasWorker() ? record.getWorker() : null;
     }
 }
