Test that starts keep to a capacity that has shrunk

Two tests drive all roles with the stand-in worker: a start that was not answered and is repeated after the capacity shrank, and a start that a restarted agent receives again beside a run whose size it does not know.

--- a/src/test/java/org/yuccabank/platform/PlatformPathTest.java
+++ b/src/test/java/org/yuccabank/platform/PlatformPathTest.java
@@ -13,9 +13,12 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
 import org.testng.annotations.AfterClass;
+import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.Test;
 
@@ -38,6 +41,7 @@
     private PlatformRole agent;
     private StandInMinion minion;
     private int sequence;
+    private final List<String> submitted = new ArrayList<>();
     private PlatformSettings workerSettings;
 
     @BeforeClass
@@ -90,6 +94,17 @@
         minion.stop();
     }
 
+    /** Restores the stand-in and cancels the jobs of a test that failed half-way. */
+    @AfterMethod(alwaysRun = true)
+    public void cleanUp() throws Exception {
+        minion.setDropsStarts(false);
+        minion.enableCompletion();
+        for (String workflowId : submitted) {
+            call("DELETE", ports[1], "/jobs/" + workflowId, "");
+        }
+        submitted.clear();
+    }
+
     /** A value that is polled until it is as expected. */
     private interface StatusSupplier {
         int get() throws IOException, InterruptedException;
@@ -120,9 +135,15 @@
     }
 
     private void sendHeartbeat(long born) throws Exception {
+        sendHeartbeat(born, 8_000);
+    }
+
+    private void sendHeartbeat(long born, int processorMillis) throws Exception {
         String report =
                 "{\"service\":\"s\",\"address\":\"127.0.0.1:1\",\"zone\":\"z\",\"state\":\"ready\","
-                        + "\"capacity\":{\"cpu\":8000,\"mem_mb\":8000},\"labels\":[\"a\",\"r1\"],"
+                        + "\"capacity\":{\"cpu\":"
+                        + processorMillis
+                        + ",\"mem_mb\":8000},\"labels\":[\"a\",\"r1\"],"
                         + "\"clock_ms\":1,\"born\":"
                         + born
                         + ",\"sequence\":"
@@ -202,6 +223,66 @@
         assertTrue(minion.retryMillis() < 600, minion.retryMillis() + " ms");
     }
 
+    private void submit(String workflowId, int processorMillis) throws Exception {
+        submitted.add(workflowId);
+        String job =
+                "{\"steps\":[{\"count\":1,\"mem_mb\":10,\"estimate_ms\":5000,\"cpu\":"
+                        + processorMillis
+                        + "}]}";
+        assertEquals(call("POST", ports[1], "/jobs/" + workflowId, job).statusCode(), 200);
+    }
+
+    /**
+     * Guards against a start, assigned before the capacity of the worker shrank, that is repeated
+     * afterwards and exceeds it.
+     */
+    @Test(dependsOnMethods = "shouldRetryUnansweredStartSoon")
+    public void shouldNotRepeatStartThatExceedsShrunkenCapacity() throws Exception {
+        sendHeartbeat(2_000, 8_000);
+        minion.setDropsStarts(true);
+        submit("eeeeeeeeeeeeeeee", 6_000);
+        await(() -> minion.hasDropped("eeeeeeeeeeeeeeee.0.0.0#1") ? 1 : 0, 1);
+        sendHeartbeat(2_000, 4_000);
+        minion.setDropsStarts(false);
+        submit("eeeeeeeeeeeeeeef", 3_000);
+        awaitState("eeeeeeeeeeeeeeef", "completed");
+        assertTrue(minion.starts().stream().noneMatch(each -> each.startsWith("eeeeeeeeeeeeeeee")));
+        sendHeartbeat(2_000, 8_000);
+        awaitState("eeeeeeeeeeeeeeee", "completed");
+    }
+
+    /**
+     * Guards against a start that exceeds the shrunken capacity of the worker because a restarted
+     * agent receives it again and does not know the size of the runs beside it.
+     */
+    @Test(dependsOnMethods = "shouldRetryUnansweredStartSoon")
+    public void shouldNotExceedShrunkenCapacityAfterRestartOfAgent() throws Exception {
+        sendHeartbeat(2_000, 8_000);
+        minion.disableCompletion();
+        submit("ffffffffffffffff", 3_000);
+        await(() -> minion.starts().contains("ffffffffffffffff.0.0.0#1") ? 1 : 0, 1);
+        minion.setDropsStarts(true);
+        submit("fffffffffffffffe", 3_000);
+        await(() -> minion.hasDropped("fffffffffffffffe.0.0.0#1") ? 1 : 0, 1);
+        agent.stop();
+        minion.setDropsStarts(false);
+        agent = AgentRole.start(workerSettings);
+        sendHeartbeat(2_000, 4_000);
+        submit("fffffffffffffffd", 1_000);
+        await(() -> minion.starts().contains("fffffffffffffffd.0.0.0#1") ? 1 : 0, 1);
+        assertTrue(minion.starts().stream().noneMatch(each -> each.startsWith("fffffffffffffffe")));
+        sendHeartbeat(2_000, 8_000);
+        await(() -> minion.starts().contains("fffffffffffffffe.0.0.0#2") ? 1 : 0, 1);
+        minion.enableCompletion();
+        awaitState("ffffffffffffffff", "completed");
+        assertEquals(
+                minion.starts().stream()
+                        .filter(each -> each.startsWith("ffffffffffffffff"))
+                        .count(),
+                1,
+                "the run beside it was not disturbed");
+    }
+
     /** Guards against an invalid job that is accepted or answered with another status. */
     @Test
     public void shouldRejectInvalidJobs() throws Exception {
--- a/src/test/java/org/yuccabank/platform/StandInMinion.java
+++ b/src/test/java/org/yuccabank/platform/StandInMinion.java
@@ -28,11 +28,13 @@
     private final Map<Long, String> finished = new LinkedHashMap<>();
     private final List<String> starts = new CopyOnWriteArrayList<>();
     private final List<Long> droppedAtMillis = new CopyOnWriteArrayList<>();
+    private final List<String> droppedRuns = new CopyOnWriteArrayList<>();
     private final EventLoopGroup eventLoops = PeerTransport.eventLoopGroup("minion", 1);
     private final DisposableServer server;
     private long lastNumber;
     private volatile boolean answersStarts = true;
     private volatile boolean dropsNextStart;
+    private volatile boolean dropsStarts;
     private volatile long lastStartMillis;
     private volatile long runMillis = SHORT_RUN_MILLIS;
 
@@ -56,6 +58,16 @@
         dropsNextStart = true;
     }
 
+    /** Sets whether the minion neither executes nor answers starts. */
+    void setDropsStarts(boolean newValue) {
+        dropsStarts = newValue;
+    }
+
+    /** Returns whether a start of a run was neither executed nor answered. */
+    boolean hasDropped(String run) {
+        return droppedRuns.contains(run);
+    }
+
     /** Returns the time from the dropped start to the newest one. */
     long retryMillis() {
         return lastStartMillis - droppedAtMillis.get(0);
@@ -66,6 +78,11 @@
         runMillis = Long.MAX_VALUE;
     }
 
+    /** Lets runs end by themselves, also those that have started before. */
+    void enableCompletion() {
+        runMillis = SHORT_RUN_MILLIS;
+    }
+
     /** Restarts with a new birth time: discards all runs and resets the numbers of ends. */
     synchronized void restart(long newBorn) {
         running.clear();
@@ -105,9 +122,10 @@
     }
 
     private synchronized Mono<HttpServers.Response> start(JsonFields body) {
-        if (dropsNextStart) {
+        if (dropsNextStart || dropsStarts) {
             dropsNextStart = false;
             droppedAtMillis.add(clock());
+            droppedRuns.add(key(body));
             return Mono.never();
         }
         lastStartMillis = clock();
