Let the stand-in worker end the requests that it left unanswered when it stops

Cause: PlatformPathTest.stopRoles failed in 2 of 7 runs with "Socket couldn't be stopped within 1000ms", since a test stops an agent whose start call is not answered. In both runs the agent logged no end of that call, so its connection outlived the event loop, and the stand-in waited for a request that it never answers.

Change: stopping the stand-in answers these requests.

--- a/src/test/java/org/yuccabank/platform/StandInMinion.java
+++ b/src/test/java/org/yuccabank/platform/StandInMinion.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import org.yuccabank.protocol.PeerTransport;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
 import reactor.netty.DisposableServer;
 
 /**
@@ -30,6 +31,7 @@
     private final List<Long> droppedAtMillis = new CopyOnWriteArrayList<>();
     private final List<String> droppedRuns = new CopyOnWriteArrayList<>();
     private final EventLoopGroup eventLoops = PeerTransport.eventLoopGroup("minion", 1);
+    private final Sinks.Empty<Void> stopping = Sinks.empty();
     private final DisposableServer server;
     private long lastNumber;
     private volatile boolean answersStarts = true;
@@ -93,11 +95,12 @@
     }
 
     void stop() {
+        stopping.tryEmitEmpty();
         server.disposeNow(Duration.ofSeconds(1));
         PeerTransport.shutDown(eventLoops);
     }
 
-    private static long clock() {
+    static long clock() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
 
@@ -126,7 +129,7 @@
             dropsNextStart = false;
             droppedAtMillis.add(clock());
             droppedRuns.add(key(body));
-            return Mono.never();
+            return unanswered();
         }
         lastStartMillis = clock();
         String key = key(body);
@@ -134,7 +137,12 @@
             starts.add(key);
             running.put(key, clock());
         }
-        return answersStarts ? Mono.just(HttpServers.Response.of(200, statusBody())) : Mono.never();
+        return answersStarts ? Mono.just(HttpServers.Response.of(200, statusBody())) : unanswered();
+    }
+
+    /** Returns a response that is sent only at the stop, which waits for all requests. */
+    private Mono<HttpServers.Response> unanswered() {
+        return stopping.asMono().thenReturn(HttpServers.Response.of(503));
     }
 
     private synchronized HttpServers.Response stop(JsonFields body) {
