Keep starts to the capacity that a worker announces now

What callers would see: a worker that does not guard its capacity is started over it after the capacity has shrunk (LIMIT).

Cause: the capacity is checked once, when the leader plans. Between the assignment in the log and the start call lie, without a bound, a partition between agent and leader (the run stays open for the whole lease), a start that is not answered and repeated, a wait for a lease, a new leader or a restarted agent that receives the directive again, and a frozen host that handles old directives before newer status reports. The class of fault: a decision is carried out without checking that what it relied on still holds.

Change: a start directive carries what the run reserves. Before each start call, also a repeated one, the agent checks the newest announced capacity against everything that may be on the worker, including runs that are being stopped and starts without an answer. A start that does not fit ends as RUN_WITHOUT_CAPACITY in a report that carries the new capacity, and the leader places the task again; this counts neither as an attempt nor as a failure of the worker. A repeated start is stopped instead, as it may have been executed. A start waits while a run beside it is of unknown size, and while the newest announcement is older than contact_ms. A change of the capacity is reported at once instead of with the next tick.

The stand-in worker now repeats its status report each second with its own clock, as the platform's does.

--- a/src/main/java/org/yuccabank/agent/workflow/RunEntry.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunEntry.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalInt;
+import org.yuccabank.model.Resources;
 import org.yuccabank.policy.workflow.BestEffortThrottle;
 import org.yuccabank.protocol.generated.ActiveRun;
 import org.yuccabank.protocol.generated.EndedRun;
@@ -37,6 +38,8 @@
     private Stage stage;
     private long absenceCheckedFromMillis;
     private int startAttempts;
+    private boolean startSent;
+    private boolean deferred;
     private boolean callInProgress;
     private boolean stopRequested;
     private long stopSentAtMillis = Long.MIN_VALUE / 2;
@@ -101,6 +104,39 @@
         return ++startAttempts;
     }
 
+    /** Records that a start call is being sent, after which the worker may run it at any time. */
+    void recordStartSent() {
+        startSent = true;
+    }
+
+    boolean isStartSent() {
+        return startSent;
+    }
+
+    /** Records that the start has to wait, and returns whether this is the first time. */
+    boolean defer() {
+        boolean first = !deferred;
+        deferred = true;
+        return first;
+    }
+
+    /** Returns whether the run may be on the worker, whose capacity it then uses. */
+    boolean mayOccupyWorker() {
+        return stage == Stage.STARTING ? startSent : stage != Stage.ENDED;
+    }
+
+    /** Returns the resources that the run reserves, empty if it was discovered on the worker. */
+    Optional<Resources> reservation() {
+        return startRequest
+                .map(StartRun::getReservation)
+                .map(
+                        vector ->
+                                Resources.of(
+                                        vector.getProcessorMillis(),
+                                        vector.getMemoryMebibytes(),
+                                        vector.getAccelerators()));
+    }
+
     boolean isCallInProgress() {
         return callInProgress;
     }
@@ -169,12 +205,15 @@
     }
 
     void recordNotStarted(String reason) {
-        recordEnd(
-                EndedRun.newBuilder()
-                        .setRun(run)
-                        .setEnding(RunEnding.RUN_NOT_STARTED)
-                        .setReason(reason)
-                        .build());
+        recordUnnumberedEnd(RunEnding.RUN_NOT_STARTED, reason);
+    }
+
+    void recordWithoutCapacity(String reason) {
+        recordUnnumberedEnd(RunEnding.RUN_WITHOUT_CAPACITY, reason);
+    }
+
+    private void recordUnnumberedEnd(RunEnding ending, String reason) {
+        recordEnd(EndedRun.newBuilder().setRun(run).setEnding(ending).setReason(reason).build());
     }
 
     Optional<EndedRun> end() {
--- a/src/main/java/org/yuccabank/agent/workflow/RunTable.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunTable.java
@@ -44,6 +44,13 @@
         return List.copyOf(entries.values());
     }
 
+    /** Returns the runs that the worker has not confirmed to have started. */
+    List<RunEntry> starting() {
+        return entries.values().stream()
+                .filter(entry -> entry.stage() == RunEntry.Stage.STARTING)
+                .toList();
+    }
+
     /** Adds a run to start and returns its entry, empty if the run is already known. */
     Optional<RunEntry> addStart(StartRun startRequest) {
         RunEntry knownEntry = entries.get(startRequest.getRun());
--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -24,7 +24,6 @@
 import org.yuccabank.protocol.generated.ResourceVector;
 import org.yuccabank.protocol.generated.Role;
 import org.yuccabank.protocol.generated.RunAddress;
-import org.yuccabank.protocol.generated.StartRun;
 import org.yuccabank.protocol.generated.WorkerDirectives;
 import org.yuccabank.protocol.generated.WorkerIdentity;
 import org.yuccabank.protocol.generated.WorkerReport;
@@ -36,7 +35,8 @@
  *
  * <p>Invariants: directives from a leader of an earlier term are ignored; a lease is renewed only
  * up to the horizon of the leader's last answer; the outcome of an unanswered call follows from the
- * worker's list. Public methods may be called by any thread; all else runs on one event loop.
+ * worker's list; no start exceeds the capacity that the worker has announced. Public methods may be
+ * called by any thread; all else runs on one event loop.
  */
 public final class WorkflowAgent {
 
@@ -74,6 +74,7 @@
     private final BestEffortThrottle throttle = new BestEffortThrottle();
     private final List<MonoSink<Boolean>> waitingForLeader = new ArrayList<>();
     private Optional<WorkerAnnouncement> worker = Optional.empty();
+    private long announcedAtMillis;
     private boolean leaving;
     private long term;
     private long listedTerm;
@@ -195,10 +196,16 @@
                 announcement.draining()
                         && !(sameIncarnation
                                 && worker.map(WorkerAnnouncement::draining).orElse(false));
+        boolean capacityChanged =
+                worker.map(each -> !each.capacity().equals(announcement.capacity())).orElse(true);
         worker = Optional.of(announcement);
+        announcedAtMillis = nowMillis();
         if (!sameIncarnation) {
             onNewIncarnation(announcement);
+        } else if (capacityChanged) {
+            requestReport();
         }
+        runs.starting().forEach(this::advance);
         if (startsDraining) {
             waitingForLeader.add(sink);
             requestReport();
@@ -355,9 +362,8 @@
             resumeLists();
         }
         runs.updatePressures(directives.getPressuresList());
-        for (StartRun startRequest : directives.getStartsList()) {
-            runs.addStart(startRequest).ifPresent(this::advance);
-        }
+        directives.getStartsList().forEach(runs::addStart);
+        runs.starting().forEach(this::advance);
         for (RunAddress run : directives.getStopsList()) {
             advance(runs.requestStop(run));
         }
@@ -373,7 +379,7 @@
                 if (entry.isStopRequested()) {
                     sendStop(entry);
                 } else {
-                    sendStart(entry);
+                    tryStart(entry);
                 }
             }
             case UNCERTAIN -> sendStop(entry);
@@ -388,12 +394,51 @@
         }
     }
 
+    /** Sends the start of a run if it keeps to the capacity of the worker. */
+    private void tryStart(RunEntry entry) {
+        long now = nowMillis();
+        WorkerAnnouncement announced = worker.orElseThrow();
+        switch (StartAdmission.decide(
+                entry, runs.entries(), announced.capacity(), isAnnouncementCurrent(now))) {
+            case ADMITTED -> sendStart(entry);
+            case DEFERRED -> {
+                if (entry.defer()) {
+                    logUnsettledCall(entry, "start waits until the free capacity is known");
+                }
+            }
+            default -> onCapacityExceeded(entry);
+        }
+    }
+
+    /**
+     * Returns whether the newest announcement was both sent and received recently. An announcement
+     * that was received late is recognised by the worker's clock.
+     */
+    private boolean isAnnouncementCurrent(long now) {
+        long sentAgo =
+                lease.workerClock(now).orElse(Long.MAX_VALUE) - worker.orElseThrow().clockMillis();
+        return Math.max(sentAgo, now - announcedAtMillis)
+                <= configuration.maximumAnnouncementAgeMillis();
+    }
+
+    private void onCapacityExceeded(RunEntry entry) {
+        logUnsettledCall(entry, "start exceeds the capacity of the worker");
+        if (entry.isStartSent()) {
+            entry.setStage(RunEntry.Stage.UNCERTAIN);
+            sendStop(entry);
+        } else {
+            entry.recordWithoutCapacity("the capacity of the worker has shrunk");
+            requestReport();
+        }
+    }
+
     private void sendStart(RunEntry entry) {
         OptionalLong leaseEnd = lease.renew(nowMillis());
         if (leaseEnd.isEmpty()) {
             return;
         }
         entry.setCallInProgress(true);
+        entry.recordStartSent();
         WorkerAnnouncement target = worker.orElseThrow();
         api.start(
                         target,
--- a/src/main/java/org/yuccabank/control/workflow/StartRunBuilder.java
+++ b/src/main/java/org/yuccabank/control/workflow/StartRunBuilder.java
@@ -24,6 +24,7 @@
                 .setCheckpoint(checkpoint(task, step))
                 .setLatencyTargetMillis(step.getLatencyTargetMillis())
                 .setImage(step.getImage())
+                .setReservation(StepEstimates.reservation(step))
                 .setFilling(StepEstimates.loadKind(step) == WaitingTask.LoadKind.BEST_EFFORT)
                 .build();
     }
--- a/src/main/java/org/yuccabank/control/workflow/StepEstimates.java
+++ b/src/main/java/org/yuccabank/control/workflow/StepEstimates.java
@@ -85,11 +85,17 @@
      * processors.
      */
     static Resources resources(StepDefinition step) {
-        ResourceVector vector = step.getResources();
+        ResourceVector vector = reservation(step);
         return Resources.of(
-                step.getOpportunistic() ? 0 : vector.getProcessorMillis(),
-                vector.getMemoryMebibytes(),
-                vector.getAccelerators());
+                vector.getProcessorMillis(), vector.getMemoryMebibytes(), vector.getAccelerators());
+    }
+
+    /** Returns the same as {@link #resources}, for agents. */
+    static ResourceVector reservation(StepDefinition step) {
+        ResourceVector declared = step.getResources();
+        return step.getOpportunistic()
+                ? declared.toBuilder().clearProcessorMillis().build()
+                : declared;
     }
 
     static long startMillis(Workflow workflow, int occurrence) {
--- a/src/test/java/org/yuccabank/control/workflow/WorkflowPlannerTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/WorkflowPlannerTest.java
@@ -87,6 +87,17 @@
         assertEquals(plan(worker(4, WorkerCircuitBreaker.State.CLOSED)).size(), 2);
     }
 
+    /** Guards against starts on a worker whose runs already exceed its shrunken capacity. */
+    @Test
+    public void shouldPlaceNothingOnWorkerOverItsCapacityUntilItGrowsAgain() {
+        records.apply(accept("a", step(4)), NOW);
+        records.apply(assign(run("a", 0, 0, 1), run("a", 0, 1, 1), run("a", 0, 2, 1)), NOW);
+        records.apply(accept("filler", step(1).setImage("i").setOpportunistic(true)), NOW);
+        assertTrue(plan(worker(2, WorkerCircuitBreaker.State.CLOSED)).isEmpty());
+        records.apply(end(run("a", 0, 0, 1), RunEnding.RUN_STOPPED), NOW);
+        assertEquals(plan(worker(4, WorkerCircuitBreaker.State.CLOSED)).size(), 3);
+    }
+
     /** Guards against a step that starts before the one it depends on is done. */
     @Test
     public void shouldStartStepsInOrder() {
--- a/src/test/java/org/yuccabank/platform/PlatformPathTest.java
+++ b/src/test/java/org/yuccabank/platform/PlatformPathTest.java
@@ -17,6 +17,9 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeClass;
@@ -40,6 +43,8 @@
     private PlatformRole entry;
     private PlatformRole agent;
     private StandInMinion minion;
+    private final ScheduledExecutorService heartbeats = Executors.newScheduledThreadPool(1);
+    private volatile String announcement = "";
     private int sequence;
     private final List<String> submitted = new ArrayList<>();
     private PlatformSettings workerSettings;
@@ -56,6 +61,7 @@
         workerSettings = settings(directory, ports[4]);
         agent = AgentRole.start(workerSettings);
         await(() -> call("POST", ports[3], "/api/config/replace", MANIFEST).statusCode(), 200);
+        heartbeats.scheduleAtFixedRate(this::repeatAnnouncement, 1, 1, TimeUnit.SECONDS);
     }
 
     private static int freePort() throws IOException {
@@ -81,13 +87,14 @@
                         "  ready: \"127.0.0.1:" + ports[2] + "\"",
                         "  control_plane: \"127.0.0.1:" + ownPort + "\"",
                         "app: \"127.0.0.1:" + ports[5] + "\"",
-                        "bounds: {hold_max_ms: 6000}");
+                        "bounds: {hold_max_ms: 6000, contact_ms: 3000}");
         Path file = Files.writeString(directory.resolve(ownPort + ".yaml"), text);
         return PlatformSettings.read(file).get();
     }
 
     @AfterClass(alwaysRun = true)
     public void stopRoles() {
+        heartbeats.shutdownNow();
         agent.stop();
         entry.stop();
         control.stop();
@@ -139,18 +146,34 @@
     }
 
     private void sendHeartbeat(long born, int processorMillis) throws Exception {
-        String report =
+        setAnnouncement(born, processorMillis);
+        assertEquals(sendAnnouncement(), 200);
+    }
+
+    /** Sets the content of the next status reports, which a minion sends about once a second. */
+    private synchronized void setAnnouncement(long born, int processorMillis) {
+        announcement =
                 "{\"service\":\"s\",\"address\":\"127.0.0.1:1\",\"zone\":\"z\",\"state\":\"ready\","
                         + "\"capacity\":{\"cpu\":"
                         + processorMillis
-                        + ",\"mem_mb\":8000},\"labels\":[\"a\",\"r1\"],"
-                        + "\"clock_ms\":1,\"born\":"
-                        + born
-                        + ",\"sequence\":"
-                        + ++sequence
-                        + "}";
+                        + ",\"mem_mb\":8000},\"labels\":[\"a\",\"r1\"],\"born\":"
+                        + born;
+    }
+
+    private synchronized int sendAnnouncement() throws Exception {
+        String changing = ",\"clock_ms\":" + StandInMinion.clock() + ",\"sequence\":" + ++sequence;
         String path = "/api/minions/m-1/heartbeat";
-        assertEquals(call("POST", ports[4], path, report).statusCode(), 200);
+        return call("POST", ports[4], path, announcement + changing + "}").statusCode();
+    }
+
+    private void repeatAnnouncement() {
+        try {
+            if (!announcement.isEmpty()) {
+                sendAnnouncement();
+            }
+        } catch (Exception exception) {
+            // No agent is running at the moment; the next report follows.
+        }
     }
 
     private void awaitState(String workflowId, String state) throws Exception {
@@ -201,6 +224,7 @@
         String job = "{\"steps\":[{\"count\":1,\"cpu\":500,\"mem_mb\":10,\"estimate_ms\":60}]}";
         assertEquals(call("POST", ports[1], "/jobs/cccccccccccccccc", job).statusCode(), 200);
         await(() -> minion.starts().contains("cccccccccccccccc.0.0.0#1") ? 1 : 0, 1);
+        setAnnouncement(2_000, 8_000);
         minion.restart(2_000);
         long restarted = System.nanoTime();
         sendHeartbeat(2_000);
@@ -266,6 +290,7 @@
         await(() -> minion.hasDropped("fffffffffffffffe.0.0.0#1") ? 1 : 0, 1);
         agent.stop();
         minion.setDropsStarts(false);
+        setAnnouncement(2_000, 4_000);
         agent = AgentRole.start(workerSettings);
         sendHeartbeat(2_000, 4_000);
         submit("fffffffffffffffd", 1_000);
@@ -283,6 +308,18 @@
                 "the run beside it was not disturbed");
     }
 
+    /** Guards against a start on a capacity that may have shrunk while no report arrived. */
+    @Test(dependsOnMethods = "shouldRetryUnansweredStartSoon")
+    public void shouldWaitForStatusReportBeforeStart() throws Exception {
+        announcement = "";
+        Thread.sleep(workerSettings.contactMillis() + 200);
+        submit("abababababababab", 500);
+        Thread.sleep(500);
+        assertTrue(minion.starts().stream().noneMatch(each -> each.startsWith("abababababababab")));
+        sendHeartbeat(2_000, 8_000);
+        awaitState("abababababababab", "completed");
+    }
+
     /** Guards against an invalid job that is accepted or answered with another status. */
     @Test
     public void shouldRejectInvalidJobs() throws Exception {
