Send a start that waited only once the leader has confirmed the run

What callers would see: a task runs a second time (TWICE) after an agent was frozen.

Cause: starts waited for a lease, as their worker did not answer; the agent had promised the leader the time that was left, and was frozen. The leader ended the runs after that time and started the tasks elsewhere. Once awake, the agent sent the waiting starts when the answer to its report granted a lease, before it handled the stops in the same answer. The class of fault: acting on an order of the leader after the lease under which it was given is over.

Change: a start that had to wait is sent only after the leader has answered a report that lists it and has not stopped it. The tick and announcements no longer send starts.

Evidence: shouldNotSendWaitingStartOfRunThatTheLeaderHasEnded failed before and passes now; shouldSendWaitingStartOnceTheLeaderHasConfirmedIt passes both ways.

--- a/src/main/java/org/yuccabank/agent/workflow/RunTable.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunTable.java
@@ -44,11 +44,13 @@
         return List.copyOf(entries.values());
     }
 
-    /** Returns the runs that the worker has not confirmed to have started. */
-    List<RunEntry> starting() {
+    /** Returns whether a start has to wait. */
+    boolean hasWaitingStart() {
         return entries.values().stream()
-                .filter(entry -> entry.stage() == RunEntry.Stage.STARTING)
-                .toList();
+                .anyMatch(
+                        entry ->
+                                entry.stage() == RunEntry.Stage.STARTING
+                                        && !entry.isCallInProgress());
     }
 
     /** Adds a run to start and returns its entry, empty if the run is already known. */
--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -19,6 +19,7 @@
 import org.yuccabank.protocol.LeaderClient;
 import org.yuccabank.protocol.PeerConnection;
 import org.yuccabank.protocol.PeerTransport;
+import org.yuccabank.protocol.generated.ActiveRun;
 import org.yuccabank.protocol.generated.Envelope;
 import org.yuccabank.protocol.generated.Hello;
 import org.yuccabank.protocol.generated.ResourceVector;
@@ -202,10 +203,9 @@
         announcedAtMillis = nowMillis();
         if (!sameIncarnation) {
             onNewIncarnation(announcement);
-        } else if (capacityChanged) {
+        } else if (capacityChanged || runs.hasWaitingStart()) {
             requestReport();
         }
-        runs.starting().forEach(this::advance);
         if (startsDraining) {
             waitingForLeader.add(sink);
             requestReport();
@@ -234,9 +234,11 @@
     private void tick() {
         requestReport();
         requestList();
-        for (RunEntry entry : runs.entries()) {
-            advance(entry);
-        }
+        runs.entries().stream()
+                .filter(
+                        entry ->
+                                entry.stage() != RunEntry.Stage.STARTING || entry.isStopRequested())
+                .forEach(this::advance);
     }
 
     // Reports
@@ -286,17 +288,34 @@
         }
         boolean current =
                 worker.map(each -> each.identity().equals(report.getWorker())).orElse(false);
-        if (current && reply.getWorkerDirectives().getTerm() >= term) {
+        boolean valid = current && reply.getWorkerDirectives().getTerm() >= term;
+        if (valid) {
             lease.grant(workerClock, report.hasLeaseLeftMillis());
         }
         notifiedSinks.forEach(sink -> sink.success(true));
         waitingForLeader.removeAll(notifiedSinks);
         applyDirectives(reply.getWorkerDirectives());
+        if (valid) {
+            advanceConfirmed(report);
+        }
         if (reportRequested) {
             requestReport();
         }
     }
 
+    /**
+     * Sends the starts that had to wait and that the leader has just confirmed by not stopping
+     * them. Without that answer the leader may have ended the run, for example while this host was
+     * suspended, and the same answer may grant the lease again.
+     */
+    private void advanceConfirmed(WorkerReport answered) {
+        for (ActiveRun run : answered.getActiveList()) {
+            runs.entry(run.getRun())
+                    .filter(entry -> entry.stage() == RunEntry.Stage.STARTING)
+                    .ifPresent(this::advance);
+        }
+    }
+
     private WorkerReport report(long now) {
         WorkerAnnouncement announced = worker.orElseThrow();
         boolean listed = listedTerm > 0 && now - listedAtMillis < LIST_VALID_MILLIS;
@@ -362,8 +381,13 @@
             resumeLists();
         }
         runs.updatePressures(directives.getPressuresList());
-        directives.getStartsList().forEach(runs::addStart);
-        runs.starting().forEach(this::advance);
+        // The size of every run has to be known before the first start is checked against the
+        // capacity.
+        List<RunEntry> added =
+                directives.getStartsList().stream()
+                        .flatMap(startRequest -> runs.addStart(startRequest).stream())
+                        .toList();
+        added.forEach(this::advance);
         for (RunAddress run : directives.getStopsList()) {
             advance(runs.requestStop(run));
         }
--- /dev/null
+++ b/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
@@ -0,0 +1,209 @@
+package org.yuccabank.agent.workflow;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.yuccabank.model.Resources;
+import org.yuccabank.protocol.PeerServer;
+import org.yuccabank.protocol.PeerTransport;
+import org.yuccabank.protocol.generated.ActiveRun;
+import org.yuccabank.protocol.generated.Envelope;
+import org.yuccabank.protocol.generated.Hello;
+import org.yuccabank.protocol.generated.RunAddress;
+import org.yuccabank.protocol.generated.StartRun;
+import org.yuccabank.protocol.generated.TaskAddress;
+import org.yuccabank.protocol.generated.WorkerDirectives;
+import org.yuccabank.protocol.generated.WorkerIdentity;
+import org.yuccabank.protocol.generated.WorkerReport;
+import reactor.core.publisher.Mono;
+
+/** Tests when an agent sends starts to its worker, with a fake leader and a fake worker. */
+public final class WorkflowAgentTest {
+
+    private static final Duration TIMEOUT = Duration.ofSeconds(10);
+
+    private static final RunAddress RUN =
+            RunAddress.newBuilder()
+                    .setTask(TaskAddress.newBuilder().setWorkflowId("a"))
+                    .setAttempt(1)
+                    .build();
+
+    private FakeLeader leader;
+    private FakeWorker worker;
+    private PeerTransport transport;
+    private PeerServer server;
+    private EventLoopGroup eventLoops;
+    private WorkflowAgent agent;
+
+    /** Answers reports; assigns one run and may end it. Thread-safe. */
+    private static final class FakeLeader {
+        private volatile boolean assigned;
+        private volatile boolean startSent;
+        private volatile boolean ended;
+        private volatile WorkerReport latest = WorkerReport.getDefaultInstance();
+
+        private Mono<Envelope> reply(Envelope request) {
+            WorkerReport report = request.getWorkerReport();
+            latest = report;
+            WorkerDirectives.Builder directives =
+                    WorkerDirectives.newBuilder().setTerm(1).setWorker(report.getWorker());
+            if (ended) {
+                report.getActiveList().forEach(run -> directives.addStops(run.getRun()));
+            } else if (assigned) {
+                directives.addStarts(StartRun.newBuilder().setRun(RUN));
+                startSent = true;
+            }
+            return Mono.just(Envelope.newBuilder().setWorkerDirectives(directives).build());
+        }
+    }
+
+    /** Records calls and runs nothing. Thread-safe. */
+    private static final class FakeWorker implements WorkerApi {
+        private final List<RunAddress> starts = new CopyOnWriteArrayList<>();
+        private final List<RunAddress> stops = new CopyOnWriteArrayList<>();
+        private volatile boolean answersLists = true;
+
+        private static long clockMillis() {
+            return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+        }
+
+        @Override
+        public Mono<CallOutcome> start(
+                WorkerAnnouncement target, StartRun startRequest, FencedLease fencedLease) {
+            starts.add(startRequest.getRun());
+            return Mono.just(new CallOutcome.Unanswered("no answer"));
+        }
+
+        @Override
+        public Mono<CallOutcome> stop(WorkerAnnouncement target, RunAddress run, long token) {
+            stops.add(run);
+            return Mono.just(new CallOutcome.Unanswered("no answer"));
+        }
+
+        @Override
+        public Mono<CallOutcome> setSpeed(
+                WorkerAnnouncement target, RunAddress run, int percent, long token) {
+            return Mono.just(new CallOutcome.Unanswered("no answer"));
+        }
+
+        @Override
+        public Mono<ListOutcome> list(
+                WorkerAnnouncement target, FencedLease lease, long acknowledged, long waitMillis) {
+            ListOutcome outcome =
+                    answersLists
+                            ? new ListOutcome.Listing(clockMillis(), List.of(), List.of())
+                            : new ListOutcome.Unavailable("no answer");
+            return Mono.delay(Duration.ofMillis(50)).thenReturn(outcome);
+        }
+    }
+
+    @BeforeMethod
+    public void start() {
+        leader = new FakeLeader();
+        worker = new FakeWorker();
+        eventLoops = PeerTransport.eventLoopGroup("agent", 1);
+        transport = PeerTransport.startOn(Hello.newBuilder().setProcessId("p").build(), eventLoops);
+        server =
+                PeerServer.start(
+                        transport,
+                        new InetSocketAddress("127.0.0.1", 0),
+                        (from, request) -> leader.reply(request));
+        agent =
+                WorkflowAgent.start(
+                        new WorkflowAgentConfiguration(
+                                "agent",
+                                "host",
+                                "zone",
+                                List.of(server.address()),
+                                new LeaseDurations(9_000, 8_000),
+                                TIMEOUT.toMillis()),
+                        worker,
+                        eventLoops);
+        agent.announce(
+                        new WorkerAnnouncement(
+                                WorkerIdentity.newBuilder()
+                                        .setWorkerId("w")
+                                        .setBornMillis(1)
+                                        .build(),
+                                "service",
+                                new InetSocketAddress("127.0.0.1", 1),
+                                "zone",
+                                "rack",
+                                Set.of(),
+                                Resources.of(1_000, 1_000, 0),
+                                false,
+                                FakeWorker.clockMillis(),
+                                1))
+                .block(TIMEOUT);
+        await(() -> leader.latest.getListed());
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        agent.stop();
+        server.stop();
+        transport.stop();
+        PeerTransport.shutDown(eventLoops);
+    }
+
+    private static void await(BooleanSupplier condition) {
+        long end = System.nanoTime() + TIMEOUT.toNanos();
+        while (!condition.getAsBoolean() && System.nanoTime() < end) {
+            try {
+                Thread.sleep(10);
+            } catch (InterruptedException exception) {
+                throw new IllegalStateException(exception);
+            }
+        }
+        assertTrue(condition.getAsBoolean());
+    }
+
+    /** Assigns a run while the worker does not answer, so that its start waits for a lease. */
+    private void assignWhileWorkerIsUnresponsive() {
+        worker.answersLists = false;
+        await(() -> leader.latest.hasLeaseLeftMillis());
+        leader.assigned = true;
+        await(() -> leader.startSent);
+        long sequence = leader.latest.getSequence();
+        await(() -> leader.latest.getSequence() > sequence);
+        assertEquals(worker.starts, List.of(), "no lease can be sent");
+    }
+
+    private boolean isReportedActive() {
+        return leader.latest.getActiveList().stream().map(ActiveRun::getRun).anyMatch(RUN::equals);
+    }
+
+    /**
+     * Guards against a second run of a task whose run the leader ended while the agent was frozen:
+     * the answer that grants the lease again also stops the run (35851a7a).
+     */
+    @Test
+    public void shouldNotSendWaitingStartOfRunThatTheLeaderHasEnded() {
+        assignWhileWorkerIsUnresponsive();
+        leader.ended = true;
+        worker.answersLists = true;
+        await(this::isReportedActive);
+        await(() -> worker.stops.contains(RUN));
+        assertEquals(worker.starts, List.of());
+    }
+
+    /** Guards against a start that is never sent because it had to wait. */
+    @Test
+    public void shouldSendWaitingStartOnceTheLeaderHasConfirmedIt() {
+        assignWhileWorkerIsUnresponsive();
+        worker.answersLists = true;
+        await(() -> worker.starts.contains(RUN));
+        assertTrue(isReportedActive(), "the start preceded the confirmation");
+    }
+}
