Count runs that a worker still stops against its capacity

Cause: the leader ended the runs of a silent worker after their lease and no longer counted them, while its agent, which had just woken, still had stops without an answer for them and counts what is being stopped. The two views have to agree, or the leader assigns what the agent refuses, again and again.

Change: the planner also reserves the resources of runs that the newest report lists and that are no longer open. A refusal comes with a report that lists them.

Evidence: shouldCountReportedRunsThatAreNoLongerOpen failed before and passes now.

--- a/src/main/java/org/yuccabank/control/workflow/WorkflowPlanner.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowPlanner.java
@@ -17,6 +17,7 @@
 import org.yuccabank.policy.workflow.WorkerCapacity;
 import org.yuccabank.policy.workflow.WorkerCircuitBreaker;
 import org.yuccabank.policy.workflow.WorkerSelector;
+import org.yuccabank.protocol.generated.ActiveRun;
 import org.yuccabank.protocol.generated.Assignment;
 import org.yuccabank.protocol.generated.ResourceVector;
 import org.yuccabank.protocol.generated.RunAddress;
@@ -30,8 +31,9 @@
 /**
  * Plans the assignment of waiting tasks to workers from the records and the worker reports.
  *
- * <p>Invariants: open runs count against the capacity of their worker until their end is recorded;
- * a task starts only when its occurrence is due and the steps that it depends on are done; a gang
+ * <p>Invariants: open runs count against the capacity of their worker until their end is recorded,
+ * and runs that the worker's agent reports until it no longer does, as they are being stopped; a
+ * task starts only when its occurrence is due and the steps that it depends on are done; a gang
  * starts as a whole. Stateless.
  */
 final class WorkflowPlanner {
@@ -284,15 +286,23 @@
         estimates
                 .pressureLimits(report.getWorker().getWorkerId())
                 .forEach(workerCapacity::setPressureLimit);
-        for (WorkflowTask task : records.openRuns(report.getWorker())) {
-            int number = task.address().getStep();
-            StepDefinition step = task.workflow().step(number);
-            workerCapacity.reserve(
-                    task.stepKey(), StepEstimates.resources(step), StepEstimates.load(step));
+        records.openRuns(report.getWorker()).forEach(task -> reserve(workerCapacity, task));
+        for (ActiveRun run : report.getActiveList()) {
+            if (records.openRun(run.getRun()).isEmpty()) {
+                records.workflow(run.getRun().getTask().getWorkflowId())
+                        .flatMap(workflow -> workflow.task(run.getRun().getTask()))
+                        .ifPresent(task -> reserve(workerCapacity, task));
+            }
         }
         return workerCapacity;
     }
 
+    private static void reserve(WorkerCapacity workerCapacity, WorkflowTask task) {
+        StepDefinition step = task.workflow().step(task.address().getStep());
+        workerCapacity.reserve(
+                task.stepKey(), StepEstimates.resources(step), StepEstimates.load(step));
+    }
+
     private static Optional<String> toOptional(String value) {
         return value.isEmpty() ? Optional.empty() : Optional.of(value);
     }
--- a/src/test/java/org/yuccabank/control/workflow/WorkflowPlannerTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/WorkflowPlannerTest.java
@@ -20,6 +20,7 @@
 import org.yuccabank.policy.workflow.Pressures;
 import org.yuccabank.policy.workflow.ServingRecovery;
 import org.yuccabank.policy.workflow.WorkerCircuitBreaker;
+import org.yuccabank.protocol.generated.ActiveRun;
 import org.yuccabank.protocol.generated.Assignment;
 import org.yuccabank.protocol.generated.FleetConfiguration;
 import org.yuccabank.protocol.generated.QueueDefinition;
@@ -87,6 +88,25 @@
         assertEquals(plan(worker(4, WorkerCircuitBreaker.State.CLOSED)).size(), 2);
     }
 
+    /**
+     * Guards against assigning, refusing and assigning again without end on a worker that still
+     * stops runs whose lease is over (limit-own of fas-etna, seed 290417).
+     */
+    @Test
+    public void shouldCountReportedRunsThatAreNoLongerOpen() {
+        records.apply(accept("a", step(4)), NOW);
+        records.apply(assign(run("a", 0, 0, 1), run("a", 0, 1, 1)), NOW);
+        records.apply(end(run("a", 0, 0, 1), RunEnding.RUN_WORKER_LOST), NOW);
+        AvailableWorker free = worker(4, WorkerCircuitBreaker.State.CLOSED);
+        WorkerReport stopping =
+                free.report().toBuilder()
+                        .addActive(ActiveRun.newBuilder().setRun(run("a", 0, 0, 1)))
+                        .addActive(ActiveRun.newBuilder().setRun(run("a", 0, 1, 1)))
+                        .build();
+        assertEquals(plan(free).size(), 3);
+        assertEquals(plan(new AvailableWorker(stopping, free.circuitState())).size(), 2);
+    }
+
     /** Guards against starts on a worker whose runs already exceed its shrunken capacity. */
     @Test
     public void shouldPlaceNothingOnWorkerOverItsCapacityUntilItGrowsAgain() {
