--- a/src/test/java/org/yuccabank/platform/PlatformPathTest.java
+++ b/src/test/java/org/yuccabank/platform/PlatformPathTest.java
@@ -353,6 +353,12 @@
         String path = "/api/minions/m-1/heartbeat";
         assertEquals(call("POST", ports[4], path, "\u0000\u0001").statusCode(), 400);
         assertEquals(call("POST", ports[4], path, "{\"state\":\"odd\"}").statusCode(), 400);
+        String withoutCapacity =
+                "{\"service\":\"s\",\"address\":\"127.0.0.1:1\",\"zone\":\"z\",\"state\":\"ready\","
+                        + "\"labels\":[],\"born\":1,\"clock_ms\":1,\"sequence\":1";
+        assertEquals(call("POST", ports[4], path, withoutCapacity + "}").statusCode(), 400);
+        String capacityText = withoutCapacity + ",\"capacity\":\"8000\"}";
+        assertEquals(call("POST", ports[4], path, capacityText).statusCode(), 400);
     }
 
     /**
