Move the start and stop calls of the agent to a class of their own

RunCalls sends the calls of a run and follows up on their outcomes; behaviour is unchanged. The tests of the agent, the platform path and the architecture pass.

--- /dev/null
+++ b/src/main/java/org/yuccabank/agent/workflow/RunCalls.java
@@ -0,0 +1,230 @@
+package org.yuccabank.agent.workflow;
+
+import io.netty.channel.EventLoop;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import org.yuccabank.event.Event;
+import org.yuccabank.event.EventLog;
+
+/**
+ * Sends the starts and stops of runs to the worker and follows up on their outcomes.
+ *
+ * <p>Invariants: no start exceeds the capacity that the worker has announced; at most one call of a
+ * run is in progress; the outcome of an unanswered call follows from the worker's list. Confined to
+ * the agent's event loop.
+ */
+final class RunCalls {
+
+    /** State of the agent that the calls depend on, and the requests that follow from them. */
+    interface Context {
+
+        /** Returns the newest announcement of the worker, empty before the first one. */
+        Optional<WorkerAnnouncement> worker();
+
+        /** Returns the time at which the newest announcement was received. */
+        long announcedAtMillis();
+
+        /** Returns the term of the leader, 0 if unknown. */
+        long term();
+
+        /** Requests a report to the leader. */
+        void requestReport();
+
+        /** Requests a list of the worker's runs. */
+        void requestList();
+    }
+
+    /** Number of unanswered start calls after which a run is stopped instead. */
+    private static final int MAXIMUM_START_ATTEMPTS = 8;
+
+    private static final long CALL_RETRY_MILLIS = 150;
+    private static final long STOP_RETRY_MILLIS = 500;
+
+    private final WorkerApi api;
+    private final EventLoop loop;
+    private final WorkerLease lease;
+    private final RunTable runs;
+    private final long maximumAnnouncementAgeMillis;
+    private final Context context;
+
+    RunCalls(
+            WorkerApi api,
+            EventLoop loop,
+            WorkerLease lease,
+            RunTable runs,
+            long maximumAnnouncementAgeMillis,
+            Context context) {
+        this.api = api;
+        this.loop = loop;
+        this.lease = lease;
+        this.runs = runs;
+        this.maximumAnnouncementAgeMillis = maximumAnnouncementAgeMillis;
+        this.context = context;
+    }
+
+    /** Sends the next call that a run requires, unless one is in progress. */
+    void advance(RunEntry entry) {
+        if (entry.isCallInProgress() || context.worker().isEmpty() || context.term() == 0) {
+            return;
+        }
+        switch (entry.stage()) {
+            case STARTING -> {
+                if (entry.isStopRequested()) {
+                    sendStop(entry);
+                } else {
+                    tryStart(entry);
+                }
+            }
+            case UNCERTAIN -> sendStop(entry);
+            case STARTED, AWAITING_ABSENCE -> {
+                if (entry.isStopRequested()) {
+                    sendStop(entry);
+                }
+            }
+            default -> {
+                // An ended run requires no call.
+            }
+        }
+    }
+
+    /** Sends the start of a run if it keeps to the capacity of the worker. */
+    private void tryStart(RunEntry entry) {
+        long now = WorkflowAgent.nowMillis();
+        WorkerAnnouncement announced = context.worker().orElseThrow();
+        switch (StartAdmission.decide(
+                entry, runs.entries(), announced.capacity(), isAnnouncementCurrent(now))) {
+            case ADMITTED -> sendStart(entry);
+            case DEFERRED -> {
+                if (entry.defer()) {
+                    logUnsettledCall(entry, "start waits until the free capacity is known");
+                }
+            }
+            default -> onCapacityExceeded(entry);
+        }
+    }
+
+    /**
+     * Returns whether the newest announcement was both sent and received recently. An announcement
+     * that was received late is recognised by the worker's clock.
+     */
+    private boolean isAnnouncementCurrent(long now) {
+        long sentAgo =
+                lease.workerClock(now).orElse(Long.MAX_VALUE)
+                        - context.worker().orElseThrow().clockMillis();
+        return Math.max(sentAgo, now - context.announcedAtMillis()) <= maximumAnnouncementAgeMillis;
+    }
+
+    private void onCapacityExceeded(RunEntry entry) {
+        logUnsettledCall(entry, "start exceeds the capacity of the worker");
+        if (entry.isStartSent()) {
+            entry.setStage(RunEntry.Stage.UNCERTAIN);
+            sendStop(entry);
+        } else {
+            entry.recordWithoutCapacity("the capacity of the worker has shrunk");
+            context.requestReport();
+        }
+    }
+
+    private void sendStart(RunEntry entry) {
+        OptionalLong leaseEnd = lease.renew(WorkflowAgent.nowMillis());
+        if (leaseEnd.isEmpty()) {
+            return;
+        }
+        entry.setCallInProgress(true);
+        entry.recordStartSent();
+        WorkerAnnouncement target = context.worker().orElseThrow();
+        api.start(
+                        target,
+                        entry.startRequest().orElseThrow(),
+                        new WorkerApi.FencedLease(context.term(), leaseEnd))
+                .subscribe(outcome -> loop.execute(() -> onStartOutcome(entry, target, outcome)));
+    }
+
+    private void onStartOutcome(
+            RunEntry entry, WorkerAnnouncement target, WorkerApi.CallOutcome outcome) {
+        entry.setCallInProgress(false);
+        if (!isCurrent(entry, target) || entry.stage() != RunEntry.Stage.STARTING) {
+            return;
+        }
+        if (outcome instanceof WorkerApi.CallOutcome.Done) {
+            entry.setStage(RunEntry.Stage.STARTED);
+        } else if (outcome instanceof WorkerApi.CallOutcome.Refused refused) {
+            onStartRefused(entry, refused.refusal());
+        } else {
+            onStartUnanswered(entry, ((WorkerApi.CallOutcome.Unanswered) outcome).detail());
+        }
+        advance(entry);
+    }
+
+    private boolean isCurrent(RunEntry entry, WorkerAnnouncement target) {
+        boolean sameWorker =
+                context.worker()
+                        .map(each -> each.identity().equals(target.identity()))
+                        .orElse(false);
+        return sameWorker && runs.entry(entry.run()).filter(each -> each == entry).isPresent();
+    }
+
+    private void onStartRefused(RunEntry entry, WorkerApi.Refusal refusal) {
+        logUnsettledCall(entry, "start refused: " + refusal);
+        switch (refusal) {
+            case LATE -> {
+                var unused =
+                        loop.schedule(
+                                () -> advance(entry), CALL_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+            }
+            case OUTDATED -> entry.awaitAbsence(WorkflowAgent.nowMillis());
+            default -> {
+                entry.recordNotStarted(refusal.toString());
+                context.requestReport();
+            }
+        }
+    }
+
+    private void onStartUnanswered(RunEntry entry, String detail) {
+        logUnsettledCall(entry, "start not answered: " + detail);
+        if (entry.countStartAttempt() >= MAXIMUM_START_ATTEMPTS) {
+            entry.setStage(RunEntry.Stage.UNCERTAIN);
+        }
+    }
+
+    private void sendStop(RunEntry entry) {
+        if (!entry.isStopDue(WorkflowAgent.nowMillis(), STOP_RETRY_MILLIS)) {
+            return;
+        }
+        entry.setCallInProgress(true);
+        entry.recordStopSent(WorkflowAgent.nowMillis());
+        WorkerAnnouncement target = context.worker().orElseThrow();
+        api.stop(target, entry.run(), context.term())
+                .subscribe(outcome -> loop.execute(() -> onStopOutcome(entry, target, outcome)));
+    }
+
+    private void onStopOutcome(
+            RunEntry entry, WorkerAnnouncement target, WorkerApi.CallOutcome outcome) {
+        entry.setCallInProgress(false);
+        if (!isCurrent(entry, target) || entry.stage() == RunEntry.Stage.ENDED) {
+            return;
+        }
+        if (outcome instanceof WorkerApi.CallOutcome.Done) {
+            entry.awaitAbsence(WorkflowAgent.nowMillis());
+            context.requestList();
+        } else {
+            logUnsettledCall(entry, "stop: " + outcome);
+        }
+    }
+
+    private static void logUnsettledCall(RunEntry entry, String detail) {
+        EventLog.warning(
+                Event.ORDER_UNSETTLED,
+                "workflow",
+                entry.run().getTask().getWorkflowId(),
+                "step",
+                entry.run().getTask().getStep(),
+                "index",
+                entry.run().getTask().getIndex(),
+                "attempt",
+                entry.run().getAttempt(),
+                "detail",
+                detail);
+    }
+}
--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -36,8 +36,7 @@
  *
  * <p>Invariants: directives from a leader of an earlier term are ignored; a lease is renewed only
  * up to the horizon of the leader's last answer; the outcome of an unanswered call follows from the
- * worker's list; no start exceeds the capacity that the worker has announced. Public methods may be
- * called by any thread; all else runs on one event loop.
+ * worker's list. Public methods may be called by any thread; all else runs on one event loop.
  */
 public final class WorkflowAgent {
 
@@ -59,11 +58,7 @@
     /** Maximum age of a list that is reported as the current state of the worker. */
     private static final long LIST_VALID_MILLIS = 1_500;
 
-    /** Number of unanswered start calls after which a run is stopped instead. */
-    private static final int MAXIMUM_START_ATTEMPTS = 8;
-
-    private static final long CALL_RETRY_MILLIS = 150;
-    private static final long STOP_RETRY_MILLIS = 500;
+    private static final long REPORT_RETRY_MILLIS = 150;
 
     private final WorkflowAgentConfiguration configuration;
     private final WorkerApi api;
@@ -72,6 +67,7 @@
     private final LeaderClient leader;
     private final WorkerLease lease;
     private final RunTable runs = new RunTable();
+    private final RunCalls calls;
     private final BestEffortThrottle throttle = new BestEffortThrottle();
     private final List<MonoSink<Boolean>> waitingForLeader = new ArrayList<>();
     private Optional<WorkerAnnouncement> worker = Optional.empty();
@@ -105,6 +101,14 @@
         loop = transport.eventLoop();
         leader = LeaderClient.of(transport, configuration.controlAddresses(), this::onMessage);
         lease = new WorkerLease(configuration.lease());
+        calls =
+                new RunCalls(
+                        api,
+                        loop,
+                        lease,
+                        runs,
+                        configuration.maximumAnnouncementAgeMillis(),
+                        context());
     }
 
     /**
@@ -143,10 +147,39 @@
         EventLog.information(Event.ROLE_STOPPED, "role", "agent");
     }
 
-    private static long nowMillis() {
+    static long nowMillis() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
 
+    private RunCalls.Context context() {
+        return new RunCalls.Context() {
+            @Override
+            public Optional<WorkerAnnouncement> worker() {
+                return worker;
+            }
+
+            @Override
+            public long announcedAtMillis() {
+                return announcedAtMillis;
+            }
+
+            @Override
+            public long term() {
+                return term;
+            }
+
+            @Override
+            public void requestReport() {
+                WorkflowAgent.this.requestReport();
+            }
+
+            @Override
+            public void requestList() {
+                WorkflowAgent.this.requestList();
+            }
+        };
+    }
+
     /**
      * Handles an announcement of the worker.
      *
@@ -238,7 +271,7 @@
                 .filter(
                         entry ->
                                 entry.stage() != RunEntry.Stage.STARTING || entry.isStopRequested())
-                .forEach(this::advance);
+                .forEach(calls::advance);
     }
 
     // Reports
@@ -312,7 +345,7 @@
         for (ActiveRun run : answered.getActiveList()) {
             runs.entry(run.getRun())
                     .filter(entry -> entry.stage() == RunEntry.Stage.STARTING)
-                    .ifPresent(this::advance);
+                    .ifPresent(calls::advance);
         }
     }
 
@@ -387,173 +420,14 @@
                 directives.getStartsList().stream()
                         .flatMap(startRequest -> runs.addStart(startRequest).stream())
                         .toList();
-        added.forEach(this::advance);
+        added.forEach(calls::advance);
         for (RunAddress run : directives.getStopsList()) {
-            advance(runs.requestStop(run));
-        }
-    }
-
-    /** Sends the next call that a run requires, unless one is in progress. */
-    private void advance(RunEntry entry) {
-        if (entry.isCallInProgress() || worker.isEmpty() || term == 0) {
-            return;
-        }
-        switch (entry.stage()) {
-            case STARTING -> {
-                if (entry.isStopRequested()) {
-                    sendStop(entry);
-                } else {
-                    tryStart(entry);
-                }
-            }
-            case UNCERTAIN -> sendStop(entry);
-            case STARTED, AWAITING_ABSENCE -> {
-                if (entry.isStopRequested()) {
-                    sendStop(entry);
-                }
-            }
-            default -> {
-                // An ended run requires no call.
-            }
-        }
-    }
-
-    /** Sends the start of a run if it keeps to the capacity of the worker. */
-    private void tryStart(RunEntry entry) {
-        long now = nowMillis();
-        WorkerAnnouncement announced = worker.orElseThrow();
-        switch (StartAdmission.decide(
-                entry, runs.entries(), announced.capacity(), isAnnouncementCurrent(now))) {
-            case ADMITTED -> sendStart(entry);
-            case DEFERRED -> {
-                if (entry.defer()) {
-                    logUnsettledCall(entry, "start waits until the free capacity is known");
-                }
-            }
-            default -> onCapacityExceeded(entry);
-        }
-    }
-
-    /**
-     * Returns whether the newest announcement was both sent and received recently. An announcement
-     * that was received late is recognised by the worker's clock.
-     */
-    private boolean isAnnouncementCurrent(long now) {
-        long sentAgo =
-                lease.workerClock(now).orElse(Long.MAX_VALUE) - worker.orElseThrow().clockMillis();
-        return Math.max(sentAgo, now - announcedAtMillis)
-                <= configuration.maximumAnnouncementAgeMillis();
-    }
-
-    private void onCapacityExceeded(RunEntry entry) {
-        logUnsettledCall(entry, "start exceeds the capacity of the worker");
-        if (entry.isStartSent()) {
-            entry.setStage(RunEntry.Stage.UNCERTAIN);
-            sendStop(entry);
-        } else {
-            entry.recordWithoutCapacity("the capacity of the worker has shrunk");
-            requestReport();
+            calls.advance(runs.requestStop(run));
         }
     }
 
-    private void sendStart(RunEntry entry) {
-        OptionalLong leaseEnd = lease.renew(nowMillis());
-        if (leaseEnd.isEmpty()) {
-            return;
-        }
-        entry.setCallInProgress(true);
-        entry.recordStartSent();
-        WorkerAnnouncement target = worker.orElseThrow();
-        api.start(
-                        target,
-                        entry.startRequest().orElseThrow(),
-                        new WorkerApi.FencedLease(term, leaseEnd))
-                .subscribe(outcome -> loop.execute(() -> onStartOutcome(entry, target, outcome)));
-    }
-
-    private void onStartOutcome(
-            RunEntry entry, WorkerAnnouncement target, WorkerApi.CallOutcome outcome) {
-        entry.setCallInProgress(false);
-        if (!isCurrent(entry, target) || entry.stage() != RunEntry.Stage.STARTING) {
-            return;
-        }
-        if (outcome instanceof WorkerApi.CallOutcome.Done) {
-            entry.setStage(RunEntry.Stage.STARTED);
-        } else if (outcome instanceof WorkerApi.CallOutcome.Refused refused) {
-            onStartRefused(entry, refused.refusal());
-        } else {
-            onStartUnanswered(entry, ((WorkerApi.CallOutcome.Unanswered) outcome).detail());
-        }
-        advance(entry);
-    }
-
-    private boolean isCurrent(RunEntry entry, WorkerAnnouncement target) {
-        boolean sameWorker =
-                worker.map(each -> each.identity().equals(target.identity())).orElse(false);
-        return sameWorker && runs.entry(entry.run()).filter(each -> each == entry).isPresent();
-    }
-
-    private void onStartRefused(RunEntry entry, WorkerApi.Refusal refusal) {
-        logUnsettledCall(entry, "start refused: " + refusal);
-        switch (refusal) {
-            case LATE -> schedule(() -> advance(entry));
-            case OUTDATED -> entry.awaitAbsence(nowMillis());
-            default -> {
-                entry.recordNotStarted(refusal.toString());
-                requestReport();
-            }
-        }
-    }
-
-    private void onStartUnanswered(RunEntry entry, String detail) {
-        logUnsettledCall(entry, "start not answered: " + detail);
-        if (entry.countStartAttempt() >= MAXIMUM_START_ATTEMPTS) {
-            entry.setStage(RunEntry.Stage.UNCERTAIN);
-        }
-    }
-
-    private void sendStop(RunEntry entry) {
-        if (!entry.isStopDue(nowMillis(), STOP_RETRY_MILLIS)) {
-            return;
-        }
-        entry.setCallInProgress(true);
-        entry.recordStopSent(nowMillis());
-        WorkerAnnouncement target = worker.orElseThrow();
-        api.stop(target, entry.run(), term)
-                .subscribe(outcome -> loop.execute(() -> onStopOutcome(entry, target, outcome)));
-    }
-
-    private void onStopOutcome(
-            RunEntry entry, WorkerAnnouncement target, WorkerApi.CallOutcome outcome) {
-        entry.setCallInProgress(false);
-        if (!isCurrent(entry, target) || entry.stage() == RunEntry.Stage.ENDED) {
-            return;
-        }
-        if (outcome instanceof WorkerApi.CallOutcome.Done) {
-            entry.awaitAbsence(nowMillis());
-            requestList();
-        } else {
-            logUnsettledCall(entry, "stop: " + outcome);
-        }
-    }
-
-    private static void logUnsettledCall(RunEntry entry, String detail) {
-        EventLog.warning(
-                Event.ORDER_UNSETTLED,
-                "workflow",
-                entry.run().getTask().getWorkflowId(),
-                "step",
-                entry.run().getTask().getStep(),
-                "index",
-                entry.run().getTask().getIndex(),
-                "attempt",
-                entry.run().getAttempt(),
-                "detail",
-                detail);
-    }
-
     private void schedule(Runnable action) {
-        var unused = loop.schedule(action, CALL_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+        var unused = loop.schedule(action, REPORT_RETRY_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     // Lists
--- a/src/test/java/org/yuccabank/platform/PlatformPathTest.java
+++ b/src/test/java/org/yuccabank/platform/PlatformPathTest.java
@@ -61,7 +61,8 @@
         workerSettings = settings(directory, ports[4]);
         agent = AgentRole.start(workerSettings);
         await(() -> call("POST", ports[3], "/api/config/replace", MANIFEST).statusCode(), 200);
-        heartbeats.scheduleAtFixedRate(this::repeatAnnouncement, 1, 1, TimeUnit.SECONDS);
+        var unused =
+                heartbeats.scheduleAtFixedRate(this::repeatAnnouncement, 1, 1, TimeUnit.SECONDS);
     }
 
     private static int freePort() throws IOException {
