--- a/src/main/java/org/yuccabank/agent/workflow/RunTable.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunTable.java
@@ -73,6 +73,15 @@
         return crash.build();
     }
 
+    /** Returns whether a start has to wait. */
+    boolean hasWaitingStart() {
+        return entries.values().stream()
+                .anyMatch(
+                        entry ->
+                                entry.stage() == RunEntry.Stage.STARTING
+                                        && !entry.isCallInProgress());
+    }
+
     /** Adds a run to start and returns its entry, empty if the run is already known. */
     Optional<RunEntry> addStart(StartRun startRequest) {
         RunEntry knownEntry = entries.get(startRequest.getRun());
--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -25,7 +25,6 @@
 import org.yuccabank.protocol.generated.ResourceVector;
 import org.yuccabank.protocol.generated.Role;
 import org.yuccabank.protocol.generated.RunAddress;
-import org.yuccabank.protocol.generated.StartRun;
 import org.yuccabank.protocol.generated.WorkerDirectives;
 import org.yuccabank.protocol.generated.WorkerIdentity;
 import org.yuccabank.protocol.generated.WorkerReport;
@@ -59,11 +58,7 @@
     /** Maximum age of a list that is reported as the current state of the worker. */
     private static final long LIST_VALID_MILLIS = 1_500;
 
-    /** Number of unanswered start calls after which a run is stopped instead. */
-    private static final int MAXIMUM_START_ATTEMPTS = 8;
-
-    private static final long CALL_RETRY_MILLIS = 150;
-    private static final long STOP_RETRY_MILLIS = 500;
+    private static final long REPORT_RETRY_MILLIS = 150;
 
     private final WorkflowAgentConfiguration configuration;
     private final WorkerApi api;
@@ -73,9 +68,11 @@
     private final WorkerLease lease;
     private final RunTable runs = new RunTable();
     private final CrashEvidence crashEvidence = new CrashEvidence(runs::crash);
+    private final RunCalls calls;
     private final BestEffortThrottle throttle = new BestEffortThrottle();
     private final List<MonoSink<Boolean>> waitingForLeader = new ArrayList<>();
     private Optional<WorkerAnnouncement> worker = Optional.empty();
+    private long announcedAtMillis;
     private boolean leaving;
     private long term;
     private long listedTerm;
@@ -105,6 +102,14 @@
         loop = transport.eventLoop();
         leader = LeaderClient.of(transport, configuration.controlAddresses(), this::onMessage);
         lease = new WorkerLease(configuration.lease());
+        calls =
+                new RunCalls(
+                        api,
+                        loop,
+                        lease,
+                        runs,
+                        configuration.maximumAnnouncementAgeMillis(),
+                        context());
     }
 
     /**
@@ -143,10 +148,39 @@
         EventLog.information(Event.ROLE_STOPPED, "role", "agent");
     }
 
-    private static long nowMillis() {
+    static long nowMillis() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
 
+    private RunCalls.Context context() {
+        return new RunCalls.Context() {
+            @Override
+            public Optional<WorkerAnnouncement> worker() {
+                return worker;
+            }
+
+            @Override
+            public long announcedAtMillis() {
+                return announcedAtMillis;
+            }
+
+            @Override
+            public long term() {
+                return term;
+            }
+
+            @Override
+            public void requestReport() {
+                WorkflowAgent.this.requestReport();
+            }
+
+            @Override
+            public void requestList() {
+                WorkflowAgent.this.requestList();
+            }
+        };
+    }
+
     /**
      * Handles an announcement of the worker.
      *
@@ -198,10 +232,15 @@
                         && !(sameIncarnation
                                 && worker.map(WorkerAnnouncement::draining).orElse(false));
         Optional<WorkerAnnouncement> previous = worker;
+        boolean capacityChanged =
+                worker.map(each -> !each.capacity().equals(announcement.capacity())).orElse(true);
         worker = Optional.of(announcement);
+        announcedAtMillis = nowMillis();
         if (!sameIncarnation) {
             previous.ifPresent(this::onReplaced);
             onNewIncarnation(announcement);
+        } else if (capacityChanged || runs.hasWaitingStart()) {
+            requestReport();
         }
         if (startsDraining) {
             waitingForLeader.add(sink);
@@ -230,9 +269,11 @@
     private void tick() {
         requestReport();
         requestList();
-        for (RunEntry entry : runs.entries()) {
-            advance(entry);
-        }
+        runs.entries().stream()
+                .filter(
+                        entry ->
+                                entry.stage() != RunEntry.Stage.STARTING || entry.isStopRequested())
+                .forEach(calls::advance);
     }
 
     // Reports
@@ -282,17 +323,34 @@
         }
         boolean current =
                 worker.map(each -> each.identity().equals(report.getWorker())).orElse(false);
-        if (current && reply.getWorkerDirectives().getTerm() >= term) {
+        boolean valid = current && reply.getWorkerDirectives().getTerm() >= term;
+        if (valid) {
             lease.grant(workerClock, report.hasLeaseLeftMillis());
         }
         notifiedSinks.forEach(sink -> sink.success(true));
         waitingForLeader.removeAll(notifiedSinks);
         applyDirectives(reply.getWorkerDirectives());
+        if (valid) {
+            advanceConfirmed(report);
+        }
         if (reportRequested) {
             requestReport();
         }
     }
 
+    /**
+     * Sends the starts that had to wait and that the leader has just confirmed by not stopping
+     * them. Without that answer the leader may have ended the run, for example while this host was
+     * suspended, and the same answer may grant the lease again.
+     */
+    private void advanceConfirmed(WorkerReport answered) {
+        for (ActiveRun run : answered.getActiveList()) {
+            runs.entry(run.getRun())
+                    .filter(entry -> entry.stage() == RunEntry.Stage.STARTING)
+                    .ifPresent(calls::advance);
+        }
+    }
+
     private WorkerReport report(long now) {
         WorkerAnnouncement announced = worker.orElseThrow();
         boolean listed = listedTerm > 0 && now - listedAtMillis < LIST_VALID_MILLIS;
@@ -359,124 +417,20 @@
             resumeLists();
         }
         runs.updatePressures(directives.getPressuresList());
-        for (StartRun startRequest : directives.getStartsList()) {
-            runs.addStart(startRequest).ifPresent(this::advance);
-        }
+        // The size of every run has to be known before the first start is checked against the
+        // capacity.
+        List<RunEntry> added =
+                directives.getStartsList().stream()
+                        .flatMap(startRequest -> runs.addStart(startRequest).stream())
+                        .toList();
+        added.forEach(calls::advance);
         for (RunAddress run : directives.getStopsList()) {
-            advance(runs.requestStop(run));
-        }
-    }
-
-    /** Sends the next call that a run requires, unless one is in progress. */
-    private void advance(RunEntry entry) {
-        if (entry.isCallInProgress() || worker.isEmpty() || term == 0) {
-            return;
-        }
-        switch (entry.stage()) {
-            case STARTING -> {
-                if (entry.isStopRequested()) {
-                    sendStop(entry);
-                } else {
-                    sendStart(entry);
-                }
-            }
-            case UNCERTAIN -> sendStop(entry);
-            case STARTED, AWAITING_ABSENCE -> {
-                if (entry.isStopRequested()) {
-                    sendStop(entry);
-                }
-            }
-            default -> {
-                // An ended run requires no call.
-            }
-        }
-    }
-
-    private void sendStart(RunEntry entry) {
-        OptionalLong leaseEnd = lease.renew(nowMillis());
-        if (leaseEnd.isEmpty()) {
-            return;
-        }
-        entry.setCallInProgress(true);
-        entry.beginStart();
-        WorkerAnnouncement target = worker.orElseThrow();
-        api.start(
-                        target,
-                        entry.startRequest().orElseThrow(),
-                        new WorkerApi.FencedLease(term, leaseEnd))
-                .subscribe(outcome -> loop.execute(() -> onStartOutcome(entry, target, outcome)));
-    }
-
-    private void onStartOutcome(
-            RunEntry entry, WorkerAnnouncement target, WorkerApi.CallOutcome outcome) {
-        entry.setCallInProgress(false);
-        entry.endStart(outcome instanceof WorkerApi.CallOutcome.Unanswered);
-        if (!isCurrent(entry, target) || entry.stage() != RunEntry.Stage.STARTING) {
-            return;
-        }
-        if (outcome instanceof WorkerApi.CallOutcome.Done) {
-            entry.setStage(RunEntry.Stage.STARTED);
-            runs.recordAnswer(List.of(entry.run()), nowMillis());
-        } else if (outcome instanceof WorkerApi.CallOutcome.Refused refused) {
-            onStartRefused(entry, refused.refusal());
-        } else {
-            onStartUnanswered(entry, outcome.toString());
-        }
-        advance(entry);
-    }
-
-    private boolean isCurrent(RunEntry entry, WorkerAnnouncement target) {
-        boolean sameWorker =
-                worker.map(each -> each.identity().equals(target.identity())).orElse(false);
-        return sameWorker && runs.entry(entry.run()).filter(each -> each == entry).isPresent();
-    }
-
-    private void onStartRefused(RunEntry entry, WorkerApi.Refusal refusal) {
-        WorkflowAgentLog.unsettledCall(entry, "start refused: " + refusal);
-        switch (refusal) {
-            case LATE -> schedule(() -> advance(entry));
-            case OUTDATED -> entry.awaitAbsence(nowMillis());
-            default -> {
-                entry.recordNotStarted(refusal.toString());
-                requestReport();
-            }
-        }
-    }
-
-    private void onStartUnanswered(RunEntry entry, String detail) {
-        WorkflowAgentLog.unsettledCall(entry, "start not answered: " + detail);
-        if (entry.countStartAttempt() >= MAXIMUM_START_ATTEMPTS) {
-            entry.setStage(RunEntry.Stage.UNCERTAIN);
-        }
-    }
-
-    private void sendStop(RunEntry entry) {
-        if (!entry.isStopDue(nowMillis(), STOP_RETRY_MILLIS)) {
-            return;
-        }
-        entry.setCallInProgress(true);
-        entry.recordStopSent(nowMillis());
-        WorkerAnnouncement target = worker.orElseThrow();
-        api.stop(target, entry.run(), term)
-                .subscribe(outcome -> loop.execute(() -> onStopOutcome(entry, target, outcome)));
-    }
-
-    private void onStopOutcome(
-            RunEntry entry, WorkerAnnouncement target, WorkerApi.CallOutcome outcome) {
-        entry.setCallInProgress(false);
-        if (!isCurrent(entry, target) || entry.stage() == RunEntry.Stage.ENDED) {
-            return;
-        }
-        if (outcome instanceof WorkerApi.CallOutcome.Done) {
-            entry.awaitAbsence(nowMillis());
-            requestList();
-        } else {
-            WorkflowAgentLog.unsettledCall(entry, "stop: " + outcome);
+            calls.advance(runs.requestStop(run));
         }
     }
 
     private void schedule(Runnable action) {
-        var unused = loop.schedule(action, CALL_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+        var unused = loop.schedule(action, REPORT_RETRY_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     // Lists
--- a/src/test/java/org/yuccabank/platform/PlatformPathTest.java
+++ b/src/test/java/org/yuccabank/platform/PlatformPathTest.java
@@ -13,9 +13,15 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterClass;
+import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.Test;
 
@@ -37,7 +43,10 @@
     private PlatformRole entry;
     private PlatformRole agent;
     private StandInMinion minion;
+    private final ScheduledExecutorService heartbeats = Executors.newScheduledThreadPool(1);
+    private volatile String announcement = "";
     private int sequence;
+    private final List<String> submitted = new ArrayList<>();
     private PlatformSettings workerSettings;
 
     @BeforeClass
@@ -52,6 +61,8 @@
         workerSettings = settings(directory, ports[4]);
         agent = AgentRole.start(workerSettings);
         await(() -> call("POST", ports[3], "/api/config/replace", MANIFEST).statusCode(), 200);
+        var unused =
+                heartbeats.scheduleAtFixedRate(this::repeatAnnouncement, 1, 1, TimeUnit.SECONDS);
     }
 
     private static int freePort() throws IOException {
@@ -77,19 +88,31 @@
                         "  ready: \"127.0.0.1:" + ports[2] + "\"",
                         "  control_plane: \"127.0.0.1:" + ownPort + "\"",
                         "app: \"127.0.0.1:" + ports[5] + "\"",
-                        "bounds: {hold_max_ms: 6000}");
+                        "bounds: {hold_max_ms: 6000, contact_ms: 3000}");
         Path file = Files.writeString(directory.resolve(ownPort + ".yaml"), text);
         return PlatformSettings.read(file).get();
     }
 
     @AfterClass(alwaysRun = true)
     public void stopRoles() {
+        heartbeats.shutdownNow();
         agent.stop();
         entry.stop();
         control.stop();
         minion.stop();
     }
 
+    /** Restores the stand-in and cancels the jobs of a test that failed half-way. */
+    @AfterMethod(alwaysRun = true)
+    public void cleanUp() throws Exception {
+        minion.setDropsStarts(false);
+        minion.enableCompletion();
+        for (String workflowId : submitted) {
+            call("DELETE", ports[1], "/jobs/" + workflowId, "");
+        }
+        submitted.clear();
+    }
+
     /** A value that is polled until it is as expected. */
     private interface StatusSupplier {
         int get() throws IOException, InterruptedException;
@@ -120,16 +143,38 @@
     }
 
     private void sendHeartbeat(long born) throws Exception {
-        String report =
+        sendHeartbeat(born, 8_000);
+    }
+
+    private void sendHeartbeat(long born, int processorMillis) throws Exception {
+        setAnnouncement(born, processorMillis);
+        assertEquals(sendAnnouncement(), 200);
+    }
+
+    /** Sets the content of the next status reports, which a minion sends about once a second. */
+    private synchronized void setAnnouncement(long born, int processorMillis) {
+        announcement =
                 "{\"service\":\"s\",\"address\":\"127.0.0.1:1\",\"zone\":\"z\",\"state\":\"ready\","
-                        + "\"capacity\":{\"cpu\":8000,\"mem_mb\":8000},\"labels\":[\"a\",\"r1\"],"
-                        + "\"clock_ms\":1,\"born\":"
-                        + born
-                        + ",\"sequence\":"
-                        + ++sequence
-                        + "}";
+                        + "\"capacity\":{\"cpu\":"
+                        + processorMillis
+                        + ",\"mem_mb\":8000},\"labels\":[\"a\",\"r1\"],\"born\":"
+                        + born;
+    }
+
+    private synchronized int sendAnnouncement() throws Exception {
+        String changing = ",\"clock_ms\":" + StandInMinion.clock() + ",\"sequence\":" + ++sequence;
         String path = "/api/minions/m-1/heartbeat";
-        assertEquals(call("POST", ports[4], path, report).statusCode(), 200);
+        return call("POST", ports[4], path, announcement + changing + "}").statusCode();
+    }
+
+    private void repeatAnnouncement() {
+        try {
+            if (!announcement.isEmpty()) {
+                sendAnnouncement();
+            }
+        } catch (Exception exception) {
+            // No agent is running at the moment; the next report follows.
+        }
     }
 
     private void awaitState(String workflowId, String state) throws Exception {
@@ -180,6 +225,7 @@
         String job = "{\"steps\":[{\"count\":1,\"cpu\":500,\"mem_mb\":10,\"estimate_ms\":60}]}";
         assertEquals(call("POST", ports[1], "/jobs/cccccccccccccccc", job).statusCode(), 200);
         await(() -> minion.starts().contains("cccccccccccccccc.0.0.0#1") ? 1 : 0, 1);
+        setAnnouncement(2_000, 8_000);
         minion.restart(2_000);
         long restarted = System.nanoTime();
         sendHeartbeat(2_000);
@@ -202,6 +248,79 @@
         assertTrue(minion.retryMillis() < 600, minion.retryMillis() + " ms");
     }
 
+    private void submit(String workflowId, int processorMillis) throws Exception {
+        submitted.add(workflowId);
+        String job =
+                "{\"steps\":[{\"count\":1,\"mem_mb\":10,\"estimate_ms\":5000,\"cpu\":"
+                        + processorMillis
+                        + "}]}";
+        assertEquals(call("POST", ports[1], "/jobs/" + workflowId, job).statusCode(), 200);
+    }
+
+    /**
+     * Guards against a start, assigned before the capacity of the worker shrank, that is repeated
+     * afterwards and exceeds it.
+     */
+    @Test(dependsOnMethods = "shouldRetryUnansweredStartSoon")
+    public void shouldNotRepeatStartThatExceedsShrunkenCapacity() throws Exception {
+        sendHeartbeat(2_000, 8_000);
+        minion.setDropsStarts(true);
+        submit("eeeeeeeeeeeeeeee", 6_000);
+        await(() -> minion.hasDropped("eeeeeeeeeeeeeeee.0.0.0#1") ? 1 : 0, 1);
+        sendHeartbeat(2_000, 4_000);
+        minion.setDropsStarts(false);
+        submit("eeeeeeeeeeeeeeef", 3_000);
+        awaitState("eeeeeeeeeeeeeeef", "completed");
+        assertTrue(minion.starts().stream().noneMatch(each -> each.startsWith("eeeeeeeeeeeeeeee")));
+        sendHeartbeat(2_000, 8_000);
+        awaitState("eeeeeeeeeeeeeeee", "completed");
+    }
+
+    /**
+     * Guards against a start that exceeds the shrunken capacity of the worker because a restarted
+     * agent receives it again and does not know the size of the runs beside it.
+     */
+    @Test(dependsOnMethods = "shouldRetryUnansweredStartSoon")
+    public void shouldNotExceedShrunkenCapacityAfterRestartOfAgent() throws Exception {
+        sendHeartbeat(2_000, 8_000);
+        minion.disableCompletion();
+        submit("ffffffffffffffff", 3_000);
+        await(() -> minion.starts().contains("ffffffffffffffff.0.0.0#1") ? 1 : 0, 1);
+        minion.setDropsStarts(true);
+        submit("fffffffffffffffe", 3_000);
+        await(() -> minion.hasDropped("fffffffffffffffe.0.0.0#1") ? 1 : 0, 1);
+        agent.stop();
+        minion.setDropsStarts(false);
+        setAnnouncement(2_000, 4_000);
+        agent = AgentRole.start(workerSettings);
+        sendHeartbeat(2_000, 4_000);
+        submit("fffffffffffffffd", 1_000);
+        await(() -> minion.starts().contains("fffffffffffffffd.0.0.0#1") ? 1 : 0, 1);
+        assertTrue(minion.starts().stream().noneMatch(each -> each.startsWith("fffffffffffffffe")));
+        sendHeartbeat(2_000, 8_000);
+        await(() -> minion.starts().contains("fffffffffffffffe.0.0.0#2") ? 1 : 0, 1);
+        minion.enableCompletion();
+        awaitState("ffffffffffffffff", "completed");
+        assertEquals(
+                minion.starts().stream()
+                        .filter(each -> each.startsWith("ffffffffffffffff"))
+                        .count(),
+                1,
+                "the run beside it was not disturbed");
+    }
+
+    /** Guards against a start on a capacity that may have shrunk while no report arrived. */
+    @Test(dependsOnMethods = "shouldRetryUnansweredStartSoon")
+    public void shouldWaitForStatusReportBeforeStart() throws Exception {
+        announcement = "";
+        Thread.sleep(workerSettings.contactMillis() + 200);
+        submit("abababababababab", 500);
+        Thread.sleep(500);
+        assertTrue(minion.starts().stream().noneMatch(each -> each.startsWith("abababababababab")));
+        sendHeartbeat(2_000, 8_000);
+        awaitState("abababababababab", "completed");
+    }
+
     /** Guards against an invalid job that is accepted or answered with another status. */
     @Test
     public void shouldRejectInvalidJobs() throws Exception {
@@ -235,6 +354,12 @@
         String path = "/api/minions/m-1/heartbeat";
         assertEquals(call("POST", ports[4], path, "\u0000\u0001").statusCode(), 400);
         assertEquals(call("POST", ports[4], path, "{\"state\":\"odd\"}").statusCode(), 400);
+        String withoutCapacity =
+                "{\"service\":\"s\",\"address\":\"127.0.0.1:1\",\"zone\":\"z\",\"state\":\"ready\","
+                        + "\"labels\":[],\"born\":1,\"clock_ms\":1,\"sequence\":1";
+        assertEquals(call("POST", ports[4], path, withoutCapacity + "}").statusCode(), 400);
+        String capacityText = withoutCapacity + ",\"capacity\":\"8000\"}";
+        assertEquals(call("POST", ports[4], path, capacityText).statusCode(), 400);
     }
 
     /**
--- a/src/test/java/org/yuccabank/platform/StandInMinion.java
+++ b/src/test/java/org/yuccabank/platform/StandInMinion.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import org.yuccabank.protocol.PeerTransport;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
 import reactor.netty.DisposableServer;
 
 /**
@@ -28,11 +29,14 @@
     private final Map<Long, String> finished = new LinkedHashMap<>();
     private final List<String> starts = new CopyOnWriteArrayList<>();
     private final List<Long> droppedAtMillis = new CopyOnWriteArrayList<>();
+    private final List<String> droppedRuns = new CopyOnWriteArrayList<>();
     private final EventLoopGroup eventLoops = PeerTransport.eventLoopGroup("minion", 1);
+    private final Sinks.Empty<Void> stopping = Sinks.empty();
     private final DisposableServer server;
     private long lastNumber;
     private volatile boolean answersStarts = true;
     private volatile boolean dropsNextStart;
+    private volatile boolean dropsStarts;
     private volatile long lastStartMillis;
     private volatile long runMillis = SHORT_RUN_MILLIS;
 
@@ -56,6 +60,16 @@
         dropsNextStart = true;
     }
 
+    /** Sets whether the minion neither executes nor answers starts. */
+    void setDropsStarts(boolean newValue) {
+        dropsStarts = newValue;
+    }
+
+    /** Returns whether a start of a run was neither executed nor answered. */
+    boolean hasDropped(String run) {
+        return droppedRuns.contains(run);
+    }
+
     /** Returns the time from the dropped start to the newest one. */
     long retryMillis() {
         return lastStartMillis - droppedAtMillis.get(0);
@@ -66,6 +80,11 @@
         runMillis = Long.MAX_VALUE;
     }
 
+    /** Lets runs end by themselves, also those that have started before. */
+    void enableCompletion() {
+        runMillis = SHORT_RUN_MILLIS;
+    }
+
     /** Restarts with a new birth time: discards all runs and resets the numbers of ends. */
     synchronized void restart(long newBorn) {
         running.clear();
@@ -76,11 +95,12 @@
     }
 
     void stop() {
+        stopping.tryEmitEmpty();
         server.disposeNow(Duration.ofSeconds(1));
         PeerTransport.shutDown(eventLoops);
     }
 
-    private static long clock() {
+    static long clock() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
 
@@ -105,10 +125,11 @@
     }
 
     private synchronized Mono<HttpServers.Response> start(JsonFields body) {
-        if (dropsNextStart) {
+        if (dropsNextStart || dropsStarts) {
             dropsNextStart = false;
             droppedAtMillis.add(clock());
-            return Mono.never();
+            droppedRuns.add(key(body));
+            return unanswered();
         }
         lastStartMillis = clock();
         String key = key(body);
@@ -116,7 +137,12 @@
             starts.add(key);
             running.put(key, clock());
         }
-        return answersStarts ? Mono.just(HttpServers.Response.of(200, statusBody())) : Mono.never();
+        return answersStarts ? Mono.just(HttpServers.Response.of(200, statusBody())) : unanswered();
+    }
+
+    /** Returns a response that is sent only at the stop, which waits for all requests. */
+    private Mono<HttpServers.Response> unanswered() {
+        return stopping.asMono().thenReturn(HttpServers.Response.of(503));
     }
 
     private synchronized HttpServers.Response stop(JsonFields body) {
