--- a/src/main/java/org/yuccabank/control/workflow/VoterPolicy.java
+++ b/src/main/java/org/yuccabank/control/workflow/VoterPolicy.java
@@ -16,8 +16,8 @@
  * a replica that has just joined.
  *
  * <p>Invariants: there are never more voters than desired, apart from those that an earlier release
- * has left; a voter is demoted only if the responsive voters are a majority of the others and,
- * below the desired number, only if a learner has caught up. Immutable.
+ * has left; a voter is demoted only if the responsive voters are a majority of the others, and a
+ * voter that is not surplus only if a learner has caught up. Immutable.
  */
 final class VoterPolicy {
 
