--- a/src/main/java/org/yuccabank/control/workflow/CrashCounters.java
+++ b/src/main/java/org/yuccabank/control/workflow/CrashCounters.java
@@ -10,7 +10,6 @@
 import org.yuccabank.protocol.generated.EndedRun;
 import org.yuccabank.protocol.generated.RunEnding;
 import org.yuccabank.protocol.generated.WorkerCrash;
-import org.yuccabank.protocol.generated.WorkerIdentity;
 import org.yuccabank.protocol.generated.WorkflowPhase;
 import org.yuccabank.state.workflow.WorkflowRecords;
 import org.yuccabank.state.workflow.WorkflowTask;
@@ -35,7 +34,7 @@
         EventLog.warning(
                 Event.WORKER_CRASHED,
                 "worker",
-                format(crash.getWorker()),
+                AvailableWorker.key(crash.getWorker()),
                 "openRuns",
                 openRuns,
                 "suspects",
@@ -74,8 +73,4 @@
                 "soleSuspect",
                 task.isSoleSuspect());
     }
-
-    private static String format(WorkerIdentity worker) {
-        return worker.getWorkerId() + "/" + worker.getBornMillis();
-    }
 }
