Show that a gang is never completed if a member's end is lost

One minion of a gang is cut off, crashes behind the cut and starts again; the gang had ended as done on both. Only the task whose end was seen counts as done, and the gang, of which a task is done, is never started again.

--- a/review/harness/Minion.java
+++ b/review/harness/Minion.java
@@ -76,6 +76,9 @@
     private volatile boolean draining;
     private volatile boolean up = true;
 
+    /** While set, no call is answered and no status report is sent, as behind a cut. */
+    volatile boolean cutOff;
+
     /** Called for each start order; returns whether the order was taken care of. */
     interface StartFault {
         boolean apply(HttpExchange exchange, String task, int attempt, Runnable carryOut)
@@ -122,7 +125,7 @@
 
     private void heartbeats() {
         while (up) {
-            int status = sendHeartbeat();
+            int status = cutOff ? 200 : sendHeartbeat();
             if (status != 200) {
                 record.line("minion " + id + " status report answered " + status);
             }
@@ -245,6 +248,9 @@
 
     private void handle(HttpExchange exchange) throws IOException {
         String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
+        if (cutOff) {
+            return;
+        }
         String expected = exchange.getRequestHeaders().getFirst("X-Yuccabank-Expected-Instance");
         if (expected != null && !expected.equals(id)) {
             answer(exchange, 421, status(""));
