Open a replica again after its disk failed

What callers saw: after two disks had been full for 5 s each, one after the other, no request, manifest or task was served any more, although both disks took bytes again.

Cause: ReplicaNode passed a failed write or sync to fail(), which ended the replica thread for good while its process lived on. Each disk that was full for a moment cost a replica; after two of three there was no majority. An exception on the replica thread ended it in the same way.

DiskStorage writes what it loads to new files: after a failed sync the page cache holds records that are not on the disk, and the next sync succeeds without writing them. A failed replacement no longer leaves its temporary file on a full disk.

--- a/src/main/java/org/yuccabank/control/ControlService.java
+++ b/src/main/java/org/yuccabank/control/ControlService.java
@@ -174,12 +174,16 @@
         Gauge<Integer> leads = () -> replica.isLeader() ? 1 : 0;
         Gauge<Integer> voters = () -> replica.status().voters().size();
         Gauge<Integer> quorum = () -> replica.status().quorum();
+        Gauge<Integer> running = () -> replica.status().stopReason().isEmpty() ? 1 : 0;
+        Gauge<Long> failures = replica::failureCount;
         Gauge<Integer> connections = transport::connectionCount;
         metrics.register("replica_commit_index", commit);
         metrics.register("replica_term", term);
         metrics.register("replica_is_leader", leads);
         metrics.register("replica_voters", voters);
         metrics.register("replica_quorum", quorum);
+        metrics.register("replica_running", running);
+        metrics.register("replica_failures", failures);
         metrics.register("connections", connections);
         leader.registerMetrics(metrics);
     }
--- a/src/main/java/org/yuccabank/event/Event.java
+++ b/src/main/java/org/yuccabank/event/Event.java
@@ -34,16 +34,18 @@
     LEADER_ELECTED(300),
     /** A leader stepped down. */
     LEADER_STEPPED_DOWN(301),
-    /** A replica stopped because its disk failed or is full. */
+    /** The disk of a replica failed or is full; the replica stops and is opened again. */
     DISK_FAILED(302),
     /** An incomplete record at the end of the log was truncated. */
     LOG_TAIL_TRUNCATED(303),
-    /** The log is corrupt before its tail; the replica stops. */
+    /** The durable state is corrupt; the replica stops and is opened again. */
     LOG_CORRUPT(304),
     /** A snapshot was written or installed. */
     SNAPSHOT_SAVED(305),
     /** The membership of a control group changed. */
     MEMBERSHIP_CHANGED(306),
+    /** A replica that had stopped because of a failure was opened again. */
+    REPLICA_REOPENED(307),
     /** A configuration version was applied in this process. */
     CONFIGURATION_APPLIED(400),
     /** A configuration was refused. */
--- a/src/main/java/org/yuccabank/replication/DiskStorage.java
+++ b/src/main/java/org/yuccabank/replication/DiskStorage.java
@@ -144,6 +144,14 @@
         }
     }
 
+    @Override
+    public StoredState reload() throws IOException {
+        if (readWithChecksum(STATE_FILE).isEmpty()) {
+            throw new CorruptStorageException(STATE_FILE, 0, "file is missing");
+        }
+        return load();
+    }
+
     private StoredState create() throws IOException {
         Membership.Builder membership = Membership.newBuilder();
         settings.initialMembers().forEach(member -> membership.addMembers(member.toProto()));
@@ -154,18 +162,13 @@
                         .setReplicaId(settings.replicaId())
                         .build();
         replaceSnapshot(snapshot);
-        replaceLog(0, 0, new byte[0]);
+        replaceLog(0, 0, List.of());
         replaceWithChecksum(STATE_FILE, state.toByteArray());
         return new StoredState(state, snapshot, 0, 0, List.of());
     }
 
     private StoredState openLog(HardState state, SnapshotData snapshot) throws IOException {
-        log =
-                directory
-                        .open(LOG_FILE)
-                        .orElseThrow(
-                                () -> new CorruptStorageException(LOG_FILE, 0, "file is missing"));
-        LogReader.Content content = LogReader.read(LOG_FILE, log);
+        LogReader.Content content = readLog();
         if (content.tornBytes() > 0) {
             eventListener.onEvent(
                     Event.LOG_TAIL_TRUNCATED,
@@ -173,19 +176,38 @@
                     settings.replicaId(),
                     "bytes",
                     content.tornBytes());
-            log.truncate(content.endOffset());
         }
-        // After a process crash, records may exist in the page cache only.
-        log.sync();
         if (content.baseIndex() > snapshot.lastIndex()) {
             throw new CorruptStorageException(
                     LOG_FILE, 0, "log entries after the snapshot are missing");
         }
-        logEndOffset = content.endOffset();
-        batchStartOffset = logEndOffset;
-        firstIndex = content.baseIndex() + 1;
-        entryOffsets = new ArrayList<>(content.offsets());
-        return reconcile(state, snapshot, content);
+        StoredState stored = reconcile(state, snapshot, content);
+        rewrite(stored);
+        return stored;
+    }
+
+    private LogReader.Content readLog() throws IOException {
+        Optional<StorageFile> found = directory.open(LOG_FILE);
+        if (found.isEmpty()) {
+            throw new CorruptStorageException(LOG_FILE, 0, "file is missing");
+        }
+        try (StorageFile file = found.get()) {
+            return LogReader.read(LOG_FILE, file);
+        }
+    }
+
+    /**
+     * Writes the loaded state to new files. After a crash of the process or a failed sync, the page
+     * cache may hold changes that are not on the disk; if their write-back has failed, a later sync
+     * of the same file succeeds without writing them.
+     */
+    private void rewrite(StoredState stored) throws IOException {
+        writeSnapshot(stored.snapshot());
+        replaceLog(
+                stored.baseIndex(),
+                stored.baseTerm(),
+                stored.entries().stream().map(LogEntry::toByteArray).toList());
+        replaceWithChecksum(STATE_FILE, stored.hardState().toByteArray());
     }
 
     /** Discards the log if it does not contain the last entry of the snapshot and is thus older. */
@@ -197,7 +219,6 @@
             return new StoredState(
                     state, snapshot, content.baseIndex(), content.baseTerm(), content.entries());
         }
-        replaceLog(snapshot.lastIndex(), snapshot.lastTerm(), new byte[0]);
         return new StoredState(
                 state, snapshot, snapshot.lastIndex(), snapshot.lastTerm(), List.of());
     }
@@ -207,7 +228,7 @@
         batch.hardState().ifPresent(state -> unsyncedState = Optional.of(state));
         if (batch.resetLog()) {
             replaceSnapshot(batch.snapshot().orElseThrow());
-            replaceLog(batch.baseIndex(), batch.baseTerm(), new byte[0]);
+            replaceLog(batch.baseIndex(), batch.baseTerm(), List.of());
         }
         if (batch.truncateFrom() >= firstIndex && batch.truncateFrom() > 0) {
             truncateFrom(batch.truncateFrom());
@@ -256,38 +277,58 @@
         byte[] keptRecords = log.read(start, (int) (logEndOffset - start));
         List<Long> keptOffsets =
                 entryOffsets.subList(discardedEntries, entryOffsets.size()).stream().toList();
-        replaceLog(baseIndex, baseTerm, reencode(keptRecords, keptOffsets, start));
+        replaceLog(baseIndex, baseTerm, payloads(keptRecords, keptOffsets, start));
     }
 
-    /** Encodes records with the start of the new file as their batch start, as offsets change. */
-    private static byte[] reencode(byte[] records, List<Long> recordOffsets, long baseOffset) {
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream(records.length);
+    private static List<byte[]> payloads(
+            byte[] records, List<Long> recordOffsets, long baseOffset) {
+        List<byte[]> payloads = new ArrayList<>();
         for (int index = 0; index < recordOffsets.size(); index++) {
             int from = (int) (recordOffsets.get(index) - baseOffset) + RecordFormat.HEADER_BYTES;
             int to =
                     index + 1 < recordOffsets.size()
                             ? (int) (recordOffsets.get(index + 1) - baseOffset)
                             : records.length;
-            byte[] payload = Arrays.copyOfRange(records, from, to);
-            bytes.writeBytes(RecordFormat.encode(payload, LogReader.FILE_HEADER_BYTES));
+            payloads.add(Arrays.copyOfRange(records, from, to));
         }
-        return bytes.toByteArray();
+        return payloads;
     }
 
-    private void replaceLog(long baseIndex, long baseTerm, byte[] records) throws IOException {
-        directory.replace(LOG_FILE, List.of(LogReader.fileHeader(baseIndex, baseTerm), records));
+    /** Replaces the log. Its records form one batch, as they are synced together. */
+    private void replaceLog(long baseIndex, long baseTerm, List<byte[]> payloads)
+            throws IOException {
+        List<byte[]> parts = new ArrayList<>();
+        List<Long> offsets = new ArrayList<>();
+        parts.add(LogReader.fileHeader(baseIndex, baseTerm));
+        long end = LogReader.FILE_HEADER_BYTES;
+        for (byte[] payload : payloads) {
+            byte[] record = RecordFormat.encode(payload, LogReader.FILE_HEADER_BYTES);
+            parts.add(record);
+            offsets.add(end);
+            end += record.length;
+        }
+        directory.replace(LOG_FILE, parts);
         if (log != null) {
             log.close();
         }
         log = directory.open(LOG_FILE).orElseThrow(() -> new IOException("log has disappeared"));
-        LogReader.Content content = LogReader.read(LOG_FILE, log);
-        logEndOffset = content.endOffset();
-        batchStartOffset = logEndOffset;
+        logEndOffset = end;
+        batchStartOffset = end;
         firstIndex = baseIndex + 1;
-        entryOffsets = new ArrayList<>(content.offsets());
+        entryOffsets = offsets;
     }
 
     private void replaceSnapshot(SnapshotData snapshot) throws IOException {
+        writeSnapshot(snapshot);
+        eventListener.onEvent(
+                Event.SNAPSHOT_SAVED,
+                "replica",
+                settings.replicaId(),
+                "index",
+                snapshot.lastIndex());
+    }
+
+    private void writeSnapshot(SnapshotData snapshot) throws IOException {
         SnapshotChunk chunk =
                 SnapshotChunk.newBuilder()
                         .setLastIndex(snapshot.lastIndex())
@@ -296,12 +337,6 @@
                         .setData(snapshot.data())
                         .build();
         replaceWithChecksum(SNAPSHOT_FILE, chunk.toByteArray());
-        eventListener.onEvent(
-                Event.SNAPSHOT_SAVED,
-                "replica",
-                settings.replicaId(),
-                "index",
-                snapshot.lastIndex());
     }
 
     private void replaceWithChecksum(String name, byte[] bytes) throws IOException {
--- a/src/main/java/org/yuccabank/replication/FileDirectory.java
+++ b/src/main/java/org/yuccabank/replication/FileDirectory.java
@@ -70,9 +70,25 @@
     @Override
     public void replace(String name, Iterable<byte[]> bytes) throws IOException {
         Path temporary = path.resolve(name + TEMPORARY_SUFFIX);
+        try {
+            write(temporary, bytes);
+        } catch (IOException exception) {
+            // Its bytes would keep a full disk full.
+            deleteQuietly(temporary);
+            throw exception;
+        }
+        Files.move(
+                temporary,
+                path.resolve(name),
+                StandardCopyOption.ATOMIC_MOVE,
+                StandardCopyOption.REPLACE_EXISTING);
+        syncDirectory();
+    }
+
+    private static void write(Path file, Iterable<byte[]> bytes) throws IOException {
         try (FileChannel channel =
                 FileChannel.open(
-                        temporary,
+                        file,
                         StandardOpenOption.CREATE,
                         StandardOpenOption.TRUNCATE_EXISTING,
                         StandardOpenOption.WRITE)) {
@@ -81,12 +97,14 @@
             }
             channel.force(true);
         }
-        Files.move(
-                temporary,
-                path.resolve(name),
-                StandardCopyOption.ATOMIC_MOVE,
-                StandardCopyOption.REPLACE_EXISTING);
-        syncDirectory();
+    }
+
+    private static void deleteQuietly(Path file) {
+        try {
+            Files.deleteIfExists(file);
+        } catch (IOException ignored) {
+            // Ignored because the next replacement truncates the file.
+        }
     }
 
     private void syncDirectory() throws IOException {
--- a/src/main/java/org/yuccabank/replication/ReplicaNode.java
+++ b/src/main/java/org/yuccabank/replication/ReplicaNode.java
@@ -22,7 +22,8 @@
  * returns true. The time is passed as an argument in milliseconds of a monotonic clock. Not
  * thread-safe.
  *
- * <p>A replica stops when its disk fails: it sends no more messages and completes all proposals.
+ * <p>A replica stops when its disk fails: it sends no more messages and completes all proposals. It
+ * does not continue, as it is unknown which writes are durable; its owner opens it again.
  */
 public final class ReplicaNode {
 
@@ -115,14 +116,48 @@
             Environment environment,
             long nowMillis,
             ReplicaOptions options) {
+        ReplicaStorage storage = storage(settings, environment);
+        return open(settings, environment, nowMillis, options, storage, storage::load);
+    }
+
+    /**
+     * Opens a replica again that has stopped in this process, and resets the state machine to the
+     * durable state.
+     *
+     * @param settings settings of the replica
+     * @param environment dependencies of the replica
+     * @param nowMillis the current time
+     * @return the replica, or a failure if the durable state cannot be loaded or written
+     */
+    static Result<ReplicaNode> reopen(
+            ReplicaSettings settings, Environment environment, long nowMillis) {
+        ReplicaStorage storage = storage(settings, environment);
+        return open(
+                settings, environment, nowMillis, ReplicaOptions.all(), storage, storage::reload);
+    }
+
+    private static ReplicaStorage storage(ReplicaSettings settings, Environment environment) {
+        return new DiskStorage(environment.directory(), settings, environment.eventListener());
+    }
+
+    /** Loads the durable state of a replica. */
+    private interface Loader {
+
+        StoredState load() throws IOException;
+    }
+
+    private static Result<ReplicaNode> open(
+            ReplicaSettings settings,
+            Environment environment,
+            long nowMillis,
+            ReplicaOptions options,
+            ReplicaStorage storage,
+            Loader loader) {
         ReplicaEventListener eventListener = environment.eventListener();
-        ReplicaStorage storage = new DiskStorage(environment.directory(), settings, eventListener);
         try {
-            StoredState stored = storage.load();
+            StoredState stored = loader.load();
             SnapshotData snapshot = stored.snapshot();
-            if (snapshot.lastIndex() > 0) {
-                environment.stateMachine().restore(snapshot.data().toByteArray());
-            }
+            environment.stateMachine().restore(snapshot.data().toByteArray());
             ReplicaCore core =
                     new ReplicaCore(settings, options, stored, environment.random(), nowMillis);
             ReplicaNode node =
@@ -147,6 +182,9 @@
             return Result.failure(
                     SourcePosition.ofSource(settings.directory().toString()),
                     exception.getMessage());
+        } catch (RuntimeException exception) {
+            closeQuietly(storage);
+            throw exception;
         }
     }
 
--- a/src/main/java/org/yuccabank/replication/ReplicaService.java
+++ b/src/main/java/org/yuccabank/replication/ReplicaService.java
@@ -29,6 +29,10 @@
  * block.
  *
  * <p>Inputs that arrive during a sync are handled as one batch afterwards and share the next sync.
+ *
+ * <p>A replica that fails, because of its disk or of an exception, is opened again from its durable
+ * state until that succeeds. Meanwhile it takes no part in the group and completes requests as not
+ * the leader.
  */
 public final class ReplicaService {
 
@@ -45,22 +49,35 @@
     private final ReplicaSettings settings;
     private final StateMachine stateMachine;
     private final ReplicaTransport transport;
+    private final DirectoryFactory directoryFactory;
     private final List<LeaderListener> listeners = new CopyOnWriteArrayList<>();
     private final BlockingQueue<Runnable> inputs = new LinkedBlockingQueue<>(MAXIMUM_QUEUED_INPUTS);
     private final List<PendingTransfer> pendingTransfers = new ArrayList<>();
+    private final ReopenBackoff reopenBackoff = new ReopenBackoff();
     private ReplicaNode node;
     private Thread thread;
     private volatile boolean stopping = true;
     private volatile boolean leader;
     private volatile ReplicaStatus status;
+    private volatile long failureCount;
 
     private record PendingTransfer(CompletableFuture<Boolean> future, long deadlineMillis) {}
 
+    /** Opens and locks the directory of the durable state. */
+    interface DirectoryFactory {
+
+        StorageDirectory open(Path path) throws IOException;
+    }
+
     private ReplicaService(
-            ReplicaSettings settings, StateMachine stateMachine, ReplicaTransport transport) {
+            ReplicaSettings settings,
+            StateMachine stateMachine,
+            ReplicaTransport transport,
+            DirectoryFactory directoryFactory) {
         this.settings = settings;
         this.stateMachine = stateMachine;
         this.transport = transport;
+        this.directoryFactory = directoryFactory;
         status = stoppedStatus();
     }
 
@@ -89,15 +106,24 @@
      */
     public static ReplicaService of(
             ReplicaSettings settings, StateMachine stateMachine, ReplicaTransport transport) {
+        return of(settings, stateMachine, transport, FileDirectory::open);
+    }
+
+    static ReplicaService of(
+            ReplicaSettings settings,
+            StateMachine stateMachine,
+            ReplicaTransport transport,
+            DirectoryFactory directoryFactory) {
         Objects.requireNonNull(settings, "settings is null");
         Objects.requireNonNull(stateMachine, "stateMachine is null");
         Objects.requireNonNull(transport, "transport is null");
-        return new ReplicaService(settings, stateMachine, transport);
+        return new ReplicaService(settings, stateMachine, transport, directoryFactory);
     }
 
     /**
      * Loads the durable state, restores the state machine and starts the replica thread. May be
-     * called only once.
+     * called only once. The state is opened again after later failures, but not after a failure of
+     * this call.
      *
      * @return the initial status, or the reason why the durable state cannot be loaded
      * @throws IllegalStateException if the replica has already been started
@@ -106,8 +132,7 @@
         if (thread != null) {
             throw new IllegalStateException("replica has already been started");
         }
-        Result<ReplicaNode> opened = openDirectory().flatMap(this::openNode);
-        return opened.map(this::startThread);
+        return open(ReplicaNode::open).map(this::startThread);
     }
 
     /**
@@ -128,27 +153,47 @@
 
     private Result<StorageDirectory> openDirectory() {
         try {
-            return Result.success(FileDirectory.open(settings.directory()));
+            return Result.success(directoryFactory.open(settings.directory()));
         } catch (IOException exception) {
+            EventLog.warning(
+                    Event.DISK_FAILED,
+                    "replica",
+                    settings.replicaId(),
+                    "problem",
+                    exception.toString());
             return Result.failure(
                     SourcePosition.ofSource(settings.directory().toString()), exception.toString());
         }
     }
 
-    private Result<ReplicaNode> openNode(StorageDirectory directory) {
-        ReplicaNode.Environment environment =
-                new ReplicaNode.Environment(
-                        stateMachine,
-                        transport,
-                        directory,
-                        ReplicaEventListener.logging(),
-                        RandomGenerator.getDefault());
-        return ReplicaNode.open(settings, environment, nowMillis());
+    /** Opens a replica whose directory is locked. */
+    private interface NodeFactory {
+
+        Result<ReplicaNode> open(
+                ReplicaSettings settings, ReplicaNode.Environment environment, long nowMillis);
+    }
+
+    private Result<ReplicaNode> open(NodeFactory factory) {
+        return openDirectory()
+                .flatMap(directory -> factory.open(settings, environment(directory), nowMillis()))
+                .map(
+                        opened -> {
+                            opened.setLeaderListener(this::onLeadershipChanged);
+                            return opened;
+                        });
+    }
+
+    private ReplicaNode.Environment environment(StorageDirectory directory) {
+        return new ReplicaNode.Environment(
+                stateMachine,
+                transport,
+                directory,
+                ReplicaEventListener.logging(),
+                RandomGenerator.getDefault());
     }
 
     private ReplicaStatus startThread(ReplicaNode opened) {
         node = opened;
-        node.setLeaderListener(this::onLeadershipChanged);
         status = node.status();
         stopping = false;
         thread = new Thread(this::runLoop, "replica-" + settings.replicaId());
@@ -162,27 +207,75 @@
 
     private void runLoop() {
         try {
-            while (!stopping && node.isRunning()) {
-                handleInputs();
-                node.tick(nowMillis());
-                if (node.step(nowMillis())) {
-                    node.sync(nowMillis());
-                }
-                status = node.status();
-                leader = node.isLeader();
-                completeTransfers(false);
+            while (!stopping) {
+                runStep();
             }
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
-        } catch (RuntimeException exception) {
-            EventLog.error(Event.INTERNAL_ERROR, exception, "replica", settings.replicaId());
-            node.stop("internal error: " + exception);
         } finally {
             // Runs after an Error too, so that pending proposals and reads do not wait forever.
             shutDown();
         }
     }
 
+    private void runStep() throws InterruptedException {
+        try {
+            handleInputs();
+            if (node.isRunning()) {
+                advance();
+            } else if (reopenBackoff.isDue(nowMillis())) {
+                reopen();
+            }
+        } catch (RuntimeException exception) {
+            EventLog.error(Event.INTERNAL_ERROR, exception, "replica", settings.replicaId());
+            node.stop("internal error: " + exception);
+            recordFailure();
+        }
+    }
+
+    private void advance() {
+        node.tick(nowMillis());
+        if (node.step(nowMillis())) {
+            node.sync(nowMillis());
+        }
+        publishStatus();
+        completeTransfers(false);
+        if (!node.isRunning()) {
+            recordFailure();
+        }
+    }
+
+    private void reopen() {
+        Result<ReplicaNode> opened = open(ReplicaNode::reopen);
+        if (!opened.isSuccess()) {
+            recordFailure();
+            return;
+        }
+        node = opened.get();
+        publishStatus();
+        EventLog.information(
+                Event.REPLICA_REOPENED,
+                "replica",
+                settings.replicaId(),
+                "term",
+                status.term(),
+                "lastIndex",
+                status.lastIndex(),
+                "failures",
+                failureCount);
+    }
+
+    private void recordFailure() {
+        failureCount++;
+        reopenBackoff.recordFailure(nowMillis());
+        publishStatus();
+    }
+
+    private void publishStatus() {
+        status = node.status();
+        leader = node.isLeader();
+    }
+
     private void handleInputs() throws InterruptedException {
         Runnable input = inputs.poll(TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         for (int count = 0; input != null; count++) {
@@ -194,8 +287,7 @@
     private void shutDown() {
         stopping = true;
         node.stop(STOPPED_MESSAGE);
-        leader = false;
-        status = node.status();
+        publishStatus();
         completeTransfers(true);
         // The node is stopped, so the remaining proposals and reads complete as NotLeader.
         for (Runnable input = inputs.poll(); input != null; input = inputs.poll()) {
@@ -337,6 +429,15 @@
         return status;
     }
 
+    /**
+     * Returns how often the replica has failed or could not be opened again since its start.
+     *
+     * @return the number of failures
+     */
+    public long failureCount() {
+        return failureCount;
+    }
+
     /**
      * Transfers leadership to the voter with the most complete log.
      *
--- a/src/main/java/org/yuccabank/replication/StateMachine.java
+++ b/src/main/java/org/yuccabank/replication/StateMachine.java
@@ -26,7 +26,8 @@
     /**
      * Replaces the complete state.
      *
-     * @param snapshot state returned by {@link #snapshot} on this or another replica
+     * @param snapshot state returned by {@link #snapshot} on this or another replica, or no bytes
+     *     for the initial state
      */
     void restore(byte[] snapshot);
 }
--- a/src/main/java/org/yuccabank/verify/CheckedStateMachine.java
+++ b/src/main/java/org/yuccabank/verify/CheckedStateMachine.java
@@ -125,6 +125,10 @@
 
     @Override
     public void restore(byte[] snapshot) {
+        if (snapshot.length == 0) {
+            reset();
+            return;
+        }
         ByteBuffer buffer = ByteBuffer.wrap(snapshot);
         index = buffer.getLong();
         digest = buffer.getLong();
@@ -143,4 +147,14 @@
         }
         observer.onRestored(index, digest);
     }
+
+    private void reset() {
+        index = 0;
+        digest = 0;
+        counter = 0;
+        register = 0;
+        rulesVersion = 0;
+        rulesOwner = 0;
+        lastResults.clear();
+    }
 }
--- a/src/main/java/org/yuccabank/verify/FakeDisk.java
+++ b/src/main/java/org/yuccabank/verify/FakeDisk.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -11,7 +12,9 @@
 
 /**
  * In-memory disk that distinguishes between written and synced bytes. A crash loses unsynced bytes,
- * or keeps some of them, among which a sector may read as zeros. Not thread-safe.
+ * or keeps some of them, among which a sector may read as zeros. Bytes whose sync has failed can be
+ * read, but are never written to the disk: a later sync succeeds without them, and a crash loses
+ * them. The same holds for every second replacement that fails. Not thread-safe.
  */
 final class FakeDisk implements StorageDirectory {
 
@@ -22,6 +25,7 @@
     private final Map<String, FakeFile> files = new TreeMap<>();
     private boolean full;
     private int operationsUntilFailure = NO_FAILURE;
+    private int failedReplacements;
 
     FakeDisk(Simulation simulation) {
         this.simulation = simulation;
@@ -56,7 +60,18 @@
 
     /** Loses all or part of the unsynced writes. */
     void crash() {
-        files.values().forEach(FakeFile::crash);
+        for (String name : List.copyOf(files.keySet())) {
+            FakeFile file = files.get(name);
+            while (file != null && file.renameLost) {
+                file = file.replaced.orElse(null);
+            }
+            if (file == null) {
+                files.remove(name);
+            } else {
+                files.put(name, file);
+                file.crash();
+            }
+        }
     }
 
     @Override
@@ -66,14 +81,24 @@
 
     @Override
     public void replace(String name, Iterable<byte[]> parts) throws IOException {
-        failIfDue();
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        parts.forEach(bytes::writeBytes);
+        FakeFile replacement = new FakeFile(bytes.toByteArray());
         if (full) {
             simulation.countFault(Fault.DISK_FULL);
             throw new IOException("no space left on device");
         }
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        parts.forEach(bytes::writeBytes);
-        files.put(name, new FakeFile(bytes.toByteArray()));
+        try {
+            failIfDue();
+        } catch (IOException exception) {
+            failedReplacements++;
+            if (failedReplacements % 2 == 0) {
+                replacement.replaced = Optional.ofNullable(files.put(name, replacement));
+                replacement.renameLost = true;
+            }
+            throw exception;
+        }
+        files.put(name, replacement);
     }
 
     @Override
@@ -86,6 +111,10 @@
         private int size;
         private int syncedSize;
         private byte[] dataBeforeTruncation;
+        private int unwrittenFrom;
+        private int unwrittenTo;
+        private boolean renameLost;
+        private Optional<FakeFile> replaced = Optional.empty();
 
         private FakeFile(byte[] content) {
             data = content;
@@ -127,11 +156,19 @@
             }
             size = (int) newSize;
             syncedSize = Math.min(syncedSize, size);
+            unwrittenTo = Math.min(unwrittenTo, size);
         }
 
         @Override
         public void sync() throws IOException {
-            failIfDue();
+            try {
+                failIfDue();
+            } catch (IOException exception) {
+                unwrittenFrom = unwrittenTo > unwrittenFrom ? unwrittenFrom : syncedSize;
+                unwrittenTo = size;
+                syncedSize = size;
+                throw exception;
+            }
             syncedSize = size;
             dataBeforeTruncation = null;
         }
@@ -143,8 +180,13 @@
             } else if (size > syncedSize) {
                 tearUnsyncedWrite();
             }
+            if (unwrittenFrom < Math.min(unwrittenTo, size)) {
+                Arrays.fill(data, unwrittenFrom, Math.min(unwrittenTo, size), (byte) 0);
+            }
             dataBeforeTruncation = null;
             syncedSize = size;
+            unwrittenFrom = 0;
+            unwrittenTo = 0;
         }
 
         private void tearUnsyncedWrite() {
--- a/src/main/java/org/yuccabank/verify/SimulatedReplica.java
+++ b/src/main/java/org/yuccabank/verify/SimulatedReplica.java
@@ -35,6 +35,7 @@
     private boolean paused;
     private boolean syncScheduled;
     private boolean retired;
+    private int diskFailures;
 
     SimulatedReplica(
             SimulatedGroup group, String id, List<ReplicaMember> members, FakeClock clock) {
@@ -170,7 +171,12 @@
     private void afterInput(ReplicaNode currentNode) {
         boolean unsynced = currentNode.step(nowMillis());
         if (!currentNode.isRunning()) {
-            crash();
+            diskFailures++;
+            if (diskFailures % 2 == 0) {
+                crash();
+            } else {
+                restart();
+            }
             return;
         }
         if (unsynced && !syncScheduled) {
@@ -206,9 +212,14 @@
             return;
         }
         simulation.countFault(Fault.CRASH);
+        disk.crash();
+        restart();
+    }
+
+    /** Restarts the process. Its host stays up and keeps unsynced writes. */
+    private void restart() {
         node = null;
         incarnation++;
-        disk.crash();
         simulation.scheduleMillis(
                 simulation.random().nextLong(MAXIMUM_DOWNTIME_MILLIS) + 1, this::start);
     }
--- a/src/test/java/org/yuccabank/replication/ReplicaServiceTest.java
+++ b/src/test/java/org/yuccabank/replication/ReplicaServiceTest.java
@@ -27,6 +27,7 @@
 
     private final Map<String, ReplicaService> services = new ConcurrentHashMap<>();
     private final Map<String, RecordingStateMachine> machines = new HashMap<>();
+    private final Map<String, FailingDirectory.Disk> disks = new HashMap<>();
     private Path directory;
 
     /** Starts a group of three replicas in an empty directory. */
@@ -63,7 +64,14 @@
                         members,
                         ReplicaTiming.defaults(),
                         SNAPSHOT_ENTRIES);
-        ReplicaService service = ReplicaService.of(settings, machine, this::deliver);
+        FailingDirectory.Disk disk = new FailingDirectory.Disk();
+        disks.put(id, disk);
+        ReplicaService service =
+                ReplicaService.of(
+                        settings,
+                        machine,
+                        this::deliver,
+                        path -> new FailingDirectory(FileDirectory.open(path), disk));
         machines.put(id, machine);
         assertTrue(service.start().isSuccess());
         services.put(id, service);
@@ -210,6 +218,45 @@
         }
     }
 
+    /**
+     * Guards against replicas that stay stopped after their disks were full for a moment, one after
+     * the other, so that no majority is left.
+     */
+    @Test
+    public void shouldServeAfterDisksWereFullInTurn() throws Exception {
+        List<String> expected = new ArrayList<>(propose("first-", 5));
+        for (int round = 0; round < 2; round++) {
+            String full = leader();
+            disks.get(full).setFull(true);
+            var unused = services.get(full).propose(new byte[] {1});
+            await("a stop", () -> services.get(full).status().stopReason().isPresent());
+            expected.addAll(propose("round-" + round + "-", 5));
+            disks.get(full).setFull(false);
+            await("a reopening", () -> services.get(full).status().stopReason().isEmpty());
+            assertTrue(services.get(full).failureCount() > 0);
+            await("catch-up", () -> machines.get(full).commands().containsAll(expected));
+        }
+        expected.addAll(propose("last-", 1));
+        for (RecordingStateMachine machine : machines.values()) {
+            await("equal state", () -> machine.commands().containsAll(expected));
+        }
+        assertEquals(machines.get("a").commands(), machines.get("b").commands());
+        assertEquals(machines.get("b").commands(), machines.get("c").commands());
+    }
+
+    /** Guards against a replica that ends for good after an exception while its process lives. */
+    @Test
+    public void shouldReopenAfterException() throws Exception {
+        propose("first-", 3);
+        String failing = leader();
+        machines.get(failing).failNextCommand();
+        var unused = services.get(failing).propose("second".getBytes(StandardCharsets.UTF_8));
+        await("a failure", () -> services.get(failing).failureCount() > 0);
+        await("a reopening", () -> services.get(failing).status().stopReason().isEmpty());
+        List<String> expected = propose("third-", 1);
+        await("catch-up", () -> machines.get(failing).commands().containsAll(expected));
+    }
+
     /** Guards against a replica that still reports to be running after its thread has ended. */
     @Test
     public void shouldStopWhenThreadEndsWithError() throws Exception {
--- a/src/test/java/org/yuccabank/verify/VerificationTest.java
+++ b/src/test/java/org/yuccabank/verify/VerificationTest.java
@@ -36,6 +36,18 @@
         assertEquals(Verification.run(1, seed).violations(), List.of());
     }
 
+    /** Seeds with which a replica once trusted records whose sync had failed. */
+    @DataProvider
+    public Object[][] seedsWithFailedSync() {
+        return new Object[][] {{15L}, {313L}, {10_152L}, {20_127L}, {30_247L}};
+    }
+
+    /** Guards against records that can be read after a failed sync, but are not on the disk. */
+    @Test(dataProvider = "seedsWithFailedSync")
+    public void shouldNotTrustFailedSync(long seed) {
+        assertEquals(Verification.run(1, seed).violations(), List.of());
+    }
+
     /** Guards against three candidates that never elect a leader in a network without faults. */
     @Test
     public void shouldElectLeaderAmongThreeCandidates() {
