Stop a run whose start is in doubt before it is given up

Cause: RunCalls took the refusal of a repeated start for the answer to the first one, which was not answered and was carried out seconds later, beside or after the next run of its task. A refusal tells only that the refused call did nothing. The first call may also be one of a previous agent process, which the next one does not know.

Change: a refused start that is in doubt is stopped first, and is reported as not started once a list that was requested after the stop does not contain it. The starts that a previous process may have sent are those that come before the leader has answered the first list of this process; they count as in doubt. A refusal by another incarnation remains final.

Looked at for the same cause: stops (confirmed one by one, absence only from a later list), requests that the gateway forwards (an attempt in doubt stays in doubt after a refusal), reports (each answer belongs to its report by correlation and sequence).

--- a/src/main/java/org/yuccabank/agent/workflow/RunCalls.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunCalls.java
@@ -10,8 +10,8 @@
  * Sends the starts and stops of runs to the worker and follows up on their outcomes.
  *
  * <p>Invariants: no start exceeds the capacity that the worker has announced; at most one call of a
- * run is in progress; the outcome of an unanswered call follows from the worker's list. Confined to
- * the agent's event loop.
+ * run is in progress; the outcome of an unanswered call follows from the worker's list, never from
+ * the answer to a later call. Confined to the agent's event loop.
  */
 final class RunCalls {
 
@@ -176,13 +176,22 @@
                                 () -> advance(entry), CALL_RETRY_MILLIS, TimeUnit.MILLISECONDS);
             }
             case OUTDATED -> entry.awaitAbsence(WorkflowAgent.nowMillis());
+            case OTHER_INCARNATION -> recordRefused(entry, refusal);
             default -> {
-                entry.recordNotStarted(refusal.toString());
-                context.requestReport();
+                if (entry.isStartUncertain()) {
+                    entry.setStage(RunEntry.Stage.UNCERTAIN);
+                } else {
+                    recordRefused(entry, refusal);
+                }
             }
         }
     }
 
+    private void recordRefused(RunEntry entry, WorkerApi.Refusal refusal) {
+        entry.recordNotStarted(refusal.toString());
+        context.requestReport();
+    }
+
     private void onStartUnanswered(RunEntry entry, String detail) {
         WorkflowAgentLog.unsettledCall(entry, "start not answered: " + detail);
         if (entry.countStartAttempt() >= MAXIMUM_START_ATTEMPTS) {
--- a/src/main/java/org/yuccabank/agent/workflow/RunEntry.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunEntry.java
@@ -47,6 +47,7 @@
     private int startAttempts;
     private boolean startInProgress;
     private boolean startUncertain;
+    private boolean sentByPreviousProcess;
     private OptionalLong confirmedAtMillis = OptionalLong.empty();
     private boolean startSent;
     private boolean deferred;
@@ -66,8 +67,18 @@
         this.listed = ActiveRun.newBuilder().setRun(run).build();
     }
 
-    static RunEntry forStart(StartRun startRequest) {
-        return new RunEntry(startRequest.getRun(), Optional.of(startRequest), Stage.STARTING);
+    /**
+     * Returns a run to start.
+     *
+     * @param startRequest the request of the leader
+     * @param possiblySent whether a previous agent process may have sent the start
+     */
+    static RunEntry forStart(StartRun startRequest, boolean possiblySent) {
+        RunEntry entry =
+                new RunEntry(startRequest.getRun(), Optional.of(startRequest), Stage.STARTING);
+        entry.startSent = possiblySent;
+        entry.sentByPreviousProcess = possiblySent;
+        return entry;
     }
 
     static RunEntry discovered(RunAddress run) {
@@ -151,6 +162,14 @@
                 && (startInProgress || startUncertain);
     }
 
+    /**
+     * Returns whether an earlier start call may be carried out yet. The outcome of a later call
+     * tells nothing about it.
+     */
+    boolean isStartUncertain() {
+        return startUncertain || sentByPreviousProcess;
+    }
+
     int countStartAttempt() {
         return ++startAttempts;
     }
--- a/src/main/java/org/yuccabank/agent/workflow/RunTable.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunTable.java
@@ -24,8 +24,8 @@
  * The runs of one incarnation of a worker.
  *
  * <p>Invariants: an end is kept until the leader acknowledges or settles it; a run is reported as
- * not started only if the worker refused it, or if it was absent from a list that was requested
- * after the worker had confirmed its stop. Confined to the agent's event loop.
+ * not started only if the worker refused its only start call, or if it was absent from a list that
+ * was requested after the worker had confirmed its stop. Confined to the agent's event loop.
  */
 final class RunTable {
 
@@ -82,8 +82,12 @@
                                         && !entry.isCallInProgress());
     }
 
-    /** Adds a run to start and returns its entry, empty if the run is already known. */
-    Optional<RunEntry> addStart(StartRun startRequest) {
+    /**
+     * Adds a run to start and returns its entry, empty if the run is already known.
+     *
+     * @param possiblySent whether a previous agent process may have sent the start
+     */
+    Optional<RunEntry> addStart(StartRun startRequest, boolean possiblySent) {
         RunEntry knownEntry = entries.get(startRequest.getRun());
         if (knownEntry != null) {
             if (knownEntry.startRequest().isEmpty()) {
@@ -91,7 +95,7 @@
             }
             return Optional.empty();
         }
-        RunEntry entry = RunEntry.forStart(startRequest);
+        RunEntry entry = RunEntry.forStart(startRequest, possiblySent);
         entries.put(startRequest.getRun(), entry);
         return Optional.of(entry);
     }
--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -87,6 +87,12 @@
     private boolean reportRequested;
     private boolean stopped;
 
+    /**
+     * Whether the leader has answered a list of this process. The starts that a previous process
+     * may have sent are among those of the first answer, as its list does not contain them.
+     */
+    private boolean listAnswered;
+
     private WorkflowAgent(
             WorkflowAgentConfiguration configuration, WorkerApi api, EventLoopGroup eventLoops) {
         this.configuration = configuration;
@@ -331,6 +337,8 @@
         waitingForLeader.removeAll(notifiedSinks);
         applyDirectives(reply.getWorkerDirectives());
         if (valid) {
+            listAnswered |=
+                    report.getListed() && report.getTerm() == reply.getWorkerDirectives().getTerm();
             advanceConfirmed(report);
         }
         if (reportRequested) {
@@ -421,7 +429,7 @@
         // capacity.
         List<RunEntry> added =
                 directives.getStartsList().stream()
-                        .flatMap(startRequest -> runs.addStart(startRequest).stream())
+                        .flatMap(start -> runs.addStart(start, !listAnswered).stream())
                         .toList();
         added.forEach(calls::advance);
         for (RunAddress run : directives.getStopsList()) {
--- a/src/test/java/org/yuccabank/agent/workflow/CrashEvidenceTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/CrashEvidenceTest.java
@@ -31,7 +31,8 @@
     }
 
     private static RunEntry start(RunTable table, String workflowId) {
-        return table.addStart(StartRun.newBuilder().setRun(run(workflowId)).build()).orElseThrow();
+        return table.addStart(StartRun.newBuilder().setRun(run(workflowId)).build(), false)
+                .orElseThrow();
     }
 
     /** Guards against suspecting runs that had lasted, or that never reached the worker. */
--- a/src/test/java/org/yuccabank/agent/workflow/RunTableTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/RunTableTest.java
@@ -35,7 +35,7 @@
     @Test
     public void shouldReportRunNotStartedOnlyIfAbsentFromListAfterStop() {
         RunTable table = new RunTable();
-        RunEntry entry = table.addStart(START_REQUEST).orElseThrow();
+        RunEntry entry = table.addStart(START_REQUEST, false).orElseThrow();
         entry.setStage(RunEntry.Stage.UNCERTAIN);
         assertFalse(table.applyListing(List.of(), List.of(), 50));
         entry.awaitAbsence(100);
@@ -50,7 +50,7 @@
     @Test
     public void shouldReportEndOfRunWithUnansweredStart() {
         RunTable table = new RunTable();
-        table.addStart(START_REQUEST).orElseThrow().awaitAbsence(100);
+        table.addStart(START_REQUEST, false).orElseThrow().awaitAbsence(100);
         assertTrue(table.applyListing(List.of(), List.of(done(7)), 200));
         assertEquals(table.ended(), List.of(done(7)));
     }
@@ -59,7 +59,7 @@
     @Test
     public void shouldNotRestoreRunWithAcknowledgedEnd() {
         RunTable table = new RunTable();
-        table.addStart(START_REQUEST);
+        table.addStart(START_REQUEST, false);
         table.applyListing(List.of(), List.of(done(7)), 10);
         table.acknowledge(7);
         table.applyListing(List.of(), List.of(done(7)), 20);
@@ -73,7 +73,7 @@
     @Test
     public void shouldDetectEndsThatTheWorkerRepeats() {
         RunTable table = new RunTable();
-        table.addStart(START_REQUEST);
+        table.addStart(START_REQUEST, false);
         assertFalse(table.hasUnacknowledgedEnds());
         table.applyListing(List.of(), List.of(done(7)), 10);
         assertTrue(table.hasUnacknowledgedEnds());
@@ -85,8 +85,8 @@
     @Test
     public void shouldAddStartOnce() {
         RunTable table = new RunTable();
-        assertTrue(table.addStart(START_REQUEST).isPresent());
-        assertTrue(table.addStart(START_REQUEST).isEmpty());
+        assertTrue(table.addStart(START_REQUEST, false).isPresent());
+        assertTrue(table.addStart(START_REQUEST, false).isEmpty());
     }
 
     /** Guards against a new agent process that does not report runs started by the previous one. */
@@ -96,7 +96,7 @@
         ActiveRun active = ActiveRun.newBuilder().setRun(RUN).setPercent(40).build();
         table.applyListing(List.of(active), List.of(), 10);
         assertEquals(table.active(), List.of(active.toBuilder().setUnknown(true).build()));
-        table.addStart(START_REQUEST.toBuilder().setLatencyTargetMillis(20).build());
+        table.addStart(START_REQUEST.toBuilder().setLatencyTargetMillis(20).build(), false);
         assertEquals(table.servingRuns().size(), 1, "the target is known again");
         assertEquals(table.active(), List.of(active));
     }
--- a/src/test/java/org/yuccabank/agent/workflow/StartAdmissionTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/StartAdmissionTest.java
@@ -34,7 +34,8 @@
                                         .setProcessorMillis(4_000)
                                         .setMemoryMebibytes(400)
                                         .setAccelerators(4))
-                        .build());
+                        .build(),
+                false);
     }
 
     private static StartAdmission.Decision decide(RunEntry other, Resources capacity) {
--- a/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
@@ -1,13 +1,18 @@
 package org.yuccabank.agent.workflow;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Queue;
 import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -21,6 +26,7 @@
 import org.yuccabank.protocol.generated.Envelope;
 import org.yuccabank.protocol.generated.Hello;
 import org.yuccabank.protocol.generated.RunAddress;
+import org.yuccabank.protocol.generated.RunEnding;
 import org.yuccabank.protocol.generated.StartRun;
 import org.yuccabank.protocol.generated.TaskAddress;
 import org.yuccabank.protocol.generated.WorkerDirectives;
@@ -68,8 +74,13 @@
         }
     }
 
-    /** Records calls and runs nothing. Thread-safe. */
+    /** Records calls; runs only what the test lists. Thread-safe. */
     private static final class FakeWorker implements WorkerApi {
+        private static final CallOutcome UNANSWERED = new CallOutcome.Unanswered("no answer");
+
+        private final Queue<CallOutcome> startOutcomes = new ConcurrentLinkedQueue<>();
+        private volatile CallOutcome stopOutcome = UNANSWERED;
+        private volatile List<ActiveRun> listed = List.of();
         private final List<RunAddress> starts = new CopyOnWriteArrayList<>();
         private final List<RunAddress> stops = new CopyOnWriteArrayList<>();
         private volatile boolean answersLists = true;
@@ -82,19 +93,19 @@
         public Mono<CallOutcome> start(
                 WorkerAnnouncement target, StartRun startRequest, FencedLease fencedLease) {
             starts.add(startRequest.getRun());
-            return Mono.just(new CallOutcome.Unanswered("no answer"));
+            return Mono.just(Optional.ofNullable(startOutcomes.poll()).orElse(UNANSWERED));
         }
 
         @Override
         public Mono<CallOutcome> stop(WorkerAnnouncement target, RunAddress run, long token) {
             stops.add(run);
-            return Mono.just(new CallOutcome.Unanswered("no answer"));
+            return Mono.just(stopOutcome);
         }
 
         @Override
         public Mono<CallOutcome> setSpeed(
                 WorkerAnnouncement target, RunAddress run, int percent, long token) {
-            return Mono.just(new CallOutcome.Unanswered("no answer"));
+            return Mono.just(UNANSWERED);
         }
 
         @Override
@@ -102,7 +113,7 @@
                 WorkerAnnouncement target, FencedLease lease, long acknowledged, long waitMillis) {
             ListOutcome outcome =
                     answersLists
-                            ? new ListOutcome.Listing(clockMillis(), List.of(), List.of())
+                            ? new ListOutcome.Listing(clockMillis(), listed, List.of())
                             : new ListOutcome.Unavailable("no answer");
             return Mono.delay(Duration.ofMillis(50)).thenReturn(outcome);
         }
@@ -119,7 +130,12 @@
                         transport,
                         new InetSocketAddress("127.0.0.1", 0),
                         (from, request) -> leader.reply(request));
-        agent =
+        agent = startAgent();
+        await(() -> leader.latest.getListed());
+    }
+
+    private WorkflowAgent startAgent() {
+        WorkflowAgent started =
                 WorkflowAgent.start(
                         new WorkflowAgentConfiguration(
                                 "agent",
@@ -130,7 +146,7 @@
                                 TIMEOUT.toMillis()),
                         worker,
                         eventLoops);
-        agent.announce(
+        started.announce(
                         new WorkerAnnouncement(
                                 WorkerIdentity.newBuilder()
                                         .setWorkerId("w")
@@ -146,7 +162,7 @@
                                 FakeWorker.clockMillis(),
                                 1))
                 .block(TIMEOUT);
-        await(() -> leader.latest.getListed());
+        return started;
     }
 
     @AfterMethod(alwaysRun = true)
@@ -198,6 +214,74 @@
         assertEquals(worker.starts, List.of());
     }
 
+    private boolean isReportedAsNotStarted() {
+        return leader.latest.getEndedList().stream()
+                .anyMatch(
+                        ended ->
+                                ended.getRun().equals(RUN)
+                                        && ended.getEnding() == RunEnding.RUN_NOT_STARTED);
+    }
+
+    private static void refuseStartsAfter(FakeWorker worker, WorkerApi.CallOutcome... first) {
+        worker.startOutcomes.addAll(List.of(first));
+        worker.startOutcomes.add(new WorkerApi.CallOutcome.Refused(WorkerApi.Refusal.UNHEALTHY));
+    }
+
+    /**
+     * Guards against a start that was not answered, is reported as not started because its
+     * repetition was refused, and is carried out later beside the next run of its task.
+     */
+    @Test
+    public void shouldStopRunWhoseRepeatedStartIsRefused() {
+        await(() -> leader.latest.getSequence() > 2);
+        refuseStartsAfter(worker, FakeWorker.UNANSWERED);
+        leader.assigned = true;
+        await(() -> worker.stops.contains(RUN));
+        assertFalse(isReportedAsNotStarted(), "the first start may be carried out yet");
+        worker.stopOutcome = new WorkerApi.CallOutcome.Done(OptionalLong.empty());
+        await(this::isReportedAsNotStarted);
+    }
+
+    /** Guards against a run that is reported as not started although it was started late. */
+    @Test
+    public void shouldReportLateStartAsActive() {
+        await(() -> leader.latest.getSequence() > 2);
+        refuseStartsAfter(worker, FakeWorker.UNANSWERED);
+        leader.assigned = true;
+        await(() -> worker.stops.contains(RUN));
+        worker.listed = List.of(ActiveRun.newBuilder().setRun(RUN).setPercent(1).build());
+        worker.stopOutcome = new WorkerApi.CallOutcome.Done(OptionalLong.empty());
+        await(() -> leader.latest.getActiveList().stream().anyMatch(run -> run.getPercent() == 1));
+        long sequence = leader.latest.getSequence();
+        await(() -> leader.latest.getSequence() > sequence + 1);
+        assertFalse(isReportedAsNotStarted(), "the worker lists the run");
+    }
+
+    /** Guards against a refused start that delays the next run of its task by a stop. */
+    @Test
+    public void shouldReportRefusalOfOnlyStartAtOnce() {
+        await(() -> leader.latest.getSequence() > 2);
+        refuseStartsAfter(worker);
+        leader.assigned = true;
+        await(this::isReportedAsNotStarted);
+        assertEquals(worker.stops, List.of());
+    }
+
+    /**
+     * Guards against a start of a previous agent process that is carried out later, although its
+     * repetition by the next process was refused.
+     */
+    @Test
+    public void shouldStopRefusedRunThatPreviousProcessMayHaveStarted() {
+        agent.stop();
+        leader.assigned = true;
+        refuseStartsAfter(worker);
+        worker.stopOutcome = new WorkerApi.CallOutcome.Done(OptionalLong.empty());
+        agent = startAgent();
+        await(this::isReportedAsNotStarted);
+        assertEquals(worker.stops, List.of(RUN));
+    }
+
     /** Guards against a start that is never sent because it had to wait. */
     @Test
     public void shouldSendWaitingStartOnceTheLeaderHasConfirmedIt() {
