Estimate each step of a workflow once in a planning round

What callers saw: after one job of 54 dependent steps, 4 KB, no request was answered by any leader any more.

Cause: StepEstimates.remainingPathMillis walked every path through the steps, 3 to the power of 18 here, on the replica thread, for each ready step of each live job in every round. The leader sent no heartbeats, and the job was in the log of the next one.

Looked at for the same cause: a job of few bytes can hold millions of tasks (the product of tasks and occurrences overflowed, so that any number was accepted), repeated dependencies, amounts and times whose sums overflow, problems without bound in an error message.

--- a/src/main/java/org/yuccabank/control/workflow/StepEstimates.java
+++ b/src/main/java/org/yuccabank/control/workflow/StepEstimates.java
@@ -1,5 +1,6 @@
 package org.yuccabank.control.workflow;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.function.IntToDoubleFunction;
 import java.util.stream.IntStream;
@@ -27,29 +28,26 @@
     private StepEstimates() {}
 
     /**
-     * Returns the expected time of the longest chain of dependent steps that starts with a step.
+     * Returns for each step the expected time of the longest chain of dependent steps that starts
+     * with it. A step depends on earlier steps only, so one pass suffices.
      *
      * @param stepMillis expected run time of a task of each step
      */
-    static double remainingPathMillis(
-            WorkflowDefinition definition, int step, IntToDoubleFunction stepMillis) {
-        double longest = 0;
-        for (int next = step + 1; next < definition.getStepsCount(); next++) {
-            if (definition.getSteps(next).getDependsOnList().contains(step)) {
-                longest = Math.max(longest, remainingPathMillis(definition, next, stepMillis));
+    static double[] remainingPathMillis(
+            WorkflowDefinition definition, IntToDoubleFunction stepMillis) {
+        double[] longest = new double[definition.getStepsCount()];
+        for (int step = longest.length - 1; step >= 0; step--) {
+            longest[step] += stepMillis.applyAsDouble(step);
+            for (int dependency : definition.getSteps(step).getDependsOnList()) {
+                longest[dependency] = Math.max(longest[dependency], longest[step]);
             }
         }
-        return stepMillis.applyAsDouble(step) + longest;
+        return longest;
     }
 
-    /** Returns the expected time of the longest chain of dependent steps. */
-    static double criticalPathMillis(
-            WorkflowDefinition definition, IntToDoubleFunction stepMillis) {
-        double longest = 0;
-        for (int step = 0; step < definition.getStepsCount(); step++) {
-            longest = Math.max(longest, remainingPathMillis(definition, step, stepMillis));
-        }
-        return longest;
+    /** Returns the expected time of the longest of some chains of dependent steps. */
+    static double criticalPathMillis(double[] remainingPathMillis) {
+        return Arrays.stream(remainingPathMillis).max().orElse(0);
     }
 
     /**
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowRequestHandler.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowRequestHandler.java
@@ -19,6 +19,7 @@
 import org.yuccabank.protocol.generated.WorkflowReply.Verdict;
 import org.yuccabank.protocol.generated.WorkflowRequest;
 import org.yuccabank.state.workflow.Workflow;
+import org.yuccabank.state.workflow.WorkflowLimits;
 
 /**
  * Handles the requests of clients and operators on the leader.
@@ -28,6 +29,9 @@
  */
 final class WorkflowRequestHandler {
 
+    /** Delay after which some of the recorded tasks have usually ended. */
+    private static final long RECORDS_FULL_RETRY_MILLIS = 5_000;
+
     private final WorkflowLeader leader;
     private final MembershipManager membership;
     private final WorkflowLog log = new WorkflowLog();
@@ -133,6 +137,17 @@
         }
         WorkflowDefinition definition =
                 request.getSubmit().toBuilder().setWorkflowId(workflowId).build();
+        Optional<String> violation = WorkflowLimits.violation(definition);
+        if (violation.isPresent() || !WorkflowLimits.hasOrderedDependencies(definition)) {
+            return completed(
+                    reply(Verdict.INVALID, violation.orElse("a dependency is no earlier step")));
+        }
+        if (!leader.records().hasRoomFor(definition)) {
+            log.refused(definition, match.get().queue(), RECORDS_FULL_RETRY_MILLIS);
+            return completed(
+                    reply(Verdict.REFUSED, "too many tasks are recorded")
+                            .setRetryAfterMillis(RECORDS_FULL_RETRY_MILLIS));
+        }
         OptionalLong retryAfterMillis = retryAfterMillis(definition, match.get().queue());
         if (retryAfterMillis.isPresent()) {
             log.refused(definition, match.get().queue(), retryAfterMillis.getAsLong());
--- a/src/main/java/org/yuccabank/state/workflow/WorkflowRecords.java
+++ b/src/main/java/org/yuccabank/state/workflow/WorkflowRecords.java
@@ -21,6 +21,7 @@
 import org.yuccabank.protocol.generated.TaskAddress;
 import org.yuccabank.protocol.generated.WorkerIdentity;
 import org.yuccabank.protocol.generated.WorkflowCommand;
+import org.yuccabank.protocol.generated.WorkflowDefinition;
 import org.yuccabank.protocol.generated.WorkflowPhase;
 import org.yuccabank.state.generated.WorkflowRecord;
 
@@ -47,6 +48,8 @@
     private final Map<WorkerIdentity, Set<WorkflowTask>> openRuns = new HashMap<>();
     private FleetConfiguration configuration = FleetConfiguration.getDefaultInstance();
     private LearnedState learned = LearnedState.getDefaultInstance();
+    private long liveElements;
+    private long retainedElements;
 
     /** Declared work of the retained workflows of one queue. */
     private static final class QueueWork {
@@ -91,6 +94,19 @@
         return Collections.unmodifiableCollection(liveWorkflows.values());
     }
 
+    /**
+     * Returns whether a workflow can be added without exhausting the memory of the replicas or the
+     * time of a planning round.
+     *
+     * @param definition the definition of the workflow
+     * @return false if it has to wait until others have ended or are forgotten
+     */
+    public boolean hasRoomFor(WorkflowDefinition definition) {
+        long elements = WorkflowLimits.elements(definition);
+        return liveElements + elements <= WorkflowLimits.MAXIMUM_LIVE_ELEMENTS
+                && retainedElements + elements <= WorkflowLimits.MAXIMUM_RETAINED_ELEMENTS;
+    }
+
     /**
      * Returns the mean work of the retained workflows of a queue according to their declared
      * estimates.
@@ -171,8 +187,11 @@
                 queueWork.computeIfAbsent(workflow.queue().getName(), name -> new QueueWork());
         work.coreSeconds += workflow.declaredCoreSeconds();
         work.workflows++;
+        long elements = WorkflowLimits.elements(workflow.definition());
+        retainedElements += elements;
         if (!workflow.isFinal()) {
             liveWorkflows.put(workflow.id(), workflow);
+            liveElements += elements;
         }
     }
 
@@ -182,8 +201,8 @@
     }
 
     private void removeFromLiveIfFinal(Workflow workflow) {
-        if (workflow.isFinal()) {
-            liveWorkflows.remove(workflow.id());
+        if (workflow.isFinal() && liveWorkflows.remove(workflow.id()) != null) {
+            liveElements -= WorkflowLimits.elements(workflow.definition());
         }
     }
 
@@ -296,6 +315,7 @@
                         && workflow.allTasks().stream().anyMatch(each -> each.worker().isPresent());
         if (workflow != null && workflow.isFinal() && !open) {
             workflows.remove(workflowId);
+            retainedElements -= WorkflowLimits.elements(workflow.definition());
             QueueWork work = queueWork.get(workflow.queue().getName());
             work.coreSeconds -= workflow.declaredCoreSeconds();
             work.workflows--;
--- a/src/test/java/org/yuccabank/control/workflow/WorkflowPlannerTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/WorkflowPlannerTest.java
@@ -13,6 +13,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.yuccabank.policy.workflow.FeasibleFirstOrder;
@@ -26,6 +28,7 @@
 import org.yuccabank.protocol.generated.QueueDefinition;
 import org.yuccabank.protocol.generated.ResourceVector;
 import org.yuccabank.protocol.generated.RunEnding;
+import org.yuccabank.protocol.generated.StepDefinition;
 import org.yuccabank.protocol.generated.WorkerReport;
 import org.yuccabank.protocol.generated.WorkflowAddress;
 import org.yuccabank.protocol.generated.WorkflowDefinition;
@@ -107,6 +110,70 @@
         assertEquals(plan(new AvailableWorker(stopping, free.circuitState())).size(), 2);
     }
 
+    /** Returns steps of which each depends on the three of the stage before. */
+    private static StepDefinition.Builder[] stages(int count) {
+        return IntStream.range(0, 3 * count)
+                .mapToObj(
+                        number -> {
+                            int previous = number / 3 * 3 - 3;
+                            return previous < 0
+                                    ? step(1)
+                                    : step(1, previous, previous + 1, previous + 2);
+                        })
+                .toArray(StepDefinition.Builder[]::new);
+    }
+
+    /**
+     * Guards against planning that follows every path through the steps of a workflow, which keeps
+     * all leaders busy with one workflow of 54 steps.
+     */
+    @Test
+    public void shouldEstimateEachStepOnce() {
+        int stages = 18;
+        records.apply(accept("a", stages(stages)), NOW);
+        AtomicInteger lookups = new AtomicInteger();
+        LearnedEstimates counting =
+                new LearnedEstimates() {
+                    @Override
+                    public double runMillis(String queueName, String stepKey, long declared) {
+                        assertTrue(lookups.incrementAndGet() <= 10 * stages, "too many lookups");
+                        return declared;
+                    }
+
+                    @Override
+                    public Pressures pressures() {
+                        return ESTIMATES.pressures();
+                    }
+
+                    @Override
+                    public Map<String, Double> pressureLimits(String workerId) {
+                        return Map.of();
+                    }
+                };
+        List<AvailableWorker> workers = List.of(worker(4, WorkerCircuitBreaker.State.CLOSED));
+        assertEquals(planner.plan(records, workers, counting, false, NOW).size(), 3);
+    }
+
+    /** Guards against a longest chain that leaves out a step or takes the shorter branch. */
+    @Test
+    public void shouldFindLongestChain() {
+        WorkflowDefinition definition =
+                accept(
+                                "a",
+                                step(1).setEstimatedMillis(5),
+                                step(1, 0).setEstimatedMillis(7),
+                                step(1, 0).setEstimatedMillis(1),
+                                step(1, 1, 2).setEstimatedMillis(3),
+                                step(1).setEstimatedMillis(2))
+                        .getAccept()
+                        .getDefinition();
+        double[] paths =
+                StepEstimates.remainingPathMillis(
+                        definition, step -> definition.getSteps(step).getEstimatedMillis());
+        assertEquals(paths, new double[] {15, 10, 4, 3, 2});
+        assertEquals(StepEstimates.criticalPathMillis(paths), 15.0);
+    }
+
     /** Guards against starts on a worker whose runs already exceed its shrunken capacity. */
     @Test
     public void shouldPlaceNothingOnWorkerOverItsCapacityUntilItGrowsAgain() {
