Ask a worker for its identity before another one replaces it

What callers saw: tasks ran twice for seconds after a status report of another writer had reached an agent, with an identifier of its own.

Cause: an agent took each later announcement for a new incarnation of its worker. The leader ended the runs of the one before, which went on.

Change: before an announcement of another incarnation counts, the agent asks the worker whether it is the one. A list that it returns with the announced birth confirms it; a refusal as another incarnation denies it; without an answer the announcement is not confirmed and is sent again. Event 710 shows refused reports.

--- a/src/main/java/org/yuccabank/agent/workflow/WorkerApi.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkerApi.java
@@ -14,6 +14,25 @@
  */
 public interface WorkerApi {
 
+    /**
+     * Asks the worker for its identity. Changes nothing at the worker.
+     *
+     * @param worker the incarnation that an announcement names
+     * @param token fencing token
+     * @return whether the worker is this incarnation
+     */
+    Mono<Identification> identify(WorkerAnnouncement worker, long token);
+
+    /** Whether a worker is the incarnation that an announcement names. */
+    enum Identification {
+        /** The worker is this incarnation. */
+        CONFIRMED,
+        /** The worker is another one, so the announcement is not its own. */
+        DENIED,
+        /** The worker has not answered. */
+        UNKNOWN
+    }
+
     /**
      * Starts a run. Idempotent for a run that exists.
      *
@@ -139,5 +158,12 @@
          * @param detail description of the failure
          */
         record Unavailable(String detail) implements ListOutcome {}
+
+        /**
+         * The host of the worker has refused the connection, as no process listens at its address.
+         *
+         * @param detail description of the failure
+         */
+        record NotListening(String detail) implements ListOutcome {}
     }
 }
--- a/src/main/java/org/yuccabank/agent/workflow/WorkerLease.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkerLease.java
@@ -28,6 +28,7 @@
     private boolean coversPreviousLeases;
     private boolean responsive = true;
     private boolean timeLeftPromised;
+    private boolean ended;
 
     WorkerLease(LeaseDurations durations) {
         this.durations = durations;
@@ -51,6 +52,11 @@
         responsive = false;
     }
 
+    /** Records that a worker that was leaving has ended, and its leases with it. */
+    void markEnded() {
+        ended = true;
+    }
+
     /** Resets the state for a new incarnation, which has its own clock and no lease. */
     void reset() {
         sampled = false;
@@ -60,6 +66,7 @@
         coversPreviousLeases = false;
         responsive = true;
         timeLeftPromised = false;
+        ended = false;
     }
 
     /** Returns an estimate of the worker's clock that is never ahead of it, empty if unknown. */
@@ -114,6 +121,10 @@
      * @return milliseconds on the worker's clock, empty while the worker answers or if unknown
      */
     OptionalLong promiseTimeLeft(long nowMillis) {
+        if (ended) {
+            timeLeftPromised = true;
+            return OptionalLong.of(0);
+        }
         OptionalLong clock = workerClock(nowMillis);
         if (responsive || !coversPreviousLeases || clock.isEmpty()) {
             return OptionalLong.empty();
--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -71,6 +71,7 @@
     private final RunCalls calls;
     private final BestEffortThrottle throttle = new BestEffortThrottle();
     private final List<MonoSink<Boolean>> waitingForLeader = new ArrayList<>();
+    private final List<MonoSink<Boolean>> waitingToLeave = new ArrayList<>();
     private Optional<WorkerAnnouncement> worker = Optional.empty();
     private long announcedAtMillis;
     private boolean leaving;
@@ -199,11 +200,11 @@
     }
 
     /**
-     * Handles the shutdown of the worker.
+     * Handles the shutdown of the worker, whose runs the leader stops.
      *
      * @param workerId identifier of the worker
-     * @return completes with true once the leader has answered a report of the shutdown,
-     *     immediately for an unknown worker
+     * @return completes with true once the leader has answered a report that the worker runs
+     *     nothing any more, immediately for an unknown worker
      */
     public Mono<Boolean> leave(String workerId) {
         return onLoop(
@@ -216,7 +217,7 @@
                         return;
                     }
                     leaving = true;
-                    waitingForLeader.add(sink);
+                    waitingToLeave.add(sink);
                     requestReport();
                 });
     }
@@ -226,13 +227,50 @@
     }
 
     private void accept(WorkerAnnouncement announcement, MonoSink<Boolean> sink) {
-        boolean newer = worker.map(announcement::isNewerThan).orElse(true);
-        if (!newer) {
+        if (isOutdated(announcement)) {
             sink.success(true);
-            return;
+        } else if (isCurrentIncarnation(announcement)) {
+            record(announcement, sink);
+        } else {
+            api.identify(announcement, term)
+                    .subscribe(
+                            identification ->
+                                    loop.execute(
+                                            () ->
+                                                    onIdentified(
+                                                            announcement, identification, sink)));
+        }
+    }
+
+    /**
+     * Records an announcement of another incarnation if the worker has confirmed it. The runs of
+     * the previous incarnation count as ended from then on, so an announcement by anyone else must
+     * not be taken for it.
+     */
+    private void onIdentified(
+            WorkerAnnouncement announcement,
+            WorkerApi.Identification identification,
+            MonoSink<Boolean> sink) {
+        if (identification != WorkerApi.Identification.CONFIRMED) {
+            WorkflowAgentLog.announcementRefused(announcement.identity(), identification);
+            sink.success(false);
+        } else if (isOutdated(announcement)) {
+            sink.success(true);
+        } else {
+            record(announcement, sink);
         }
-        boolean sameIncarnation =
-                worker.map(each -> each.identity().equals(announcement.identity())).orElse(false);
+    }
+
+    private boolean isOutdated(WorkerAnnouncement announcement) {
+        return worker.isPresent() && !announcement.isNewerThan(worker.get());
+    }
+
+    private boolean isCurrentIncarnation(WorkerAnnouncement announcement) {
+        return worker.map(each -> each.identity().equals(announcement.identity())).orElse(false);
+    }
+
+    private void record(WorkerAnnouncement announcement, MonoSink<Boolean> sink) {
+        boolean sameIncarnation = isCurrentIncarnation(announcement);
         boolean startsDraining =
                 announcement.draining()
                         && !(sameIncarnation
@@ -337,6 +375,7 @@
         waitingForLeader.removeAll(notifiedSinks);
         applyDirectives(reply.getWorkerDirectives());
         if (valid) {
+            confirmLeaving(report);
             listAnswered |=
                     report.getListed() && report.getTerm() == reply.getWorkerDirectives().getTerm();
             advanceConfirmed(report);
@@ -346,6 +385,14 @@
         }
     }
 
+    /** Lets the worker leave once the leader knows that it runs nothing. */
+    private void confirmLeaving(WorkerReport answered) {
+        if (answered.getLeaving() && answered.getListed() && answered.getActiveCount() == 0) {
+            waitingToLeave.forEach(sink -> sink.success(true));
+            waitingToLeave.clear();
+        }
+    }
+
     /**
      * Sends the starts that had to wait and that the leader has just confirmed by not stopping
      * them. Without that answer the leader may have ended the run, for example while this host was
@@ -485,12 +532,14 @@
             return;
         }
         if (outcome instanceof WorkerApi.ListOutcome.Unavailable unavailable) {
-            lease.markUnresponsive();
-            if (crashEvidence.recordResponsive(false)) {
-                requestReport();
+            onListUnavailable(identity, unavailable.detail());
+            return;
+        }
+        if (outcome instanceof WorkerApi.ListOutcome.NotListening notListening) {
+            if (leaving) {
+                lease.markEnded();
             }
-            WorkflowAgentLog.unreachable(identity, unavailable.detail());
-            var unused = loop.schedule(this::requestList, LIST_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+            onListUnavailable(identity, notListening.detail());
             return;
         }
         WorkerApi.ListOutcome.Listing listing = (WorkerApi.ListOutcome.Listing) outcome;
@@ -514,6 +563,15 @@
         }
     }
 
+    private void onListUnavailable(WorkerIdentity identity, String detail) {
+        lease.markUnresponsive();
+        if (crashEvidence.recordResponsive(false) || leaving) {
+            requestReport();
+        }
+        WorkflowAgentLog.unreachable(identity, detail);
+        var unused = loop.schedule(this::requestList, LIST_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     private void pauseLists() {
         listsPaused = true;
         var unused =
--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgentLog.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgentLog.java
@@ -14,6 +14,18 @@
                 Event.HOST_JOINED, "worker", worker.getWorkerId(), "born", worker.getBornMillis());
     }
 
+    static void announcementRefused(
+            WorkerIdentity announced, WorkerApi.Identification identification) {
+        EventLog.warning(
+                Event.ANNOUNCEMENT_REFUSED,
+                "worker",
+                announced.getWorkerId(),
+                "born",
+                announced.getBornMillis(),
+                "identification",
+                identification);
+    }
+
     static void unreachable(WorkerIdentity worker, String detail) {
         EventLog.warning(
                 Event.WORKER_UNREACHABLE, "worker", worker.getWorkerId(), "detail", detail);
--- a/src/main/java/org/yuccabank/event/Event.java
+++ b/src/main/java/org/yuccabank/event/Event.java
@@ -108,6 +108,8 @@
     WORKER_UNREACHABLE(708),
     /** A worker crashed; the runs that it had started last are suspected of the cause. */
     WORKER_CRASHED(709),
+    /** An announcement was refused because the worker is not the incarnation that it names. */
+    ANNOUNCEMENT_REFUSED(710),
     /** A credential was rejected. */
     CREDENTIAL_REFUSED(800),
     /** A reload of changed keys completed or failed, as its result states. */
--- a/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
@@ -15,14 +15,17 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
+import org.yuccabank.agent.workflow.WorkerApi.Identification;
 import org.yuccabank.model.Resources;
 import org.yuccabank.protocol.PeerServer;
 import org.yuccabank.protocol.PeerTransport;
 import org.yuccabank.protocol.generated.ActiveRun;
+import org.yuccabank.protocol.generated.EndedRun;
 import org.yuccabank.protocol.generated.Envelope;
 import org.yuccabank.protocol.generated.Hello;
 import org.yuccabank.protocol.generated.RunAddress;
@@ -64,7 +67,7 @@
             latest = report;
             WorkerDirectives.Builder directives =
                     WorkerDirectives.newBuilder().setTerm(1).setWorker(report.getWorker());
-            if (ended) {
+            if (ended || report.getLeaving()) {
                 report.getActiveList().forEach(run -> directives.addStops(run.getRun()));
             } else if (assigned) {
                 directives.addStarts(StartRun.newBuilder().setRun(RUN));
@@ -81,10 +84,18 @@
         private final Queue<CallOutcome> startOutcomes = new ConcurrentLinkedQueue<>();
         private volatile CallOutcome stopOutcome = UNANSWERED;
         private volatile List<ActiveRun> listed = List.of();
+        private volatile List<EndedRun> endedRuns = List.of();
         private final List<RunAddress> starts = new CopyOnWriteArrayList<>();
         private final List<RunAddress> stops = new CopyOnWriteArrayList<>();
         private volatile boolean answersLists = true;
 
+        private volatile Identification identification = Identification.CONFIRMED;
+
+        @Override
+        public Mono<Identification> identify(WorkerAnnouncement target, long token) {
+            return Mono.just(identification);
+        }
+
         private static long clockMillis() {
             return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
         }
@@ -113,7 +124,7 @@
                 WorkerAnnouncement target, FencedLease lease, long acknowledged, long waitMillis) {
             ListOutcome outcome =
                     answersLists
-                            ? new ListOutcome.Listing(clockMillis(), listed, List.of())
+                            ? new ListOutcome.Listing(clockMillis(), listed, endedRuns)
                             : new ListOutcome.Unavailable("no answer");
             return Mono.delay(Duration.ofMillis(50)).thenReturn(outcome);
         }
@@ -134,6 +145,20 @@
         await(() -> leader.latest.getListed());
     }
 
+    private static WorkerAnnouncement announcement(String workerId, long bornMillis) {
+        return new WorkerAnnouncement(
+                WorkerIdentity.newBuilder().setWorkerId(workerId).setBornMillis(bornMillis).build(),
+                "service",
+                new InetSocketAddress("127.0.0.1", 1),
+                "zone",
+                "rack",
+                Set.of(),
+                Resources.of(1_000, 1_000, 0),
+                false,
+                FakeWorker.clockMillis(),
+                1);
+    }
+
     private WorkflowAgent startAgent() {
         WorkflowAgent started =
                 WorkflowAgent.start(
@@ -146,22 +171,7 @@
                                 TIMEOUT.toMillis()),
                         worker,
                         eventLoops);
-        started.announce(
-                        new WorkerAnnouncement(
-                                WorkerIdentity.newBuilder()
-                                        .setWorkerId("w")
-                                        .setBornMillis(1)
-                                        .build(),
-                                "service",
-                                new InetSocketAddress("127.0.0.1", 1),
-                                "zone",
-                                "rack",
-                                Set.of(),
-                                Resources.of(1_000, 1_000, 0),
-                                false,
-                                FakeWorker.clockMillis(),
-                                1))
-                .block(TIMEOUT);
+        started.announce(announcement("w", 1)).block(TIMEOUT);
         return started;
     }
 
@@ -282,6 +292,46 @@
         assertEquals(worker.stops, List.of(RUN));
     }
 
+    /** Guards against a worker that is replaced by one that another writer has announced. */
+    @Test
+    public void shouldRefuseAnnouncementThatWorkerDenies() {
+        for (Identification denied : List.of(Identification.DENIED, Identification.UNKNOWN)) {
+            worker.identification = denied;
+            assertEquals(agent.announce(announcement("other", 2)).block(TIMEOUT), Boolean.FALSE);
+        }
+        long sequence = leader.latest.getSequence();
+        await(() -> leader.latest.getSequence() > sequence + 1);
+        assertEquals(leader.latest.getWorker().getWorkerId(), "w");
+        worker.identification = Identification.CONFIRMED;
+        assertEquals(agent.announce(announcement("other", 2)).block(TIMEOUT), Boolean.TRUE);
+        await(() -> leader.latest.getWorker().getWorkerId().equals("other"));
+    }
+
+    /** Guards against tasks that are started again while the worker that leaves still runs them. */
+    @Test
+    public void shouldConfirmShutdownOnlyAfterRunsHaveEnded() {
+        worker.startOutcomes.add(new WorkerApi.CallOutcome.Done(OptionalLong.empty()));
+        worker.stopOutcome = new WorkerApi.CallOutcome.Done(OptionalLong.empty());
+        worker.listed = List.of(ActiveRun.newBuilder().setRun(RUN).build());
+        await(this::isReportedActive);
+        AtomicBoolean confirmed = new AtomicBoolean();
+        var unused = agent.leave("w").subscribe(confirmed::set);
+        await(() -> worker.stops.contains(RUN));
+        long sequence = leader.latest.getSequence();
+        await(() -> leader.latest.getSequence() > sequence + 1);
+        assertFalse(confirmed.get(), "the run goes on");
+        worker.endedRuns =
+                List.of(
+                        EndedRun.newBuilder()
+                                .setRun(RUN)
+                                .setNumber(1)
+                                .setEnding(RunEnding.RUN_STOPPED)
+                                .build());
+        worker.listed = List.of();
+        await(confirmed::get);
+        assertTrue(leader.latest.getEndedCount() > 0, "the leader knows the end");
+    }
+
     /** Guards against a start that is never sent because it had to wait. */
     @Test
     public void shouldSendWaitingStartOnceTheLeaderHasConfirmedIt() {
--- a/src/test/java/org/yuccabank/platform/PlatformPathTest.java
+++ b/src/test/java/org/yuccabank/platform/PlatformPathTest.java
@@ -1,6 +1,7 @@
 package org.yuccabank.platform;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
@@ -23,6 +24,7 @@
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /**
@@ -362,6 +364,51 @@
         assertEquals(call("POST", ports[4], path, capacityText).statusCode(), 400);
     }
 
+    /** Status reports of other writers, none of which names a worker to use. */
+    @DataProvider
+    public Object[][] reportsOfOtherWriters() {
+        String valid =
+                "{\"service\":\"s\",\"address\":\"127.0.0.1:1\",\"zone\":\"z\",\"state\":\"ready\","
+                        + "\"capacity\":{\"cpu\":8000,\"mem_mb\":8000},\"labels\":[\"a\"],"
+                        + "\"clock_ms\":1,\"sequence\":1,\"born\":9000000000000";
+        String nested = "[".repeat(500) + "]".repeat(500);
+        return new Object[][] {
+            {"m-2", valid + "}"},
+            {"m-1", valid + "}"},
+            {"m-2", valid.replace("127.0.0.1:1", "999.1.1.1:80") + "}"},
+            {"m-2", valid.replace("127.0.0.1:1", "127.0.0.1:99999") + "}"},
+            {"m-2", valid.replace("127.0.0.1:1", "127.0.0.1:0") + "}"},
+            {"m-2", valid.replace("8000", "8".repeat(400)) + "}"},
+            {"m-2", valid.replace("9000000000000", "1e400") + "}"},
+            {"m-2", valid + ",\"odd\":" + nested + "}"},
+            {"m-2", valid + ",\"odd\":" + "[".repeat(100_000)},
+            {"m-2", valid.replace("\"s\"", nested) + "}"}
+        };
+    }
+
+    /**
+     * Guards against a report of another writer that is taken for a new incarnation of the worker,
+     * whose tasks are then started again beside their runs.
+     */
+    @Test(dependsOnMethods = "shouldWaitForStatusReportBeforeStart")
+    public void shouldKeepWorkerDespiteReportsOfOtherWriters() throws Exception {
+        sendHeartbeat(2_000, 8_000);
+        minion.disableCompletion();
+        submit("acacacacacacacac", 500);
+        await(() -> minion.starts().contains("acacacacacacacac.0.0.0#1") ? 1 : 0, 1);
+        for (Object[] report : reportsOfOtherWriters()) {
+            String path = "/api/minions/" + report[0] + "/heartbeat";
+            int status = call("POST", ports[4], path, (String) report[1]).statusCode();
+            assertTrue(status >= 400, report[1] + " was acknowledged");
+        }
+        sendHeartbeat(2_000, 8_000);
+        submit("acacacacacacacad", 500);
+        await(() -> minion.starts().contains("acacacacacacacad.0.0.0#1") ? 1 : 0, 1);
+        minion.enableCompletion();
+        awaitState("acacacacacacacac", "completed");
+        assertFalse(minion.starts().contains("acacacacacacacac.0.0.0#2"), "started again");
+    }
+
     /**
      * Guards against an entry that stays unready, and out of rotation, although there is a leader.
      */
--- a/src/test/java/org/yuccabank/platform/StandInMinion.java
+++ b/src/test/java/org/yuccabank/platform/StandInMinion.java
@@ -22,6 +22,8 @@
  */
 final class StandInMinion {
 
+    static final String ID = "m-1";
+
     private static final long SHORT_RUN_MILLIS = 60;
 
     private volatile long born;
@@ -105,6 +107,11 @@
     }
 
     private Mono<HttpServers.Response> handle(HttpServers.Request request) {
+        String addressed =
+                request.httpRequest().requestHeaders().get("X-Yuccabank-Expected-Instance", ID);
+        if (!addressed.equals(ID)) {
+            return Mono.just(HttpServers.Response.of(421, statusBody()));
+        }
         JsonFields body = JsonFields.parse(request.body());
         return switch (request.path()) {
             case "/api/run-start" -> start(body);
