--- a/src/main/java/org/yuccabank/control/workflow/WorkflowRequestHandler.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowRequestHandler.java
@@ -7,10 +7,12 @@
 import java.util.concurrent.CompletionStage;
 import org.yuccabank.event.Event;
 import org.yuccabank.event.EventLog;
+import org.yuccabank.protocol.PeerAddress;
 import org.yuccabank.protocol.generated.AcceptWorkflow;
 import org.yuccabank.protocol.generated.CancelWorkflowById;
 import org.yuccabank.protocol.generated.CommandResult;
 import org.yuccabank.protocol.generated.FleetConfiguration;
+import org.yuccabank.protocol.generated.JoinRequest;
 import org.yuccabank.protocol.generated.QueueDefinition;
 import org.yuccabank.protocol.generated.WorkflowCommand;
 import org.yuccabank.protocol.generated.WorkflowDefinition;
@@ -112,16 +114,22 @@
             case SUBMIT -> submit(request);
             case CANCEL -> cancel(request);
             case REPLACE -> replaceConfiguration(request.getReplace().getConfiguration());
-            case JOIN -> {
-                membership.handleJoin(request.getJoin());
-                yield completed(reply(Verdict.ACCEPTED, ""));
-            }
+            case JOIN -> completed(join(request.getJoin()));
             default ->
                     CompletableFuture.completedFuture(
                             reply(Verdict.INVALID, "the request is empty").build());
         };
     }
 
+    /** Adds a replica. Its address becomes part of the membership, where it must be usable. */
+    private WorkflowReply.Builder join(JoinRequest join) {
+        if (join.getReplicaId().isEmpty() || PeerAddress.tryParse(join.getAddress()).isEmpty()) {
+            return reply(Verdict.INVALID, "no identifier or no IP address and port");
+        }
+        membership.handleJoin(join);
+        return reply(Verdict.ACCEPTED, "");
+    }
+
     private CompletionStage<WorkflowReply> submit(WorkflowRequest request) {
         Optional<FleetConfiguration> configuration = leader.records().configuration();
         if (configuration.isEmpty()) {
--- a/src/main/java/org/yuccabank/protocol/PeerAddress.java
+++ b/src/main/java/org/yuccabank/protocol/PeerAddress.java
@@ -1,10 +1,18 @@
 package org.yuccabank.protocol;
 
+import io.netty.util.NetUtil;
 import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /** Parses and formats peer addresses as used in messages and in the membership. Stateless. */
 public final class PeerAddress {
 
+    private static final Pattern IP_AND_PORT = Pattern.compile("([0-9.]{7,15}):([0-9]{1,5})");
+
+    private static final int MAXIMUM_PORT = 65_535;
+
     private PeerAddress() {}
 
     /**
@@ -19,6 +27,24 @@
                 address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
     }
 
+    /**
+     * Parses an address that has not been validated. Never looks up a name.
+     *
+     * @param address text that should be an IPv4 address and a port
+     * @return the socket address, empty if the text is no such address or the port is not from 1 to
+     *     65535
+     */
+    public static Optional<InetSocketAddress> tryParse(String address) {
+        Matcher parts = IP_AND_PORT.matcher(address);
+        if (!parts.matches() || !NetUtil.isValidIpV4Address(parts.group(1))) {
+            return Optional.empty();
+        }
+        int port = Integer.parseInt(parts.group(2));
+        return port >= 1 && port <= MAXIMUM_PORT
+                ? Optional.of(new InetSocketAddress(parts.group(1), port))
+                : Optional.empty();
+    }
+
     /**
      * Formats an address for messages and the membership.
      *
