Let a leaving worker stop its runs before they start elsewhere

Cause: the leader ended the runs of a worker as soon as its agent had reported the shutdown, while the worker still ran them.

--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -252,9 +252,6 @@
             interferenceMonitor.remove(previous.getWorkerId());
         }
         endEarlierIncarnations(view);
-        if (report.getLeaving()) {
-            endRuns(view.worker(), Optional.empty(), "the worker has left");
-        }
         for (ActiveRun active : valid.getActiveList()) {
             records()
                     .openRun(active.getRun())
@@ -383,10 +380,13 @@
 
     /**
      * Returns whether a run should be stopped. A draining worker keeps only the tasks that would
-     * lose work when stopped.
+     * lose work when stopped; one that leaves keeps none, and its runs end as it reports their
+     * ends, as it runs them until then.
      */
     private boolean shouldStop(WorkflowTask task, WorkerView view) {
-        if (task.workflow().isFinal() || runMonitor.shouldRestart(task.run())) {
+        if (task.workflow().isFinal()
+                || runMonitor.shouldRestart(task.run())
+                || view.report().getLeaving()) {
             return true;
         }
         boolean lasting = task.workflow().step(task.address().getStep()).getLasting();
