Parse addresses without a class that logs as it is loaded

Cause: the strict parser of addresses used a class of Netty that logs as it is loaded, before PlatformMain configures the log; since each process of the platform ended as it started.

Change: a pattern checks the four octets.

--- a/src/main/java/org/yuccabank/protocol/PeerAddress.java
+++ b/src/main/java/org/yuccabank/protocol/PeerAddress.java
@@ -1,6 +1,5 @@
 package org.yuccabank.protocol;
 
-import io.netty.util.NetUtil;
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.regex.Matcher;
@@ -9,7 +8,10 @@
 /** Parses and formats peer addresses as used in messages and in the membership. Stateless. */
 public final class PeerAddress {
 
-    private static final Pattern IP_AND_PORT = Pattern.compile("([0-9.]{7,15}):([0-9]{1,5})");
+    private static final String OCTET = "(?:25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])";
+
+    private static final Pattern IP_AND_PORT =
+            Pattern.compile("(" + OCTET + "(?:\\." + OCTET + "){3}):([0-9]{1,5})");
 
     private static final int MAXIMUM_PORT = 65_535;
 
@@ -36,7 +38,7 @@
      */
     public static Optional<InetSocketAddress> tryParse(String address) {
         Matcher parts = IP_AND_PORT.matcher(address);
-        if (!parts.matches() || !NetUtil.isValidIpV4Address(parts.group(1))) {
+        if (!parts.matches()) {
             return Optional.empty();
         }
         int port = Integer.parseInt(parts.group(2));
