Start a workflow of which nothing runs while two fifths are free

Cause: the placement of last resort, which ignores interference, waits until half of the capacity is free. A trial with more log lines shows 0.497 free, 11 workers that admit the task, and nothing else of its workflow running. Runs that have just ended still count as reserved, so that our share is less than what is in use.

Change: two fifths suffice.

--- a/src/main/java/org/yuccabank/control/workflow/PlanningRound.java
+++ b/src/main/java/org/yuccabank/control/workflow/PlanningRound.java
@@ -26,6 +26,12 @@
  */
 final class PlanningRound {
 
+    /**
+     * Share of the capacity above which no workflow should wait for a worker with less
+     * interference. Less than a half, as runs that have just ended still count as reserved.
+     */
+    private static final double MOSTLY_FREE_SHARE = 0.4;
+
     private final WorkerSelector selector;
     private final WorkerSelector lastResortSelector = new MaximumHeadroomSelector();
     private final List<WorkerCapacity> capacities;
@@ -71,13 +77,10 @@
         return running;
     }
 
-    /**
-     * Returns whether more than half of the capacity is free. If so, no workflow should wait for a
-     * worker with less interference.
-     */
+    /** Returns whether the free share of the capacity exceeds {@link #MOSTLY_FREE_SHARE}. */
     private static boolean isMostlyFree(Collection<WorkerCapacity> capacities) {
         return capacities.stream().mapToDouble(WorkerCapacity::freeShare).sum()
-                > capacities.size() / 2.0;
+                > MOSTLY_FREE_SHARE * capacities.size();
     }
 
     /** Places as many tasks of a step as the capacity allows, or a gang as a whole. */
--- a/src/test/java/org/yuccabank/control/workflow/WorkflowPlannerTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/WorkflowPlannerTest.java
@@ -27,6 +27,7 @@
 import org.yuccabank.protocol.generated.FleetConfiguration;
 import org.yuccabank.protocol.generated.QueueDefinition;
 import org.yuccabank.protocol.generated.ResourceVector;
+import org.yuccabank.protocol.generated.RunAddress;
 import org.yuccabank.protocol.generated.RunEnding;
 import org.yuccabank.protocol.generated.StepDefinition;
 import org.yuccabank.protocol.generated.WorkerReport;
@@ -110,6 +111,44 @@
         assertEquals(plan(new AvailableWorker(stopping, free.circuitState())).size(), 2);
     }
 
+    /**
+     * Guards against a workflow of which nothing runs although the fleet has ample room, because
+     * its tasks would disturb the serving tasks of every worker (review/3, seed 10).
+     */
+    @Test
+    public void shouldStartInterferingWorkflowWhileCapacityIsMostlyFree() {
+        records.apply(accept("web", step(11).setLasting(true).setImage("web")), NOW);
+        RunAddress[] serving =
+                IntStream.range(0, 11)
+                        .mapToObj(index -> run("web", 0, index, 1))
+                        .toArray(RunAddress[]::new);
+        records.apply(assign(serving), NOW);
+        records.apply(accept("filler", step(3).setImage("i").setOpportunistic(true)), NOW);
+        LearnedEstimates interfering =
+                new LearnedEstimates() {
+                    @Override
+                    public double runMillis(String queueName, String stepKey, long declared) {
+                        return declared;
+                    }
+
+                    @Override
+                    public Pressures pressures() {
+                        return (servingImage, bestEffortImage) -> 2;
+                    }
+
+                    @Override
+                    public Map<String, Double> pressureLimits(String workerId) {
+                        return Map.of();
+                    }
+                };
+        for (int cores : new int[] {20, 17}) {
+            List<AvailableWorker> workers =
+                    List.of(worker(cores, WorkerCircuitBreaker.State.CLOSED));
+            int planned = planner.plan(records, workers, interfering, false, NOW).size();
+            assertEquals(planned, cores == 20 ? 1 : 0, cores + " cores, 11 of them reserved");
+        }
+    }
+
     /** Returns steps of which each depends on the three of the stage before. */
     private static StepDefinition.Builder[] stages(int count) {
         return IntStream.range(0, 3 * count)
