Complete a gang by the end of one of its members

What callers saw: a job stayed active for good with all workers idle, if the worker of one member of a gang was lost as the gang ended as done.

Cause: the end of a run marked only its own task as done. The others waited, and a gang starts only if all of its tasks wait.

Change: the end of one member marks all of them as done, as the members work only together and one end represents those of the others.

Evidence: WorkflowRecordsTest.shouldCompleteGangByEndOfOneMember.

--- a/src/main/java/org/yuccabank/state/workflow/WorkflowRecords.java
+++ b/src/main/java/org/yuccabank/state/workflow/WorkflowRecords.java
@@ -227,10 +227,10 @@
         removeOpenRun(task);
         boolean success = ended.getEnding() == RunEnding.RUN_DONE;
         boolean failed = ended.getEnding() == RunEnding.RUN_FAILED;
-        task.end(success, failed, ended.getCheckpoint());
+        task.end(failed, ended.getCheckpoint());
         Workflow workflow = task.workflow();
         if (success) {
-            workflow.markTaskDone(task.address(), nowMillis);
+            markDone(task, nowMillis);
         }
         updateCrashes(task, ended);
         if ((failed && areAttemptsExhausted(task)) || isGivenUp(task)) {
@@ -239,6 +239,24 @@
         removeFromLiveIfFinal(workflow);
     }
 
+    /**
+     * Marks a task as done, or all members of its gang, as they work only together: the end of one
+     * represents those of the others, which may be lost with their workers.
+     */
+    private static void markDone(WorkflowTask task, long nowMillis) {
+        Workflow workflow = task.workflow();
+        TaskAddress address = task.address();
+        List<WorkflowTask> done =
+                workflow.step(address.getStep()).getGang()
+                        ? workflow.tasks(address.getOccurrence(), address.getStep())
+                        : List.of(task);
+        for (WorkflowTask each : done) {
+            if (each.markDone()) {
+                workflow.markTaskDone(each.address(), nowMillis);
+            }
+        }
+    }
+
     private static void updateCrashes(WorkflowTask task, EndedRun ended) {
         if (ended.getEnding() == RunEnding.RUN_WORKER_CRASHED) {
             task.recordCrash(!ended.getUncertainStart(), ended.getSoleSuspect());
--- a/src/main/java/org/yuccabank/state/workflow/WorkflowTask.java
+++ b/src/main/java/org/yuccabank/state/workflow/WorkflowTask.java
@@ -9,8 +9,9 @@
 /**
  * One task of a workflow.
  *
- * <p>Invariants: at most one run is open; attempt numbers only increase; a task that is done has no
- * open run and never gets one. Confined to the replica thread.
+ * <p>Invariants: at most one run is open; attempt numbers only increase; a task that is done never
+ * gets another run. The run of a gang's member may still be open when another member is done, which
+ * makes all of them done. Confined to the replica thread.
  */
 public final class WorkflowTask {
 
@@ -156,9 +157,15 @@
         worker = assignedWorker;
     }
 
-    void end(boolean success, boolean failed, String newCheckpoint) {
+    /** Marks the task as done and returns whether it was not done before. */
+    boolean markDone() {
+        boolean newlyDone = !done;
+        done = true;
+        return newlyDone;
+    }
+
+    void end(boolean failed, String newCheckpoint) {
         worker = null;
-        done |= success;
         failures += failed ? 1 : 0;
         checkpoint = newCheckpoint.isEmpty() ? checkpoint : newCheckpoint;
     }
--- a/src/test/java/org/yuccabank/state/workflow/WorkflowRecordsTest.java
+++ b/src/test/java/org/yuccabank/state/workflow/WorkflowRecordsTest.java
@@ -214,4 +214,24 @@
         restored.apply(end(run("a", 0, 1, 2), RunEnding.RUN_DONE), 2_000);
         assertTrue(restored.workflow("a").orElseThrow().isReady(0, 1));
     }
+
+    /**
+     * Guards against a gang that is never completed because the end of one member was lost with its
+     * worker.
+     */
+    @Test
+    public void shouldCompleteGangByEndOfOneMember() {
+        WorkflowRecords gangs = new WorkflowRecords();
+        gangs.apply(accept("a", step(3).setGang(true), step(1, 0)), 1);
+        gangs.apply(assign(run("a", 0, 0, 1), run("a", 0, 1, 1), run("a", 0, 2, 1)), 2);
+        gangs.apply(end(run("a", 0, 1, 1), RunEnding.RUN_DONE), 3);
+        Workflow workflow = gangs.workflow("a").orElseThrow();
+        assertTrue(workflow.isReady(0, 1), "the next step may start");
+        gangs.apply(end(run("a", 0, 0, 1), RunEnding.RUN_WORKER_LOST), 4);
+        gangs.apply(end(run("a", 0, 2, 1), RunEnding.RUN_DONE), 5);
+        assertTrue(workflow.tasks(0, 0).stream().noneMatch(WorkflowTask::isWaiting));
+        gangs.apply(assign(run("a", 1, 0, 1)), 6);
+        gangs.apply(end(run("a", 1, 0, 1), RunEnding.RUN_DONE), 7);
+        assertEquals(workflow.phase(), WorkflowPhase.WORKFLOW_COMPLETED);
+    }
 }
