--- a/src/main/java/org/yuccabank/replication/InMemoryLog.java
+++ b/src/main/java/org/yuccabank/replication/InMemoryLog.java
@@ -13,11 +13,36 @@
     private final List<LogEntry> entries;
     private long baseIndex;
     private long baseTerm;
+    private long payloadBytes;
 
     InMemoryLog(long baseIndex, long baseTerm, List<LogEntry> entries) {
         this.baseIndex = baseIndex;
         this.baseTerm = baseTerm;
         this.entries = new ArrayList<>(entries);
+        this.payloadBytes = payloadBytes(entries);
+    }
+
+    private static long payloadBytes(List<LogEntry> entries) {
+        return entries.stream().mapToLong(entry -> entry.getPayload().size()).sum();
+    }
+
+    /** Returns the total payload size of the entries in memory. */
+    long payloadBytes() {
+        return payloadBytes;
+    }
+
+    /** Returns how many of the entries up to an index, from the latest on, have a total size. */
+    int countWithin(long lastIndex, long maximumBytes) {
+        int count = 0;
+        long bytes = 0;
+        for (long index = lastIndex; index > baseIndex; index--) {
+            bytes += entry(index).getPayload().size();
+            if (bytes > maximumBytes) {
+                break;
+            }
+            count++;
+        }
+        return count;
     }
 
     long baseIndex() {
@@ -92,17 +117,23 @@
                     "entry " + entry.getIndex() + " does not follow " + lastIndex());
         }
         entries.add(entry);
+        payloadBytes += entry.getPayload().size();
     }
 
     void truncateFrom(long index) {
-        entries.subList((int) (index - baseIndex - 1), entries.size()).clear();
+        remove(entries.subList((int) (index - baseIndex - 1), entries.size()));
+    }
+
+    private void remove(List<LogEntry> removed) {
+        payloadBytes -= payloadBytes(removed);
+        removed.clear();
     }
 
     /** Discards entries up to an index that a snapshot includes. */
     void compactTo(long index) {
         if (index > baseIndex) {
             long term = termAt(index);
-            entries.subList(0, (int) (index - baseIndex)).clear();
+            remove(entries.subList(0, (int) (index - baseIndex)));
             baseIndex = index;
             baseTerm = term;
         }
@@ -110,7 +141,7 @@
 
     /** Discards all entries and sets the base index and term. */
     void reset(long index, long term) {
-        entries.clear();
+        remove(entries);
         baseIndex = index;
         baseTerm = term;
     }
--- a/src/main/java/org/yuccabank/replication/ReplicaNode.java
+++ b/src/main/java/org/yuccabank/replication/ReplicaNode.java
@@ -32,6 +32,12 @@
 
     private static final byte[] NO_RESULT = {};
 
+    /**
+     * Total payload size of the entries in memory above which a snapshot replaces them, an eighth
+     * of the heap of a control process with 128 MB.
+     */
+    static final long MAXIMUM_LOG_BYTES = 16L << 20;
+
     /** A quarter of the snapshot interval is kept in the log for slightly lagging replicas. */
     private static final int KEPT_ENTRIES_DIVISOR = 4;
 
@@ -426,11 +432,22 @@
     }
 
     private void saveSnapshotIfDue() {
-        if (isRunning() && core.appliedIndex() - snapshotIndex >= settings.snapshotEntries()) {
+        long newEntries = core.appliedIndex() - snapshotIndex;
+        boolean due =
+                newEntries >= settings.snapshotEntries()
+                        || (newEntries > 0
+                                && core.state().log().payloadBytes() > MAXIMUM_LOG_BYTES);
+        if (isRunning() && due) {
             snapshotIndex = core.appliedIndex();
-            core.compact(
-                    ByteString.copyFrom(stateMachine.snapshot()),
-                    settings.snapshotEntries() / KEPT_ENTRIES_DIVISOR);
+            int keptEntries =
+                    Math.min(
+                            settings.snapshotEntries() / KEPT_ENTRIES_DIVISOR,
+                            core.state()
+                                    .log()
+                                    .countWithin(
+                                            snapshotIndex,
+                                            MAXIMUM_LOG_BYTES / KEPT_ENTRIES_DIVISOR));
+            core.compact(ByteString.copyFrom(stateMachine.snapshot()), keptEntries);
         }
     }
 
--- a/src/test/java/org/yuccabank/replication/ReplicaServiceTest.java
+++ b/src/test/java/org/yuccabank/replication/ReplicaServiceTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -244,6 +245,37 @@
         assertEquals(machines.get("b").commands(), machines.get("c").commands());
     }
 
+    /** Guards against a log of few large entries that fills the memory before the next snapshot. */
+    @Test
+    public void shouldSaveSnapshotOfLargeEntries() throws Exception {
+        int largeEntries = SNAPSHOT_ENTRIES - 10;
+        byte[] large = new byte[ReplicaNode.MAXIMUM_COMMAND_BYTES];
+        long committed = 0;
+        while (committed < largeEntries) {
+            // A busy machine may change the leader meanwhile, which leaves the outcome unknown.
+            ProposalOutcome outcome =
+                    services.get(leader())
+                            .propose(large)
+                            .toCompletableFuture()
+                            .get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            committed += outcome instanceof ProposalOutcome.Committed ? 1 : 0;
+        }
+        for (String id : List.of("a", "b", "c")) {
+            Path log = directory.resolve(id).resolve(DiskStorage.LOG_FILE);
+            await(
+                    "a compaction of " + id,
+                    () -> size(log) < ReplicaNode.MAXIMUM_LOG_BYTES + (4 << 20));
+        }
+    }
+
+    private static long size(Path file) {
+        try {
+            return Files.size(file);
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
     /** Guards against a replica that ends for good after an exception while its process lives. */
     @Test
     public void shouldReopenAfterException() throws Exception {
