--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -71,10 +71,9 @@
     private final RunCalls calls;
     private final BestEffortThrottle throttle = new BestEffortThrottle();
     private final List<MonoSink<Boolean>> waitingForLeader = new ArrayList<>();
-    private final List<MonoSink<Boolean>> waitingToLeave = new ArrayList<>();
+    private final WorkerShutdown shutdown = new WorkerShutdown();
     private Optional<WorkerAnnouncement> worker = Optional.empty();
     private long announcedAtMillis;
-    private boolean leaving;
     private long term;
     private long listedTerm;
     private long reportedTerm;
@@ -216,8 +215,7 @@
                         sink.success(true);
                         return;
                     }
-                    leaving = true;
-                    waitingToLeave.add(sink);
+                    shutdown.request(sink);
                     requestReport();
                 });
     }
@@ -295,14 +293,15 @@
     }
 
     private void onReplaced(WorkerAnnouncement previous) {
-        crashEvidence.recordReplaced(previous.identity(), leaving || previous.draining());
+        crashEvidence.recordReplaced(
+                previous.identity(), shutdown.isRequested() || previous.draining());
     }
 
     private void onNewIncarnation(WorkerAnnouncement announcement) {
         runs.clear();
         lease.reset();
         lease.sampleClock(announcement.clockMillis(), nowMillis());
-        leaving = false;
+        shutdown.reset();
         listedTerm = 0;
         listedAtMillis = Long.MIN_VALUE / 2;
         WorkflowAgentLog.joined(announcement.identity());
@@ -375,7 +374,7 @@
         waitingForLeader.removeAll(notifiedSinks);
         applyDirectives(reply.getWorkerDirectives());
         if (valid) {
-            confirmLeaving(report);
+            shutdown.confirm(report);
             listAnswered |=
                     report.getListed() && report.getTerm() == reply.getWorkerDirectives().getTerm();
             advanceConfirmed(report);
@@ -385,14 +384,6 @@
         }
     }
 
-    /** Lets the worker leave once the leader knows that it runs nothing. */
-    private void confirmLeaving(WorkerReport answered) {
-        if (answered.getLeaving() && answered.getListed() && answered.getActiveCount() == 0) {
-            waitingToLeave.forEach(sink -> sink.success(true));
-            waitingToLeave.clear();
-        }
-    }
-
     /**
      * Sends the starts that had to wait and that the leader has just confirmed by not stopping
      * them. Without that answer the leader may have ended the run, for example while this host was
@@ -419,7 +410,7 @@
                         .addAllLabels(announced.labels())
                         .setCapacity(vector(announced.capacity()))
                         .setDraining(announced.draining())
-                        .setLeaving(leaving)
+                        .setLeaving(shutdown.isRequested())
                         .setWorkerPresent(listed)
                         .setListed(listed)
                         .setTerm(listedTerm)
@@ -536,7 +527,7 @@
             return;
         }
         if (outcome instanceof WorkerApi.ListOutcome.NotListening notListening) {
-            if (leaving) {
+            if (shutdown.isRequested()) {
                 lease.markEnded();
             }
             onListUnavailable(identity, notListening.detail());
@@ -565,7 +556,7 @@
 
     private void onListUnavailable(WorkerIdentity identity, String detail) {
         lease.markUnresponsive();
-        if (crashEvidence.recordResponsive(false) || leaving) {
+        if (crashEvidence.recordResponsive(false) || shutdown.isRequested()) {
             requestReport();
         }
         WorkflowAgentLog.unreachable(identity, detail);
--- a/src/main/java/org/yuccabank/replication/ReplicaNode.java
+++ b/src/main/java/org/yuccabank/replication/ReplicaNode.java
@@ -14,7 +14,6 @@
 import org.yuccabank.protocol.generated.LogEntry;
 import org.yuccabank.protocol.generated.ReplicaMessage;
 import org.yuccabank.result.Result;
-import org.yuccabank.result.SourcePosition;
 
 /**
  * A replica without a thread of its own, which connects the protocol core with the durable state
@@ -63,19 +62,19 @@
     private long syncedSequence;
     private long snapshotIndex;
 
-    private ReplicaNode(
+    ReplicaNode(
             ReplicaSettings settings,
-            StateMachine stateMachine,
-            ReplicaTransport transport,
-            ReplicaEventListener eventListener,
+            Environment environment,
             ReplicaStorage storage,
-            ReplicaCore core) {
+            ReplicaCore core,
+            long snapshotIndex) {
         this.settings = settings;
-        this.stateMachine = stateMachine;
-        this.transport = transport;
-        this.eventListener = eventListener;
+        this.stateMachine = environment.stateMachine();
+        this.transport = environment.transport();
+        this.eventListener = environment.eventListener();
         this.storage = storage;
         this.core = core;
+        this.snapshotIndex = snapshotIndex;
     }
 
     /**
@@ -122,8 +121,8 @@
             Environment environment,
             long nowMillis,
             ReplicaOptions options) {
-        ReplicaStorage storage = storage(settings, environment);
-        return open(settings, environment, nowMillis, options, storage, storage::load);
+        return new ReplicaLoader(settings, environment, options)
+                .load(nowMillis, ReplicaStorage::load);
     }
 
     /**
@@ -137,64 +136,11 @@
      */
     static Result<ReplicaNode> reopen(
             ReplicaSettings settings, Environment environment, long nowMillis) {
-        ReplicaStorage storage = storage(settings, environment);
-        return open(
-                settings, environment, nowMillis, ReplicaOptions.all(), storage, storage::reload);
-    }
-
-    private static ReplicaStorage storage(ReplicaSettings settings, Environment environment) {
-        return new DiskStorage(environment.directory(), settings, environment.eventListener());
-    }
-
-    /** Loads the durable state of a replica. */
-    private interface Loader {
-
-        StoredState load() throws IOException;
-    }
-
-    private static Result<ReplicaNode> open(
-            ReplicaSettings settings,
-            Environment environment,
-            long nowMillis,
-            ReplicaOptions options,
-            ReplicaStorage storage,
-            Loader loader) {
-        ReplicaEventListener eventListener = environment.eventListener();
-        try {
-            StoredState stored = loader.load();
-            SnapshotData snapshot = stored.snapshot();
-            environment.stateMachine().restore(snapshot.data().toByteArray());
-            ReplicaCore core =
-                    new ReplicaCore(settings, options, stored, environment.random(), nowMillis);
-            ReplicaNode node =
-                    new ReplicaNode(
-                            settings,
-                            environment.stateMachine(),
-                            environment.transport(),
-                            eventListener,
-                            storage,
-                            core);
-            node.snapshotIndex = snapshot.lastIndex();
-            return Result.success(node);
-        } catch (IOException exception) {
-            boolean corrupt = exception instanceof CorruptStorageException;
-            eventListener.onEvent(
-                    corrupt ? Event.LOG_CORRUPT : Event.DISK_FAILED,
-                    "replica",
-                    settings.replicaId(),
-                    "problem",
-                    exception.getMessage());
-            closeQuietly(storage);
-            return Result.failure(
-                    SourcePosition.ofSource(settings.directory().toString()),
-                    exception.getMessage());
-        } catch (RuntimeException exception) {
-            closeQuietly(storage);
-            throw exception;
-        }
+        return new ReplicaLoader(settings, environment, ReplicaOptions.all())
+                .load(nowMillis, ReplicaStorage::reload);
     }
 
-    private static void closeQuietly(ReplicaStorage storage) {
+    static void closeQuietly(ReplicaStorage storage) {
         try {
             storage.close();
         } catch (IOException ignored) {
