End a leader's lease when its host may have been suspended

Callers could be answered from an old configuration for some hundred milliseconds after a machine had been suspended: System.nanoTime does not count a suspension, so the lease of a leader outlived it, while the other replicas had elected a new leader and confirmed a newer version.

The leader now compares the steady clock with the time of day before each message, request and tick. If they have moved apart by more than 10 ms since the last comparison, the lease ends and only rounds sent afterwards grant it again; reads wait for a heartbeat round meanwhile. The leadership is kept, so a step of the time of day costs one round. The lease is 10 ms shorter, which covers undetected differences.

Not detected: a step back of the time of day that falls into a suspension of the same length.

--- a/src/main/java/org/yuccabank/replication/Leadership.java
+++ b/src/main/java/org/yuccabank/replication/Leadership.java
@@ -297,6 +297,11 @@
         return pendingReads.takeConfirmed(appliedIndex);
     }
 
+    /** Ends the lease; reads are confirmed by heartbeat rounds until it is granted again. */
+    void endLease() {
+        lease.end();
+    }
+
     boolean holdsLease() {
         return hasCommittedInTerm() && lease.isValid(state.nowMillis());
     }
--- a/src/main/java/org/yuccabank/replication/Lease.java
+++ b/src/main/java/org/yuccabank/replication/Lease.java
@@ -26,7 +26,9 @@
     Lease(ReplicaTiming timing, boolean driftMargin) {
         int marginPercent = driftMargin ? timing.clockDriftPercent() : 0;
         durationMillis =
-                timing.electionTimeoutMillis() * (100 - marginPercent) / 100 - ROUNDING_MILLIS;
+                timing.electionTimeoutMillis() * (100 - marginPercent) / 100
+                        - ROUNDING_MILLIS
+                        - ClockComparison.TOLERANCE_MILLIS;
     }
 
     void startRound(long nowMillis) {
@@ -55,6 +57,15 @@
         }
     }
 
+    /**
+     * Ends the lease until a round that starts after this call is confirmed. Required when the
+     * steady clock may have stood still, because the voters' clocks went on.
+     */
+    void end() {
+        rounds.clear();
+        expiryMillis = Long.MIN_VALUE;
+    }
+
     /**
      * Revokes the lease for the rest of the term. Required when leadership is transferred, because
      * voters then ignore the lease from a time that this leader does not know.
--- a/src/main/java/org/yuccabank/replication/Mechanism.java
+++ b/src/main/java/org/yuccabank/replication/Mechanism.java
@@ -13,6 +13,8 @@
     CURRENT_TERM_COMMIT,
     /** A leader's lease is shorter than the election timeout by the allowed clock drift. */
     CLOCK_DRIFT_MARGIN,
+    /** A leader's lease ends when its steady clock and its time of day have diverged. */
+    CLOCK_COMPARISON,
     /** A replica that recently heard from a leader does not vote for another one. */
     LEADER_STICKINESS,
     /** A replica votes at most once in a term. */
--- a/src/main/java/org/yuccabank/replication/ReplicaCore.java
+++ b/src/main/java/org/yuccabank/replication/ReplicaCore.java
@@ -31,6 +31,7 @@
     private final CoreState state;
     private final Election election;
     private final LogFollower logFollower;
+    private final ClockComparison clocks = new ClockComparison();
     private Leadership leadership;
     private long appliedIndex;
     private long nextReadId;
@@ -57,6 +58,14 @@
         state.becomeFollower("");
     }
 
+    /** Ends the lease of this leader if its host may have been suspended. */
+    void observeClocks(long nowMillis, long wallMillis) {
+        boolean diverged = clocks.hasDiverged(nowMillis, wallMillis);
+        if (diverged && leadership != null && state.isEnabled(Mechanism.CLOCK_COMPARISON)) {
+            leadership.endLease();
+        }
+    }
+
     /** Handles a message from another replica. */
     void receive(ReplicaMessage message, long nowMillis) {
         state.advanceTime(nowMillis);
--- a/src/main/java/org/yuccabank/replication/ReplicaNode.java
+++ b/src/main/java/org/yuccabank/replication/ReplicaNode.java
@@ -157,6 +157,17 @@
         leaderListener = Objects.requireNonNull(listener, "listener is null");
     }
 
+    /**
+     * Compares the clocks of the host. The owner reads both and calls this method before each other
+     * call that takes the time, as a lease does not hold across a suspension of the host.
+     *
+     * @param nowMillis the current time
+     * @param wallMillis the time of day, read after the current time
+     */
+    public void observeClocks(long nowMillis, long wallMillis) {
+        core.observeClocks(nowMillis, wallMillis);
+    }
+
     /**
      * Handles a message from another replica. Messages of other groups are ignored.
      *
--- a/src/main/java/org/yuccabank/replication/ReplicaService.java
+++ b/src/main/java/org/yuccabank/replication/ReplicaService.java
@@ -205,6 +205,13 @@
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
 
+    /** Reads the clocks for the node and returns the time of the steady one. */
+    private long observeClocks() {
+        long nowMillis = nowMillis();
+        node.observeClocks(nowMillis, System.currentTimeMillis());
+        return nowMillis;
+    }
+
     private void runLoop() {
         try {
             while (!stopping) {
@@ -234,7 +241,7 @@
     }
 
     private void advance() {
-        node.tick(nowMillis());
+        node.tick(observeClocks());
         if (node.step(nowMillis())) {
             node.sync(nowMillis());
         }
@@ -332,7 +339,7 @@
      */
     public void receive(ReplicaMessage message) {
         Objects.requireNonNull(message, "message is null");
-        submit(() -> node.receive(message, nowMillis()));
+        submit(() -> node.receive(message, observeClocks()));
     }
 
     /**
@@ -343,7 +350,7 @@
      */
     public CompletionStage<ProposalOutcome> propose(byte[] command) {
         Objects.requireNonNull(command, "command is null");
-        return submitRequest(callback -> node.propose(command, nowMillis(), callback));
+        return submitRequest(callback -> node.propose(command, observeClocks(), callback));
     }
 
     private CompletionStage<ProposalOutcome> submitRequest(
@@ -369,7 +376,7 @@
      */
     public CompletionStage<ReadOutcome> readConfirmed() {
         CompletableFuture<ReadOutcome> future = new CompletableFuture<>();
-        if (!submit(() -> node.readConfirmed(nowMillis(), future::complete))) {
+        if (!submit(() -> node.readConfirmed(observeClocks(), future::complete))) {
             future.complete(new ReadOutcome.NotLeader(Optional.empty()));
         }
         return future;
@@ -453,7 +460,7 @@
     }
 
     private void startTransfer(CompletableFuture<Boolean> future) {
-        long nowMillis = nowMillis();
+        long nowMillis = observeClocks();
         ReplicaTiming timing = settings.timing();
         if (node.transferLeadership(nowMillis)) {
             long timeoutMillis = timing.electionTimeoutMillis() + timing.electionJitterMillis();
@@ -488,7 +495,7 @@
      */
     public CompletionStage<ProposalOutcome> addLearner(String replicaId, String address) {
         ReplicaMember member = ReplicaMember.learner(replicaId, address);
-        return submitRequest(callback -> node.addLearner(member, nowMillis(), callback));
+        return submitRequest(callback -> node.addLearner(member, observeClocks(), callback));
     }
 
     /**
@@ -499,7 +506,7 @@
      */
     public CompletionStage<ProposalOutcome> promote(String replicaId) {
         Objects.requireNonNull(replicaId, "replicaId is null");
-        return submitRequest(callback -> node.promote(replicaId, nowMillis(), callback));
+        return submitRequest(callback -> node.promote(replicaId, observeClocks(), callback));
     }
 
     /**
@@ -510,7 +517,7 @@
      */
     public CompletionStage<ProposalOutcome> demote(String replicaId) {
         Objects.requireNonNull(replicaId, "replicaId is null");
-        return submitRequest(callback -> node.demote(replicaId, nowMillis(), callback));
+        return submitRequest(callback -> node.demote(replicaId, observeClocks(), callback));
     }
 
     /**
@@ -521,6 +528,6 @@
      */
     public CompletionStage<ProposalOutcome> remove(String replicaId) {
         Objects.requireNonNull(replicaId, "replicaId is null");
-        return submitRequest(callback -> node.remove(replicaId, nowMillis(), callback));
+        return submitRequest(callback -> node.remove(replicaId, observeClocks(), callback));
     }
 }
--- a/src/main/java/org/yuccabank/verify/FakeClock.java
+++ b/src/main/java/org/yuccabank/verify/FakeClock.java
@@ -1,11 +1,16 @@
 package org.yuccabank.verify;
 
-/** Clock of a host with a rate and an offset relative to simulated time. Not thread-safe. */
+/**
+ * Steady clock and time of day of a host. Both have the same rate relative to simulated time; only
+ * the time of day counts suspensions and is stepped. Not thread-safe.
+ */
 final class FakeClock {
 
     private final Simulation simulation;
     private final double rate;
     private final long offsetMicros;
+    private long suspendedMicros;
+    private long wallStepMillis;
 
     FakeClock(Simulation simulation, double rate, long offsetMicros) {
         this.simulation = simulation;
@@ -14,7 +19,20 @@
     }
 
     long nowMillis() {
-        return (offsetMicros + (long) (simulation.nowMicros() * rate)) / 1000;
+        return (offsetMicros - suspendedMicros + (long) (simulation.nowMicros() * rate)) / 1000;
+    }
+
+    long wallMillis() {
+        return (long) (simulation.nowMicros() * rate) / 1000 + wallStepMillis;
+    }
+
+    /** Subtracts a suspension that has just ended from the steady clock. */
+    void endSuspension(long simulatedMillis) {
+        suspendedMicros += (long) (simulatedMillis * 1000 * rate);
+    }
+
+    void stepWall(long millis) {
+        wallStepMillis += millis;
     }
 
     /** Converts an interval of this clock to simulated time. */
--- a/src/main/java/org/yuccabank/verify/Fault.java
+++ b/src/main/java/org/yuccabank/verify/Fault.java
@@ -30,6 +30,10 @@
     DISK_LOST,
     /** A process was paused for a random time, which may exceed the lease. */
     PROCESS_PAUSED,
+    /** A host was suspended, so that its steady clock stood still while the others went on. */
+    HOST_SUSPENDED,
+    /** The time of day of a host was stepped. */
+    WALL_CLOCK_STEPPED,
     /** A healthy member was replaced. */
     MEMBER_REPLACED,
     /** Leadership was transferred on request. */
--- a/src/main/java/org/yuccabank/verify/Schedule.java
+++ b/src/main/java/org/yuccabank/verify/Schedule.java
@@ -34,6 +34,7 @@
     private final List<SimulatedClient> clients = new ArrayList<>();
     private final MemberReplacer memberReplacer;
     private final FaultInjector faultInjector;
+    private final ClockFaultInjector clockFaultInjector;
 
     /**
      * Result of a schedule.
@@ -56,6 +57,7 @@
         group = new SimulatedGroup(simulation, plan, options, checker);
         memberReplacer = new MemberReplacer(group);
         faultInjector = new FaultInjector(group, memberReplacer);
+        clockFaultInjector = new ClockFaultInjector(group, seed);
     }
 
     /** Runs the schedule for a seed. */
@@ -84,8 +86,10 @@
         clients.forEach(SimulatedClient::start);
         memberReplacer.start();
         faultInjector.start();
+        clockFaultInjector.start();
         runUntil(group.plan().faultPhaseMillis());
         faultInjector.stop();
+        clockFaultInjector.stop();
         clients.forEach(SimulatedClient::stop);
         recover();
         checker.checkHistory(history);
--- a/src/main/java/org/yuccabank/verify/SimulatedReplica.java
+++ b/src/main/java/org/yuccabank/verify/SimulatedReplica.java
@@ -164,6 +164,7 @@
             return;
         }
         ReplicaNode currentNode = node;
+        currentNode.observeClocks(nowMillis(), clock.wallMillis());
         input.accept(currentNode);
         afterInput(currentNode);
     }
@@ -248,6 +249,19 @@
 
     /** Pauses the process; inputs that arrive meanwhile are handled when it resumes. */
     void pause(long millis) {
+        pause(millis, 0);
+    }
+
+    /** Pauses the process like {@link #pause} while its steady clock stands still. */
+    void suspend(long millis) {
+        pause(millis, millis);
+    }
+
+    void stepWallClock(long millis) {
+        clock.stepWall(millis);
+    }
+
+    private void pause(long millis, long suspendedMillis) {
         if (node == null || paused) {
             return;
         }
@@ -257,6 +271,7 @@
                 millis,
                 () -> {
                     if (incarnation == pausedIncarnation) {
+                        clock.endSuspension(suspendedMillis);
                         resume();
                     }
                 });
--- a/src/test/java/org/yuccabank/replication/ReplicaCoreTest.java
+++ b/src/test/java/org/yuccabank/replication/ReplicaCoreTest.java
@@ -80,6 +80,38 @@
         assertFalse(readsStaleAfterDrift(ReplicaOptions.all()));
     }
 
+    /** Returns whether the lease confirms a read after the clocks of the leader have changed. */
+    private boolean readsWithLease(ReplicaOptions options, long wallStepMillis) {
+        realMillis = 0;
+        CoreGroup group =
+                new CoreGroup(List.of("a", "b", "c"), TIMING, options, id -> (long) realMillis);
+        elect(group, "a", "a", "b", "c");
+        group.core("a").observeClocks((long) realMillis, 0);
+        realMillis += 100;
+        group.tick("a");
+        group.deliver(message -> true);
+        realMillis += 10;
+        group.core("a").observeClocks((long) realMillis, 110 + wallStepMillis);
+        group.read("a");
+        group.deliver(message -> false);
+        boolean confirmed = group.reads("a") == 1;
+        group.read("a");
+        group.deliver(message -> true);
+        assertEquals(group.reads("a"), 2, "a heartbeat round must confirm the reads");
+        return confirmed;
+    }
+
+    /** Guards against a lease that outlasts a suspension, and against reads that a step stops. */
+    @Test
+    public void shouldEndLeaseWhenClocksDiverge() {
+        ReplicaOptions without = ReplicaOptions.without(Mechanism.CLOCK_COMPARISON);
+        for (long stepMillis : new long[] {400, -400}) {
+            assertTrue(readsWithLease(without, stepMillis));
+            assertFalse(readsWithLease(ReplicaOptions.all(), stepMillis));
+        }
+        assertTrue(readsWithLease(ReplicaOptions.all(), ClockComparison.TOLERANCE_MILLIS));
+    }
+
     private boolean readsStaleWithTwoLeaders(ReplicaOptions options) {
         realMillis = 0;
         CoreGroup group =
--- a/src/test/java/org/yuccabank/verify/VerificationTest.java
+++ b/src/test/java/org/yuccabank/verify/VerificationTest.java
@@ -1,6 +1,7 @@
 package org.yuccabank.verify;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
@@ -24,6 +25,18 @@
         report.faults().forEach((fault, count) -> assertTrue(count > 0, fault + " never injected"));
     }
 
+    /** Guards against a leader that reads its old state after its host was suspended. */
+    @Test
+    public void shouldFindNoViolationWhileHostsAreSuspended() {
+        boolean found =
+                LongStream.range(0, SCHEDULE_COUNT)
+                        .map(number -> 1 + number * ClockFaultInjector.SEED_INTERVAL)
+                        .parallel()
+                        .mapToObj(seed -> Schedule.run(seed, VerifyOptions.defaults()))
+                        .anyMatch(outcome -> !outcome.violations().isEmpty());
+        assertFalse(found);
+    }
+
     /** Seeds with which a follower once lagged behind permanently. */
     @DataProvider
     public Object[][] seedsWithLaggingFollower() {
@@ -75,6 +88,7 @@
         return new Object[][] {
             {"SYNC_BEFORE_ACKNOWLEDGE"},
             {"PRE_VOTE"},
+            {"CLOCK_COMPARISON"},
             {"SINGLE_VOTE"},
             {"LOG_COMPLETENESS"},
             {"PREVIOUS_ENTRY_CHECK"},
