Handle confirmed requests on the replica thread

Reports of agents, reads of the configuration and queries were handled by a function added to the stage of readConfirmed. If the replica thread completed the stage first, the function ran on the network thread, beside the replica thread that applies commands and plans: it read and changed the leader's unsynchronised maps of workers, pending ends and records there. Callers could see an error or a state in the middle of a command, and an end of a run could be lost.

The function is now passed to callConfirmed, which calls it on the replica thread; the new test sees only that thread in 2,000 reads.

--- a/src/main/java/org/yuccabank/control/ControlHandler.java
+++ b/src/main/java/org/yuccabank/control/ControlHandler.java
@@ -1,6 +1,5 @@
 package org.yuccabank.control;
 
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
 import org.yuccabank.protocol.PeerConnection;
@@ -11,7 +10,6 @@
 import org.yuccabank.protocol.generated.ProtocolError;
 import org.yuccabank.protocol.generated.WorkflowReply;
 import org.yuccabank.protocol.generated.WorkflowRequest;
-import org.yuccabank.replication.ReadOutcome;
 import org.yuccabank.replication.ReplicaMember;
 import org.yuccabank.replication.ReplicaService;
 import reactor.core.publisher.Mono;
@@ -135,18 +133,9 @@
         if (!replica.isLeader()) {
             return Mono.just(notLeaderError());
         }
-        CompletableFuture<Envelope> reply = new CompletableFuture<>();
-        replica.readConfirmed()
-                .whenComplete(
-                        (outcome, error) -> {
-                            try {
-                                boolean confirmed = outcome instanceof ReadOutcome.Confirmed;
-                                reply.complete(confirmed ? supplier.get() : notLeaderError());
-                            } catch (RuntimeException exception) {
-                                reply.completeExceptionally(exception);
-                            }
-                        });
-        return Mono.fromFuture(reply);
+        return Mono.fromCompletionStage(
+                replica.callConfirmed(supplier)
+                        .thenApply(reply -> reply.orElseGet(this::notLeaderError)));
     }
 
     private String leaderAddress() {
--- a/src/main/java/org/yuccabank/replication/ReplicaService.java
+++ b/src/main/java/org/yuccabank/replication/ReplicaService.java
@@ -25,8 +25,9 @@
 
 /**
  * A replica of a replicated state machine, run by a thread of its own. Thread-safe. Returned stages
- * complete on the replica thread, so dependent functions may read the state machine but must not
- * block.
+ * complete on the replica thread, so dependent functions must not block. A function that is added
+ * to a stage from another thread may run there; only functions passed to {@link #call} and {@link
+ * #callConfirmed} may read the state machine.
  *
  * <p>Inputs that arrive during a sync are handled as one batch afterwards and share the next sync.
  *
@@ -393,20 +394,45 @@
      */
     public <T> CompletionStage<T> call(Supplier<T> function) {
         CompletableFuture<T> future = new CompletableFuture<>();
-        Runnable input =
-                () -> {
-                    try {
-                        future.complete(function.get());
-                    } catch (RuntimeException exception) {
-                        future.completeExceptionally(exception);
-                    }
-                };
-        if (!submit(input)) {
+        if (!submit(() -> complete(future, function))) {
             future.completeExceptionally(new IllegalStateException(STOPPED_MESSAGE));
         }
         return future;
     }
 
+    /**
+     * Runs a function on the replica thread, where it may read the state machine, once the state is
+     * confirmed as by {@link #readConfirmed}.
+     *
+     * @param function the function, which must not block
+     * @param <T> type of the result
+     * @return a stage that completes with the result, or empty if this replica is not the leader,
+     *     or exceptionally if the function throws
+     */
+    public <T> CompletionStage<Optional<T>> callConfirmed(Supplier<T> function) {
+        CompletableFuture<Optional<T>> future = new CompletableFuture<>();
+        Consumer<ReadOutcome> callback =
+                outcome ->
+                        complete(
+                                future,
+                                () ->
+                                        outcome instanceof ReadOutcome.Confirmed
+                                                ? Optional.of(function.get())
+                                                : Optional.empty());
+        if (!submit(() -> node.readConfirmed(observeClocks(), callback))) {
+            future.complete(Optional.empty());
+        }
+        return future;
+    }
+
+    private static <T> void complete(CompletableFuture<T> future, Supplier<T> function) {
+        try {
+            future.complete(function.get());
+        } catch (RuntimeException exception) {
+            future.completeExceptionally(exception);
+        }
+    }
+
     /**
      * Returns whether this replica is the leader and ready to serve. The result may already be
      * stale; only a committed proposal or a confirmed read proves leadership.
--- a/src/test/java/org/yuccabank/replication/ReplicaServiceTest.java
+++ b/src/test/java/org/yuccabank/replication/ReplicaServiceTest.java
@@ -12,6 +12,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -107,6 +108,22 @@
                 .getKey();
     }
 
+    /**
+     * Guards against confirmed reads that run on the thread of their caller, where they see the
+     * state machine while a command is applied.
+     */
+    @Test
+    public void shouldReadOnReplicaThread() throws Exception {
+        ReplicaService leader = services.get(leader());
+        for (int number = 0; number < 2_000; number++) {
+            Optional<String> thread =
+                    leader.callConfirmed(() -> Thread.currentThread().getName())
+                            .toCompletableFuture()
+                            .get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            assertTrue(thread.orElse("replica-none").startsWith("replica-"), thread.toString());
+        }
+    }
+
     private List<String> propose(String prefix, int count) throws Exception {
         List<String> accepted = new ArrayList<>();
         ReplicaService leader = services.get(leader());
