Confirm leadership before a change is refused

A client could be answered 404 for a route that had been added, or 410 for a job that was running, by a leader that was cut off or had been frozen: submissions and cancellations were answered from its records without confirmed leadership whenever they needed no commit, that is for an unknown queue, an unknown or ended workflow, an invalid or refused submission. A thawed process handles the requests that waited in its sockets before it learns of its successor.

All requests now wait for the same confirmation as reads; with a valid lease it costs no message.

--- a/src/main/java/org/yuccabank/control/ControlHandler.java
+++ b/src/main/java/org/yuccabank/control/ControlHandler.java
@@ -1,5 +1,6 @@
 package org.yuccabank.control;
 
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
 import org.yuccabank.protocol.PeerConnection;
@@ -17,9 +18,9 @@
 /**
  * Handles requests from other processes.
  *
- * <p>Invariant: reports, directory requests and queries are answered only after leadership has been
- * confirmed, so that a partitioned former leader neither renews leases nor returns stale data.
- * Thread-safe.
+ * <p>Invariant: all requests are answered only after leadership has been confirmed, so that a
+ * partitioned former leader neither renews leases nor returns stale data. That includes changes,
+ * which may be refused without a commit because of the recorded state. Thread-safe.
  */
 final class ControlHandler implements PeerHandler {
 
@@ -92,13 +93,19 @@
             return Mono.just(notLeaderResult());
         }
         CompletionStage<Envelope> reply =
-                replica.call(
+                replica.callConfirmed(
                                 () ->
                                         leader.command(
                                                 request.getCommandRequest(),
                                                 System.currentTimeMillis()))
-                        .thenCompose(stage -> stage)
-                        .thenApply(ControlHandler::commandResponse);
+                        .thenCompose(
+                                result ->
+                                        result.map(
+                                                        stage ->
+                                                                stage.thenApply(
+                                                                        ControlHandler
+                                                                                ::commandResponse))
+                                                .orElseGet(() -> completed(notLeaderResult())));
         return Mono.fromCompletionStage(reply);
     }
 
@@ -111,16 +118,24 @@
             return Mono.just(notLeaderError());
         }
         CompletionStage<Envelope> reply =
-                replica.call(() -> leader.workflows().change(request))
-                        .thenCompose(stage -> stage)
-                        .thenApply(
+                replica.callConfirmed(() -> leader.workflows().change(request))
+                        .thenCompose(
                                 result ->
-                                        result.getVerdict() == WorkflowReply.Verdict.NOT_LEADER
-                                                ? notLeaderError()
-                                                : workflowResponse(result));
+                                        result.map(stage -> stage.thenApply(this::changeResponse))
+                                                .orElseGet(() -> completed(notLeaderError())));
         return Mono.fromCompletionStage(reply);
     }
 
+    private Envelope changeResponse(WorkflowReply reply) {
+        return reply.getVerdict() == WorkflowReply.Verdict.NOT_LEADER
+                ? notLeaderError()
+                : workflowResponse(reply);
+    }
+
+    private static CompletionStage<Envelope> completed(Envelope reply) {
+        return CompletableFuture.completedFuture(reply);
+    }
+
     private static Envelope workflowResponse(WorkflowReply reply) {
         return Envelope.newBuilder().setWorkflowReply(reply).build();
     }
