Let repeated submissions and cancels wait for the first submission

A submission that arrived while an earlier one of the same identifier was being committed was judged by itself. If it was refused, the client was told that the job never runs, and then the first one was accepted and ran. A cancel that arrived meanwhile was answered "no such workflow", and the job ran on. Both times the record of the workflow exists only after the commit.

The leader now keeps the submissions that are being committed. A second submission gets the outcome of the first; a cancel waits for it and is then carried out, or is answered as uncertain if the first one is.

--- a/src/main/java/org/yuccabank/control/workflow/WorkflowRequestHandler.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowRequestHandler.java
@@ -1,6 +1,8 @@
 package org.yuccabank.control.workflow;
 
 import com.google.protobuf.ByteString;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
@@ -26,8 +28,9 @@
 /**
  * Handles the requests of clients and operators on the leader.
  *
- * <p>Invariant: a change is reported as accepted only after it is committed. Confined to the
- * replica thread.
+ * <p>Invariants: a change is reported as accepted only after it is committed; a submission or
+ * cancellation that arrives while a submission of the same workflow is being committed waits for
+ * its outcome. Confined to the replica thread.
  */
 final class WorkflowRequestHandler {
 
@@ -38,6 +41,9 @@
     private final MembershipManager membership;
     private final WorkflowLog log = new WorkflowLog();
 
+    /** Submissions that are being committed, by workflow identifier. */
+    private final Map<String, CompletionStage<WorkflowReply>> pendingSubmissions = new HashMap<>();
+
     WorkflowRequestHandler(WorkflowLeader leader, MembershipManager membership) {
         this.leader = leader;
         this.membership = membership;
@@ -143,6 +149,10 @@
         if (leader.records().workflow(workflowId).isPresent()) {
             return completed(reply(Verdict.ACCEPTED, "accepted before"));
         }
+        if (pendingSubmissions.containsKey(workflowId)) {
+            // A repeated submission that is refused would deny that the first one runs.
+            return pendingSubmissions.get(workflowId);
+        }
         WorkflowDefinition definition =
                 request.getSubmit().toBuilder().setWorkflowId(workflowId).build();
         Optional<String> violation = WorkflowLimits.violation(definition);
@@ -169,8 +179,24 @@
                         .setQueue(match.get().queue())
                         .build();
         log.accepted(definition, match.get().queue(), configuration.get());
-        return leader.propose(WorkflowCommand.newBuilder().setAccept(accept))
-                .thenApply(result -> commitReply(result, workflowId));
+        return proposeSubmission(accept, workflowId);
+    }
+
+    private CompletionStage<WorkflowReply> proposeSubmission(
+            AcceptWorkflow accept, String workflowId) {
+        CompletableFuture<WorkflowReply> outcome = new CompletableFuture<>();
+        pendingSubmissions.put(workflowId, outcome);
+        leader.propose(WorkflowCommand.newBuilder().setAccept(accept))
+                .whenComplete(
+                        (result, error) -> {
+                            pendingSubmissions.remove(workflowId, outcome);
+                            if (error == null) {
+                                outcome.complete(commitReply(result, workflowId));
+                            } else {
+                                outcome.completeExceptionally(error);
+                            }
+                        });
+        return outcome;
     }
 
     private OptionalLong retryAfterMillis(WorkflowDefinition definition, QueueDefinition queue) {
@@ -196,6 +222,15 @@
         }
         String workflowId = match.get().workflowId();
         Optional<Workflow> workflow = leader.records().workflow(workflowId);
+        if (pendingSubmissions.containsKey(workflowId)) {
+            return pendingSubmissions
+                    .get(workflowId)
+                    .thenCompose(
+                            reply ->
+                                    reply.getVerdict() == Verdict.ACCEPTED
+                                            ? cancel(request)
+                                            : CompletableFuture.completedFuture(reply));
+        }
         if (workflow.isEmpty()) {
             return completed(reply(Verdict.UNKNOWN_WORKFLOW, "no such workflow"));
         }
