Start no run whose end is being committed

A restarted agent process reports a list without the run whose end the previous process has reported. Until that end was committed the leader answered with another start of the run, while the same round let the next run of the task start elsewhere. The decision moves to a class of its own, RunDirectives, whose test failed without the check.

--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -352,7 +352,8 @@
                 directives.addSettled(ended.getRun());
             }
         }
-        addRunDirectives(view, directives);
+        RunDirectives.addTo(
+                directives, view, records(), pendingEnds, task -> shouldStop(task, view));
         List<StepDefinition> steps =
                 records().openRuns(view.worker()).stream()
                         .map(task -> task.workflow().step(task.address().getStep()))
@@ -362,22 +363,6 @@
         return directives;
     }
 
-    private void addRunDirectives(WorkerView view, WorkerDirectives.Builder directives) {
-        Set<RunAddress> reportedRuns = view.reportedRuns();
-        for (WorkflowTask task : records().openRuns(view.worker())) {
-            if (shouldStop(task, view)) {
-                directives.addStops(task.run());
-            } else if (view.needsStart(task.run(), reportedRuns)) {
-                directives.addStarts(StartRunBuilder.build(task));
-            }
-        }
-        for (RunAddress run : view.activeRuns()) {
-            if (records().openRun(run).isEmpty()) {
-                directives.addStops(run);
-            }
-        }
-    }
-
     /**
      * Returns whether a run should be stopped. A draining worker keeps only the tasks that would
      * lose work when stopped; one that leaves keeps none, and its runs end as it reports their
