Order reports and directives by what their senders knew

A report of a killed agent process that arrived after one of its successor could end runs: with a promise that the lease is over, or with a run that it had given up. So could one that was made in an earlier term. Directives are now numbered within a term, and reports state the newest term and number that their process had received. The leader relies on a promise or on a run that was given up only if the process knew directives that are newer than those sent to any other process of its host.

The agent does not apply directives that newer ones have overtaken on another connection, and takes an answer for another incarnation of its worker for no grant.

An end is recorded only if the agent of the run's host reports it.

--- a/src/main/java/org/yuccabank/agent/workflow/WorkerAnnouncement.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkerAnnouncement.java
@@ -4,7 +4,9 @@
 import java.util.Objects;
 import java.util.Set;
 import org.yuccabank.model.Resources;
+import org.yuccabank.protocol.generated.ResourceVector;
 import org.yuccabank.protocol.generated.WorkerIdentity;
+import org.yuccabank.protocol.generated.WorkerReport;
 
 /**
  * Self-description of a worker. Immutable.
@@ -51,4 +53,21 @@
         }
         return sequence > other.sequence;
     }
+
+    /** Returns a report of this announcement, to which the state of the runs has to be added. */
+    WorkerReport.Builder toReport(String hostId) {
+        return WorkerReport.newBuilder()
+                .setHostId(hostId)
+                .setWorker(identity)
+                .setService(service)
+                .setDataCentre(dataCentre)
+                .setRack(rack)
+                .addAllLabels(labels)
+                .setCapacity(
+                        ResourceVector.newBuilder()
+                                .setProcessorMillis(capacity.processorMillis())
+                                .setMemoryMebibytes(capacity.memoryMebibytes())
+                                .setAccelerators(capacity.accelerators()))
+                .setDraining(draining);
+    }
 }
--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -14,7 +14,6 @@
 import java.util.function.Consumer;
 import org.yuccabank.event.Event;
 import org.yuccabank.event.EventLog;
-import org.yuccabank.model.Resources;
 import org.yuccabank.policy.workflow.BestEffortThrottle;
 import org.yuccabank.protocol.LeaderClient;
 import org.yuccabank.protocol.PeerConnection;
@@ -22,7 +21,6 @@
 import org.yuccabank.protocol.generated.ActiveRun;
 import org.yuccabank.protocol.generated.Envelope;
 import org.yuccabank.protocol.generated.Hello;
-import org.yuccabank.protocol.generated.ResourceVector;
 import org.yuccabank.protocol.generated.Role;
 import org.yuccabank.protocol.generated.RunAddress;
 import org.yuccabank.protocol.generated.WorkerDirectives;
@@ -74,7 +72,7 @@
     private final WorkerShutdown shutdown = new WorkerShutdown();
     private Optional<WorkerAnnouncement> worker = Optional.empty();
     private long announcedAtMillis;
-    private long term;
+    private final DirectiveOrder order = new DirectiveOrder();
     private long listedTerm;
     private long reportedTerm;
     private long listedAtMillis = Long.MIN_VALUE / 2;
@@ -172,7 +170,7 @@
 
             @Override
             public long term() {
-                return term;
+                return order.term();
             }
 
             @Override
@@ -230,7 +228,7 @@
         } else if (isCurrentIncarnation(announcement)) {
             record(announcement, sink);
         } else {
-            api.identify(announcement, term)
+            api.identify(announcement, order.term())
                     .subscribe(
                             identification ->
                                     loop.execute(
@@ -366,7 +364,7 @@
         }
         boolean current =
                 worker.map(each -> each.identity().equals(report.getWorker())).orElse(false);
-        boolean valid = current && reply.getWorkerDirectives().getTerm() >= term;
+        boolean valid = current && order.isAnswer(reply.getWorkerDirectives(), report);
         if (valid) {
             lease.grant(workerClock, report.hasLeaseLeftMillis());
         }
@@ -401,21 +399,16 @@
         WorkerAnnouncement announced = worker.orElseThrow();
         boolean listed = listedTerm > 0 && now - listedAtMillis < LIST_VALID_MILLIS;
         WorkerReport.Builder report =
-                WorkerReport.newBuilder()
-                        .setHostId(configuration.hostId())
-                        .setWorker(announced.identity())
-                        .setService(announced.service())
-                        .setDataCentre(announced.dataCentre())
-                        .setRack(announced.rack())
-                        .addAllLabels(announced.labels())
-                        .setCapacity(vector(announced.capacity()))
-                        .setDraining(announced.draining())
+                announced
+                        .toReport(configuration.hostId())
                         .setLeaving(shutdown.isRequested())
                         .setWorkerPresent(listed)
                         .setListed(listed)
                         .setTerm(listedTerm)
                         .setSequence(++reportSequence)
                         .setReporterId(reporterId)
+                        .setKnownTerm(order.term())
+                        .setKnownNumber(order.number())
                         .addAllEnded(runs.ended());
         if (listed) {
             report.addAllActive(runs.active());
@@ -429,14 +422,6 @@
         return report.build();
     }
 
-    private static ResourceVector vector(Resources resources) {
-        return ResourceVector.newBuilder()
-                .setProcessorMillis(resources.processorMillis())
-                .setMemoryMebibytes(resources.memoryMebibytes())
-                .setAccelerators(resources.accelerators())
-                .build();
-    }
-
     // Directives
 
     private Mono<Envelope> onMessage(PeerConnection from, Envelope message) {
@@ -449,11 +434,11 @@
     private void applyDirectives(WorkerDirectives directives) {
         boolean current =
                 worker.map(each -> each.identity().equals(directives.getWorker())).orElse(false);
-        if (directives.getTerm() < term || !current) {
+        long previousTerm = order.term();
+        if (!current || !order.advance(directives)) {
             return;
         }
-        if (directives.getTerm() > term) {
-            term = directives.getTerm();
+        if (order.term() > previousTerm) {
             requestList();
         }
         leader.updateMembers(directives.getControlAddressesList());
@@ -483,7 +468,7 @@
 
     private void requestList() {
         listRequested = true;
-        if (!listInProgress && worker.isPresent() && term > 0 && !stopped) {
+        if (!listInProgress && worker.isPresent() && order.term() > 0 && !stopped) {
             sendList();
         }
     }
@@ -491,13 +476,13 @@
     private void sendList() {
         listInProgress = true;
         listsPaused = false;
-        boolean immediate = listRequested && listedTerm != term;
+        boolean immediate = listRequested && listedTerm != order.term();
         listRequested = false;
         long requestedMillis = nowMillis();
-        long requestTerm = term;
+        long requestTerm = order.term();
         WorkerAnnouncement target = worker.orElseThrow();
         WorkerApi.FencedLease fencedLease =
-                new WorkerApi.FencedLease(term, lease.renew(requestedMillis));
+                new WorkerApi.FencedLease(requestTerm, lease.renew(requestedMillis));
         api.list(target, fencedLease, runs.acknowledgedNumber(), immediate ? 0 : LIST_WAIT_MILLIS)
                 .subscribe(
                         outcome ->
@@ -518,7 +503,7 @@
         listInProgress = false;
         WorkerIdentity identity = target.identity();
         boolean current = worker.map(each -> each.identity().equals(identity)).orElse(false);
-        if (!current || requestTerm != term) {
+        if (!current || requestTerm != order.term()) {
             requestList();
             return;
         }
@@ -588,7 +573,7 @@
     /** Sends a speed to the worker. An unanswered call is repeated after the next list. */
     private void sendSpeed(WorkerAnnouncement target, RunEntry entry, int percent) {
         entry.beginSpeedChange(percent);
-        api.setSpeed(target, entry.run(), percent, term)
+        api.setSpeed(target, entry.run(), percent, order.term())
                 .subscribe(
                         outcome -> {
                             boolean done = outcome instanceof WorkerApi.CallOutcome.Done;
--- a/src/main/java/org/yuccabank/control/workflow/WorkerView.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkerView.java
@@ -19,6 +19,7 @@
 import org.yuccabank.protocol.generated.WorkerDirectives;
 import org.yuccabank.protocol.generated.WorkerIdentity;
 import org.yuccabank.protocol.generated.WorkerReport;
+import org.yuccabank.state.workflow.WorkflowRecords;
 
 /**
  * State of the worker of one host as reported by the agent on that host. Confined to the replica
@@ -32,6 +33,7 @@
     /** Interval at which all pressures are sent again, because a message may have been lost. */
     private static final long PRESSURE_RESEND_MILLIS = 5_000;
 
+    private final ReporterOrder reporters;
     private WorkerReport report;
     private PeerConnection connection;
     private long leaseEndMillis;
@@ -45,8 +47,9 @@
     private final Map<PressureEstimates.ImagePair, Double> sentPressures = new HashMap<>();
     private long pressuresResetAtMillis = Long.MIN_VALUE / 2;
 
-    WorkerView(WorkerReport report) {
+    WorkerView(WorkerReport report, long term) {
         this.report = report;
+        reporters = new ReporterOrder(term);
     }
 
     /**
@@ -75,7 +78,12 @@
         }
         report = newReport;
         connection = newConnection;
-        leaseEndMillis = nowMillis + lease.millisAfter(newReport);
+        reporters.recordReport(newReport);
+        leaseEndMillis =
+                nowMillis
+                        + (reporters.isLeaseReliable(newReport)
+                                ? lease.millisAfter(newReport)
+                                : lease.maximumMillis());
         active.clear();
         if (newReport.getListed()) {
             listedAtMillis = nowMillis;
@@ -105,6 +113,16 @@
         return report;
     }
 
+    /** Records the number of directives that are being sent to the agent. */
+    void recordSent(long directivesNumber) {
+        reporters.recordSent(directivesNumber);
+    }
+
+    /** Returns the ends of the latest report that prove the end of a run. */
+    List<EndedRun> endsToRecord(WorkflowRecords records) {
+        return ReportedEnds.toRecord(report, records, reporters.isGivingUpReliable(report));
+    }
+
     /** Returns whether every lease that the worker may hold has expired. */
     boolean isLeaseExpired(long nowMillis) {
         return nowMillis > leaseEndMillis;
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -89,6 +89,7 @@
     private final MembershipManager membership;
     private long term;
     private long leaderSinceMillis;
+    private long directivesNumber;
     private final ServingRecovery servingRecovery = new ServingRecovery();
     private boolean bestEffortHeld;
     private boolean roundInProgress;
@@ -238,7 +239,7 @@
         long nowMillis = monotonicMillis();
         WorkerView view = workers.get(report.getHostId());
         if (view == null) {
-            view = new WorkerView(report);
+            view = new WorkerView(report, term);
             workers.put(report.getHostId(), view);
         }
         WorkerIdentity previous = view.worker();
@@ -263,7 +264,7 @@
         if (valid.getListed()) {
             interferenceMonitor.update(valid, records(), nowMillis);
         }
-        valid.getEndedList().forEach(this::enqueueEnd);
+        view.endsToRecord(records()).forEach(this::enqueueEnd);
         // Planning examines every workflow, so a report without ends waits for the tick.
         if (!pendingEnds.isEmpty()) {
             startRoundIfIdle();
@@ -335,9 +336,11 @@
     }
 
     private WorkerDirectives.Builder directives(WorkerView view, long answeredSequence) {
+        view.recordSent(++directivesNumber);
         WorkerDirectives.Builder directives =
                 WorkerDirectives.newBuilder()
                         .setTerm(term)
+                        .setNumber(directivesNumber)
                         .setWorker(view.worker())
                         .setAnswersSequence(answeredSequence);
         directives.addAllControlAddresses(memberAddresses());
--- a/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
@@ -60,13 +60,17 @@
         private volatile boolean assigned;
         private volatile boolean startSent;
         private volatile boolean ended;
+        private volatile long directivesNumber;
         private volatile WorkerReport latest = WorkerReport.getDefaultInstance();
 
         private Mono<Envelope> reply(Envelope request) {
             WorkerReport report = request.getWorkerReport();
             latest = report;
             WorkerDirectives.Builder directives =
-                    WorkerDirectives.newBuilder().setTerm(1).setWorker(report.getWorker());
+                    WorkerDirectives.newBuilder()
+                            .setTerm(1)
+                            .setNumber(directivesNumber)
+                            .setWorker(report.getWorker());
             if (ended || report.getLeaving()) {
                 report.getActiveList().forEach(run -> directives.addStops(run.getRun()));
             } else if (assigned) {
@@ -332,6 +336,24 @@
         assertTrue(leader.latest.getEndedCount() > 0, "the leader knows the end");
     }
 
+    /**
+     * Guards against directives that arrive late on another connection and start a run that the
+     * leader has ended since.
+     */
+    @Test
+    public void shouldIgnoreDirectivesThatNewerOnesHaveOvertaken() {
+        leader.directivesNumber = 10;
+        await(() -> leader.latest.getKnownNumber() == 10);
+        leader.directivesNumber = 9;
+        leader.assigned = true;
+        await(() -> leader.startSent);
+        long sequence = leader.latest.getSequence();
+        await(() -> leader.latest.getSequence() > sequence + 1);
+        assertEquals(worker.starts, List.of());
+        leader.directivesNumber = 11;
+        await(() -> worker.starts.contains(RUN));
+    }
+
     /** Guards against a start that is never sent because it had to wait. */
     @Test
     public void shouldSendWaitingStartOnceTheLeaderHasConfirmedIt() {
--- a/src/test/java/org/yuccabank/control/workflow/RunDirectivesTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/RunDirectivesTest.java
@@ -32,7 +32,7 @@
         records.apply(accept("a", step(1)), 0);
         records.apply(assign(RUN), 0);
         WorkerReport report = WorkerReport.newBuilder().setWorker(WORKER).setListed(true).build();
-        view = new WorkerView(report);
+        view = new WorkerView(report, 1);
         view.update(report, null, 0, new LeaseBound(9_000, 0.03));
     }
 
