--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -89,6 +89,7 @@
     private final MembershipManager membership;
     private long term;
     private long leaderSinceMillis;
+    private long directivesNumber;
     private final ServingRecovery servingRecovery = new ServingRecovery();
     private boolean bestEffortHeld;
     private boolean roundInProgress;
@@ -238,7 +239,7 @@
         long nowMillis = monotonicMillis();
         WorkerView view = workers.get(report.getHostId());
         if (view == null) {
-            view = new WorkerView(report);
+            view = new WorkerView(report, term);
             workers.put(report.getHostId(), view);
         }
         WorkerIdentity previous = view.worker();
@@ -263,7 +264,7 @@
         if (valid.getListed()) {
             interferenceMonitor.update(valid, records(), nowMillis);
         }
-        valid.getEndedList().forEach(this::enqueueEnd);
+        view.endsToRecord(records()).forEach(this::enqueueEnd);
         // Planning examines every workflow, so a report without ends waits for the tick.
         if (!pendingEnds.isEmpty()) {
             startRoundIfIdle();
@@ -335,9 +336,11 @@
     }
 
     private WorkerDirectives.Builder directives(WorkerView view, long answeredSequence) {
+        view.recordSent(++directivesNumber);
         WorkerDirectives.Builder directives =
                 WorkerDirectives.newBuilder()
                         .setTerm(term)
+                        .setNumber(directivesNumber)
                         .setWorker(view.worker())
                         .setAnswersSequence(answeredSequence);
         directives.addAllControlAddresses(memberAddresses());
@@ -352,7 +355,8 @@
                 directives.addSettled(ended.getRun());
             }
         }
-        addRunDirectives(view, directives);
+        RunDirectives.addTo(
+                directives, view, records(), pendingEnds, task -> shouldStop(task, view));
         List<StepDefinition> steps =
                 records().openRuns(view.worker()).stream()
                         .map(task -> task.workflow().step(task.address().getStep()))
@@ -362,22 +366,6 @@
         return directives;
     }
 
-    private void addRunDirectives(WorkerView view, WorkerDirectives.Builder directives) {
-        Set<RunAddress> reportedRuns = view.reportedRuns();
-        for (WorkflowTask task : records().openRuns(view.worker())) {
-            if (shouldStop(task, view)) {
-                directives.addStops(task.run());
-            } else if (view.needsStart(task.run(), reportedRuns)) {
-                directives.addStarts(StartRunBuilder.build(task));
-            }
-        }
-        for (RunAddress run : view.activeRuns()) {
-            if (records().openRun(run).isEmpty()) {
-                directives.addStops(run);
-            }
-        }
-    }
-
     /**
      * Returns whether a run should be stopped. A draining worker keeps only the tasks that would
      * lose work when stopped; one that leaves keeps none, and its runs end as it reports their
