Report a submission in doubt as uncertain if its queue is unknown

A client could be answered 404 for a job that runs: the reply to the first attempt of the entry was lost after the job had been accepted, the route was removed, and the leader answered the second attempt with "no queue has this host name and path". Only a refusal after an attempt in doubt was reported as uncertain.

WorkflowGatewayTest loses the reply to the first attempt: before, the caller got UNKNOWN_QUEUE, now UNCERTAIN (504), upon which clients send the job again. A first attempt without doubt is still answered 404.

--- a/src/main/java/org/yuccabank/entry/workflow/WorkflowGateway.java
+++ b/src/main/java/org/yuccabank/entry/workflow/WorkflowGateway.java
@@ -233,10 +233,19 @@
         if (reply.getVerdict() == Verdict.UNCERTAIN) {
             return attempt(request, deadlines, true);
         }
-        boolean mayHaveBeenAccepted = inDoubt && reply.getVerdict() == Verdict.REFUSED;
+        boolean mayHaveBeenAccepted = inDoubt && deniesAcceptance(request, reply);
         return Mono.just(mayHaveBeenAccepted ? failedReply(true, reply.getMessage()) : reply);
     }
 
+    /**
+     * Returns whether a reply says that a request was not accepted, although an earlier attempt may
+     * have been: the queue of a workflow may have been removed since then.
+     */
+    private static boolean deniesAcceptance(WorkflowRequest request, WorkflowReply reply) {
+        return reply.getVerdict() == Verdict.REFUSED
+                || (request.hasSubmit() && reply.getVerdict() == Verdict.UNKNOWN_QUEUE);
+    }
+
     private WorkflowReply failedReply(boolean inDoubt, String reason) {
         // Before the first reply, the outage is measured from the start of this process.
         long outageStartMillis = Math.max(lastReplyMillis, startMillis);
--- a/src/test/java/org/yuccabank/entry/workflow/WorkflowGatewayTest.java
+++ b/src/test/java/org/yuccabank/entry/workflow/WorkflowGatewayTest.java
@@ -4,16 +4,24 @@
 import static org.testng.Assert.assertTrue;
 
 import io.netty.channel.EventLoopGroup;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.Test;
+import org.yuccabank.protocol.PeerServer;
 import org.yuccabank.protocol.PeerTransport;
+import org.yuccabank.protocol.generated.Envelope;
+import org.yuccabank.protocol.generated.Hello;
+import org.yuccabank.protocol.generated.WorkflowDefinition;
 import org.yuccabank.protocol.generated.WorkflowReply;
 import org.yuccabank.protocol.generated.WorkflowRequest;
+import reactor.core.publisher.Mono;
 
-/** Tests the replies to callers while there is no leader. */
+/** Tests the replies to callers while there is no leader, or one whose reply is lost. */
 public final class WorkflowGatewayTest {
 
     /** Port of the discard protocol, on which no process listens. */
@@ -63,4 +71,49 @@
             gateway.stop();
         }
     }
+
+    /**
+     * Guards against a submission that is reported as unknown although its first attempt, whose
+     * reply was lost, may have been accepted before its queue was removed.
+     */
+    @Test
+    public void shouldNotDenySubmissionInDoubt() throws Exception {
+        InetSocketAddress address;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            address = (InetSocketAddress) free.getLocalSocketAddress();
+        }
+        Envelope unknownQueue =
+                Envelope.newBuilder()
+                        .setWorkflowReply(
+                                WorkflowReply.newBuilder()
+                                        .setVerdict(WorkflowReply.Verdict.UNKNOWN_QUEUE))
+                        .build();
+        AtomicBoolean answers = new AtomicBoolean();
+        PeerTransport transport = PeerTransport.startOn(Hello.getDefaultInstance(), eventLoops);
+        PeerServer server =
+                PeerServer.start(
+                        transport,
+                        address,
+                        (from, request) ->
+                                request.getWorkflowRequest().hasSubmit() && !answers.getAndSet(true)
+                                        ? Mono.never()
+                                        : Mono.just(unknownQueue));
+        WorkflowGateway gateway = WorkflowGateway.start("p", "d", List.of(address), eventLoops);
+        try {
+            WorkflowRequest submission =
+                    WorkflowRequest.newBuilder()
+                            .setSubmit(WorkflowDefinition.getDefaultInstance())
+                            .build();
+            assertEquals(
+                    gateway.send(submission, CALLER_TIMEOUT).block().getVerdict(),
+                    WorkflowReply.Verdict.UNCERTAIN);
+            assertEquals(
+                    gateway.send(submission, CALLER_TIMEOUT).block().getVerdict(),
+                    WorkflowReply.Verdict.UNKNOWN_QUEUE);
+        } finally {
+            gateway.stop();
+            server.stop();
+            transport.stop();
+        }
+    }
 }
