End runs of a replaced worker only once its successor has stopped them

A call names the identifier of its worker, not the incarnation. A start that was sent to a worker before it crashed, or before its agent knew of the crash, is carried out by the next incarnation under the same identifier, while the leader ended the run with the first report of that incarnation and let the next run start elsewhere. The leader now orders the new incarnation to stop these runs and ends them once it lists their ends, or has confirmed the stop and does not list them. A worker with another identifier refuses such starts, so nothing changes for it.

The end of the lease in such a start is far ahead on the clock of the new incarnation, which grants its longest lease. The agent promises no time left while that may last.

The agent requests a list at once while it waits for the absence of a stopped run.

--- a/src/main/java/org/yuccabank/agent/workflow/RunCalls.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunCalls.java
@@ -62,9 +62,16 @@
         this.context = context;
     }
 
-    /** Sends the next call that a run requires, unless one is in progress. */
+    /**
+     * Sends the next call that a run requires, unless one is in progress. Does nothing for a run of
+     * an earlier incarnation, whose delayed start another one would carry out.
+     */
     void advance(RunEntry entry) {
-        if (entry.isCallInProgress() || context.worker().isEmpty() || context.term() == 0) {
+        boolean superseded = runs.entry(entry.run()).filter(each -> each == entry).isEmpty();
+        if (superseded
+                || entry.isCallInProgress()
+                || context.worker().isEmpty()
+                || context.term() == 0) {
             return;
         }
         switch (entry.stage()) {
--- a/src/main/java/org/yuccabank/agent/workflow/RunTable.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunTable.java
@@ -179,6 +179,12 @@
                 .anyMatch(end -> end.getNumber() > acknowledgedNumber);
     }
 
+    /** Returns whether the next list is needed to learn that a run has not started. */
+    boolean isAbsenceAwaited() {
+        return entries.values().stream()
+                .anyMatch(entry -> entry.stage() == RunEntry.Stage.AWAITING_ABSENCE);
+    }
+
     long acknowledgedNumber() {
         return acknowledgedNumber;
     }
--- a/src/main/java/org/yuccabank/agent/workflow/WorkerAnnouncement.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkerAnnouncement.java
@@ -54,6 +54,11 @@
         return sequence > other.sequence;
     }
 
+    /** Returns whether the worker accepts calls that were sent to the sender of another one. */
+    boolean hasSameIdentifier(WorkerAnnouncement other) {
+        return identity.getWorkerId().equals(other.identity.getWorkerId());
+    }
+
     /** Returns a report of this announcement, to which the state of the runs has to be added. */
     WorkerReport.Builder toReport(String hostId) {
         return WorkerReport.newBuilder()
--- a/src/main/java/org/yuccabank/agent/workflow/WorkerLease.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkerLease.java
@@ -29,6 +29,7 @@
     private boolean responsive = true;
     private boolean timeLeftPromised;
     private boolean ended;
+    private long promisesFromMillis = Long.MIN_VALUE / 2;
 
     WorkerLease(LeaseDurations durations) {
         this.durations = durations;
@@ -57,8 +58,18 @@
         ended = true;
     }
 
-    /** Resets the state for a new incarnation, which has its own clock and no lease. */
-    void reset() {
+    /**
+     * Resets the state for a new incarnation, which has its own clock and no lease.
+     *
+     * @param mayAcceptEarlierCalls whether it accepts calls that were sent to the previous one.
+     *     Their lease end is far ahead on its clock and grants it the longest lease that it
+     *     accepts, so that no time left is promised until that has expired.
+     */
+    void reset(long nowMillis, boolean mayAcceptEarlierCalls) {
+        promisesFromMillis =
+                mayAcceptEarlierCalls
+                        ? nowMillis + 2 * durations.horizonMillis()
+                        : Long.MIN_VALUE / 2;
         sampled = false;
         horizonEnd = OptionalLong.empty();
         latestSentEnd = OptionalLong.empty();
@@ -126,7 +137,10 @@
             return OptionalLong.of(0);
         }
         OptionalLong clock = workerClock(nowMillis);
-        if (responsive || !coversPreviousLeases || clock.isEmpty()) {
+        if (responsive
+                || !coversPreviousLeases
+                || clock.isEmpty()
+                || nowMillis < promisesFromMillis) {
             return OptionalLong.empty();
         }
         timeLeftPromised = true;
--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -278,7 +278,7 @@
         announcedAtMillis = nowMillis();
         if (!sameIncarnation) {
             previous.ifPresent(this::onReplaced);
-            onNewIncarnation(announcement);
+            onNewIncarnation(announcement, previous);
         } else if (capacityChanged || runs.hasWaitingStart()) {
             requestReport();
         }
@@ -295,9 +295,10 @@
                 previous.identity(), shutdown.isRequested() || previous.draining());
     }
 
-    private void onNewIncarnation(WorkerAnnouncement announcement) {
+    private void onNewIncarnation(
+            WorkerAnnouncement announcement, Optional<WorkerAnnouncement> previous) {
         runs.clear();
-        lease.reset();
+        lease.reset(nowMillis(), previous.filter(announcement::hasSameIdentifier).isPresent());
         lease.sampleClock(announcement.clockMillis(), nowMillis());
         shutdown.reset();
         listedTerm = 0;
@@ -476,7 +477,8 @@
     private void sendList() {
         listInProgress = true;
         listsPaused = false;
-        boolean immediate = listRequested && listedTerm != order.term();
+        boolean immediate =
+                (listRequested && listedTerm != order.term()) || runs.isAbsenceAwaited();
         listRequested = false;
         long requestedMillis = nowMillis();
         long requestTerm = order.term();
--- /dev/null
+++ b/src/main/java/org/yuccabank/control/workflow/EarlierIncarnations.java
@@ -0,0 +1,53 @@
+package org.yuccabank.control.workflow;
+
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.yuccabank.protocol.generated.EndedRun;
+import org.yuccabank.protocol.generated.RunAddress;
+import org.yuccabank.protocol.generated.WorkerIdentity;
+import org.yuccabank.state.workflow.WorkflowRecords;
+
+/**
+ * Determines when the runs of the earlier incarnations of a worker have ended.
+ *
+ * <p>A host runs one worker at a time, so a new incarnation proves the end of its predecessors. But
+ * a call names the identifier of its worker only. A worker that starts again under the same
+ * identifier may carry out a start that was sent to its predecessor, even later.
+ *
+ * <p>Invariant: a run of an earlier incarnation with the same identifier ends only after the
+ * current one has listed its end, or has confirmed its stop and does not list it. Stateless.
+ */
+final class EarlierIncarnations {
+
+    private EarlierIncarnations() {}
+
+    /** Returns the earlier incarnations on the host of a worker that have open runs. */
+    static Set<WorkerIdentity> of(WorkerIdentity current, WorkflowRecords records) {
+        Set<WorkerIdentity> earlier = new HashSet<>();
+        for (WorkerIdentity worker : records.workersWithOpenRuns()) {
+            if (worker.getHostId().equals(current.getHostId())
+                    && worker.getBornMillis() < current.getBornMillis()) {
+                earlier.add(worker);
+            }
+        }
+        return earlier;
+    }
+
+    /** Returns whether the open runs of an earlier incarnation have ended and will not start. */
+    static boolean haveEnded(
+            WorkerIdentity earlier,
+            WorkerView view,
+            WorkflowRecords records,
+            Map<RunAddress, EndedRun> pendingEnds) {
+        if (!earlier.getWorkerId().equals(view.worker().getWorkerId())) {
+            return true;
+        }
+        Set<RunAddress> givenUp = view.runsGivenUp();
+        return records.openRuns(earlier).stream()
+                .allMatch(
+                        task ->
+                                givenUp.contains(task.run())
+                                        || pendingEnds.containsKey(task.run()));
+    }
+}
--- a/src/main/java/org/yuccabank/control/workflow/RunDirectives.java
+++ b/src/main/java/org/yuccabank/control/workflow/RunDirectives.java
@@ -6,6 +6,7 @@
 import org.yuccabank.protocol.generated.EndedRun;
 import org.yuccabank.protocol.generated.RunAddress;
 import org.yuccabank.protocol.generated.WorkerDirectives;
+import org.yuccabank.protocol.generated.WorkerIdentity;
 import org.yuccabank.state.workflow.WorkflowRecords;
 import org.yuccabank.state.workflow.WorkflowTask;
 
@@ -40,6 +41,9 @@
                 directives.addStarts(StartRunBuilder.build(task));
             }
         }
+        for (WorkerIdentity earlier : view.earlierIncarnations()) {
+            records.openRuns(earlier).forEach(task -> directives.addStops(task.run()));
+        }
         for (RunAddress run : view.activeRuns()) {
             if (records.openRun(run).isEmpty()) {
                 directives.addStops(run);
--- a/src/main/java/org/yuccabank/control/workflow/WorkerView.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkerView.java
@@ -35,6 +35,8 @@
 
     private final ReporterOrder reporters;
     private WorkerReport report;
+    private Set<WorkerIdentity> earlierIncarnations = Set.of();
+    private long incarnationReportedAtMillis = Long.MIN_VALUE / 2;
     private PeerConnection connection;
     private long leaseEndMillis;
     private long listedAtMillis = Long.MIN_VALUE / 2;
@@ -68,6 +70,7 @@
             return false;
         }
         if (!sameIncarnation) {
+            incarnationReportedAtMillis = nowMillis;
             previousCheckpoints.clear();
             previousCheckpoints.putAll(checkpoints);
             checkpoints.clear();
@@ -123,6 +126,36 @@
         return ReportedEnds.toRecord(report, records, reporters.isGivingUpReliable(report));
     }
 
+    /** Returns the runs that the agent has given up and that no other process starts. */
+    Set<RunAddress> runsGivenUp() {
+        Set<RunAddress> runs = new HashSet<>();
+        if (reporters.isGivingUpReliable(report)) {
+            report.getEndedList().stream()
+                    .filter(ended -> !ReportedEnds.isListed(ended))
+                    .forEach(ended -> runs.add(ended.getRun()));
+        }
+        return runs;
+    }
+
+    /** Sets the earlier incarnations whose open runs the current one has to stop. */
+    void setEarlierIncarnations(Set<WorkerIdentity> incarnations) {
+        earlierIncarnations = incarnations;
+    }
+
+    Set<WorkerIdentity> earlierIncarnations() {
+        return earlierIncarnations;
+    }
+
+    /**
+     * Returns whether every lease of a run that was sent to an earlier incarnation has expired. Its
+     * end is a time of another clock, so that the worker shortens it only to the longest that it
+     * accepts, which may exceed the leases that the agent has granted since.
+     */
+    boolean isEarlierLeaseExpired(long nowMillis, LeaseBound lease) {
+        return isLeaseExpired(nowMillis)
+                && nowMillis > incarnationReportedAtMillis + 2 * lease.maximumMillis();
+    }
+
     /** Returns whether every lease that the worker may hold has expired. */
     boolean isLeaseExpired(long nowMillis) {
         return nowMillis > leaseEndMillis;
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -252,10 +252,11 @@
             log.workerReplaced(previous, view.worker());
             interferenceMonitor.remove(previous.getWorkerId());
         }
-        endEarlierIncarnations(view);
+        WorkerIdentity current = view.worker();
         for (ActiveRun active : valid.getActiveList()) {
             records()
                     .openRun(active.getRun())
+                    .filter(task -> task.worker().equals(Optional.of(current)))
                     .ifPresent(
                             task ->
                                     runMonitor.updateProgress(
@@ -265,6 +266,7 @@
             interferenceMonitor.update(valid, records(), nowMillis);
         }
         view.endsToRecord(records()).forEach(this::enqueueEnd);
+        endEarlierIncarnations(view);
         // Planning examines every workflow, so a report without ends waits for the tick.
         if (!pendingEnds.isEmpty()) {
             startRoundIfIdle();
@@ -290,15 +292,12 @@
                 migrationCapacity.get(), task, records(), estimates());
     }
 
-    /**
-     * Ends the runs of earlier incarnations. A host runs one worker at a time, so the start of a
-     * worker proves the end of its predecessors.
-     */
+    /** Ends the runs of earlier incarnations that the current one does not run. */
     private void endEarlierIncarnations(WorkerView view) {
-        WorkerIdentity current = view.worker();
-        for (WorkerIdentity worker : Set.copyOf(records().workersWithOpenRuns())) {
-            if (worker.getHostId().equals(current.getHostId())
-                    && worker.getBornMillis() < current.getBornMillis()) {
+        Set<WorkerIdentity> earlier = EarlierIncarnations.of(view.worker(), records());
+        view.setEarlierIncarnations(earlier);
+        for (WorkerIdentity worker : earlier) {
+            if (EarlierIncarnations.haveEnded(worker, view, records(), pendingEnds)) {
                 endRuns(worker, view.crashOf(worker), "a new incarnation has started");
             }
         }
@@ -416,6 +415,11 @@
                 log.workerLost(view.worker(), records().openRuns(view.worker()).size());
                 endRuns(view.worker(), view.crashOf(view.worker()), "the lease is over");
             }
+            if (view.isEarlierLeaseExpired(nowMillis, lease)) {
+                for (WorkerIdentity earlier : view.earlierIncarnations()) {
+                    endRuns(earlier, view.crashOf(earlier), "the lease is over");
+                }
+            }
         }
         if (nowMillis - leaderSinceMillis > lease.maximumMillis()) {
             endRunsOfUnknownWorkers();
@@ -430,6 +434,7 @@
     private void endRunsOfUnknownWorkers() {
         Set<WorkerIdentity> known =
                 workers.values().stream().map(WorkerView::worker).collect(Collectors.toSet());
+        workers.values().forEach(view -> known.addAll(view.earlierIncarnations()));
         for (WorkerIdentity worker : Set.copyOf(records().workersWithOpenRuns())) {
             if (!known.contains(worker)) {
                 log.workerLost(worker, records().openRuns(worker).size());
--- a/src/test/java/org/yuccabank/agent/workflow/WorkerLeaseTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/WorkerLeaseTest.java
@@ -99,4 +99,23 @@
         lease.markUnresponsive();
         assertTrue(lease.promiseTimeLeft(2_000).isEmpty());
     }
+
+    /**
+     * Guards against a remaining time that is shorter than the lease of a start that was sent to
+     * the previous incarnation, whose clock was far ahead.
+     */
+    @Test
+    public void shouldPromiseNothingSoonAfterReplacementUnderSameIdentifier() {
+        for (boolean sameIdentifier : new boolean[] {true, false}) {
+            WorkerLease lease = granted();
+            lease.reset(2_000, sameIdentifier);
+            lease.sampleClock(500, 2_000);
+            lease.markResponsive();
+            lease.grant(lease.workerClock(2_000), false);
+            lease.renew(2_100);
+            lease.markUnresponsive();
+            assertEquals(lease.promiseTimeLeft(3_000).isEmpty(), sameIdentifier);
+            assertEquals(lease.promiseTimeLeft(20_000), OptionalLong.of(0));
+        }
+    }
 }
--- a/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
@@ -7,11 +7,13 @@
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Queue;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
@@ -90,6 +92,7 @@
         private volatile List<ActiveRun> listed = List.of();
         private volatile List<EndedRun> endedRuns = List.of();
         private final List<RunAddress> starts = new CopyOnWriteArrayList<>();
+        private final Set<Long> startedIncarnations = ConcurrentHashMap.newKeySet();
         private final List<RunAddress> stops = new CopyOnWriteArrayList<>();
         private volatile boolean answersLists = true;
 
@@ -108,6 +111,7 @@
         public Mono<CallOutcome> start(
                 WorkerAnnouncement target, StartRun startRequest, FencedLease fencedLease) {
             starts.add(startRequest.getRun());
+            startedIncarnations.add(target.identity().getBornMillis());
             return Mono.just(Optional.ofNullable(startOutcomes.poll()).orElse(UNANSWERED));
         }
 
@@ -354,6 +358,26 @@
         await(() -> worker.starts.contains(RUN));
     }
 
+    /**
+     * Guards against a start that was refused as late, is repeated after its worker has crashed,
+     * and is carried out by the next incarnation under the same identifier.
+     */
+    @Test
+    public void shouldNotRepeatStartAtNextIncarnation() {
+        await(() -> leader.latest.getSequence() > 2);
+        worker.startOutcomes.addAll(
+                Collections.nCopies(
+                        100, new WorkerApi.CallOutcome.Refused(WorkerApi.Refusal.LATE)));
+        leader.assigned = true;
+        await(() -> worker.starts.contains(RUN));
+        leader.assigned = false;
+        agent.announce(announcement("w", 2)).block(TIMEOUT);
+        await(() -> leader.latest.getListed() && leader.latest.getWorker().getBornMillis() == 2);
+        long sequence = leader.latest.getSequence();
+        await(() -> leader.latest.getSequence() > sequence + 1);
+        assertFalse(worker.startedIncarnations.contains(2L));
+    }
+
     /** Guards against a start that is never sent because it had to wait. */
     @Test
     public void shouldSendWaitingStartOnceTheLeaderHasConfirmedIt() {
