--- a/src/main/java/org/yuccabank/event/EventRateLimiter.java
+++ b/src/main/java/org/yuccabank/event/EventRateLimiter.java
@@ -4,7 +4,8 @@
 import java.util.concurrent.atomic.AtomicLongArray;
 
 /**
- * Limits the log lines of each event per second and counts the suppressed ones. Thread-safe; under
+ * Limits the log lines of each event per second and counts the suppressed ones. It applies to lines
+ * that name no request, as it drops lines without regard to their content. Thread-safe; under
  * concurrent use, a few more lines may be admitted at the start of a second.
  */
 final class EventRateLimiter {
@@ -35,9 +36,19 @@
             lineCounts.set(index, 0);
         }
         if (lineCounts.incrementAndGet(index) > linesPerSecond) {
-            suppressed.incrementAndGet(index);
+            countSuppressed(event);
             return OptionalLong.empty();
         }
-        return OptionalLong.of(suppressed.getAndSet(index, 0));
+        return OptionalLong.of(takeSuppressed(event));
+    }
+
+    /** Counts a line that is suppressed for another reason than the rate. */
+    void countSuppressed(Event event) {
+        suppressed.incrementAndGet(event.ordinal());
+    }
+
+    /** Returns the number of lines of an event suppressed since the previous call. */
+    long takeSuppressed(Event event) {
+        return suppressed.getAndSet(event.ordinal(), 0);
     }
 }
--- a/src/main/java/org/yuccabank/http/AdministrationServer.java
+++ b/src/main/java/org/yuccabank/http/AdministrationServer.java
@@ -9,9 +9,12 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
 import java.util.function.BooleanSupplier;
+import org.yuccabank.event.Event;
+import org.yuccabank.event.EventLog;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
@@ -40,6 +43,7 @@
     public static AdministrationServer start(
             InetSocketAddress address, MetricRegistry metrics, BooleanSupplier healthy) {
         Objects.requireNonNull(address, "address is null");
+        registerEventMetrics(metrics);
         DisposableServer server =
                 HttpServer.create()
                         .bindAddress(() -> address)
@@ -76,6 +80,15 @@
         return new AdministrationServer(server);
     }
 
+    private static void registerEventMetrics(MetricRegistry metrics) {
+        metrics.<Gauge<Long>>gauge("log_lines_suppressed", () -> EventLog::suppressedLines);
+        for (Event event : Event.values()) {
+            metrics.<Gauge<Long>>gauge(
+                    "events_" + event.name().toLowerCase(Locale.ROOT),
+                    () -> () -> EventLog.occurrences(event));
+        }
+    }
+
     /**
      * Returns the listen address.
      *
