Log who told the leader of each end of a run

The record of an incident did not tell what ended the first run of a task. RUN_ENDED is now written for every end, RUN_DONE included, with the worker, the term, who said so, the number of the worker's list and the latest report on the host with its age, sequence and promised lease. RUN_ASSIGNED names the end of the attempt before, WORKER_LOST the report and its age, LEADER_ELECTED the open runs taken over. Lines of an entry on a request in doubt or refused name its path and the age of the latest reply of a leader.

The decisions of the scheduler are unchanged.

--- a/src/main/java/org/yuccabank/control/ControlLeader.java
+++ b/src/main/java/org/yuccabank/control/ControlLeader.java
@@ -96,7 +96,13 @@
         reportHandler.clear();
         leases.startLeadership(System.currentTimeMillis());
         EventLog.information(
-                leads ? Event.LEADER_ELECTED : Event.LEADER_STEPPED_DOWN, "term", term);
+                leads ? Event.LEADER_ELECTED : Event.LEADER_STEPPED_DOWN,
+                "term",
+                term,
+                "openRuns",
+                workflows.openRuns(),
+                "workersWithOpenRuns",
+                workflows.workersWithOpenRuns());
     }
 
     void registerMetrics(MetricRegistry metrics) {
--- a/src/main/java/org/yuccabank/control/workflow/CrashCounters.java
+++ b/src/main/java/org/yuccabank/control/workflow/CrashCounters.java
@@ -63,6 +63,7 @@
     private void recordGivenUp(WorkflowTask task) {
         workflowsGivenUp.inc();
         EventLog.warning(
+                WorkflowLog.lines(task.workflow()),
                 Event.WORKFLOW_GIVEN_UP,
                 "workflow",
                 task.workflow().id(),
--- a/src/main/java/org/yuccabank/control/workflow/RunMonitor.java
+++ b/src/main/java/org/yuccabank/control/workflow/RunMonitor.java
@@ -80,6 +80,7 @@
     private void requestRestart(ActiveRun run, WorkflowTask task, String reason) {
         restarts.add(run.getRun());
         EventLog.information(
+                WorkflowLog.lines(task.workflow()),
                 Event.RUN_RESTARTED,
                 "run",
                 WorkflowLog.format(run.getRun()),
--- a/src/main/java/org/yuccabank/control/workflow/StartRunBuilder.java
+++ b/src/main/java/org/yuccabank/control/workflow/StartRunBuilder.java
@@ -26,6 +26,7 @@
                 .setImage(step.getImage())
                 .setReservation(StepEstimates.reservation(step))
                 .setFilling(StepEstimates.loadKind(step) == WaitingTask.LoadKind.BEST_EFFORT)
+                .setLogOmitted(workflow.definition().getLogOmitted())
                 .build();
     }
 
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -106,7 +106,7 @@
         this.proposer = proposer;
         this.lease = lease;
         membership = new MembershipManager(replica, desiredVoters);
-        requests = new WorkflowRequestHandler(this, membership);
+        requests = new WorkflowRequestHandler(this, membership, log);
     }
 
     /**
@@ -145,6 +145,7 @@
      */
     public void leadershipChanged(long newTerm) {
         term = newTerm;
+        log.leadershipChanged(newTerm);
         leaderSinceMillis = monotonicMillis();
         workers.clear();
         pendingEnds.clear();
@@ -165,6 +166,7 @@
         metrics.register("workflows", workflowCount);
         metrics.register("workers", workerCount);
         crashes.registerMetrics(metrics);
+        log.registerMetrics(metrics);
     }
 
     /**
@@ -187,6 +189,26 @@
         return requests.change(request);
     }
 
+    /**
+     * Returns the number of open runs, which a new leader takes over.
+     *
+     * @return the number of runs
+     */
+    public int openRuns() {
+        return records().workersWithOpenRuns().stream()
+                .mapToInt(worker -> records().openRuns(worker).size())
+                .sum();
+    }
+
+    /**
+     * Returns the number of workers with open runs.
+     *
+     * @return the number of workers
+     */
+    public int workersWithOpenRuns() {
+        return records().workersWithOpenRuns().size();
+    }
+
     /** Returns the addresses of the members, first those of the voters, one of which leads. */
     List<String> memberAddresses() {
         return replica.status().members().stream()
@@ -251,6 +273,7 @@
             log.workerReplaced(previous, view.worker());
             interferenceMonitor.remove(previous.getWorkerId());
         }
+        log.reported(valid, nowMillis);
         endEarlierIncarnations(view);
         for (ActiveRun active : valid.getActiveList()) {
             records()
@@ -425,7 +448,7 @@
                         });
         for (WorkerView view : workers.values()) {
             if (view.isLeaseExpired(nowMillis) && !records().openRuns(view.worker()).isEmpty()) {
-                log.workerLost(view.worker(), records().openRuns(view.worker()).size());
+                log.workerLost(view.worker(), records().openRuns(view.worker()).size(), nowMillis);
                 endRuns(view.worker(), view.crashOf(view.worker()), "the lease is over");
             }
         }
@@ -444,7 +467,7 @@
                 workers.values().stream().map(WorkerView::worker).collect(Collectors.toSet());
         for (WorkerIdentity worker : Set.copyOf(records().workersWithOpenRuns())) {
             if (!known.contains(worker)) {
-                log.workerLost(worker, records().openRuns(worker).size());
+                log.workerLost(worker, records().openRuns(worker).size(), monotonicMillis());
                 endRuns(worker, Optional.empty(), "the worker is unknown");
             }
         }
@@ -474,7 +497,7 @@
         if (ended.isEmpty() && assigned.isEmpty() && expired.isEmpty()) {
             return;
         }
-        log.round(ended, assigned);
+        log.round(ended, assigned, records(), nowMillis);
         SchedulingRound round =
                 SchedulingRound.newBuilder()
                         .addAllEnded(ended)
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowRequestHandler.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowRequestHandler.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletionStage;
 import org.yuccabank.event.Event;
 import org.yuccabank.event.EventLog;
+import org.yuccabank.event.RequestLines;
 import org.yuccabank.protocol.PeerAddress;
 import org.yuccabank.protocol.generated.AcceptWorkflow;
 import org.yuccabank.protocol.generated.CancelWorkflowById;
@@ -36,11 +37,13 @@
 
     private final WorkflowLeader leader;
     private final MembershipManager membership;
-    private final WorkflowLog log = new WorkflowLog();
+    private final WorkflowLog log;
+    private final LineDecisions lineDecisions = new LineDecisions(WorkflowLeader.monotonicMillis());
 
-    WorkflowRequestHandler(WorkflowLeader leader, MembershipManager membership) {
+    WorkflowRequestHandler(WorkflowLeader leader, MembershipManager membership, WorkflowLog log) {
         this.leader = leader;
         this.membership = membership;
+        this.log = log;
     }
 
     /**
@@ -151,24 +154,34 @@
                     reply(Verdict.INVALID, violation.orElse("a dependency is no earlier step")));
         }
         if (!leader.records().hasRoomFor(definition)) {
-            log.refused(definition, match.get().queue(), RECORDS_FULL_RETRY_MILLIS);
+            log.refused(
+                    lineDecisions.decideRefused(WorkflowLeader.monotonicMillis()),
+                    definition,
+                    match.get().queue(),
+                    RECORDS_FULL_RETRY_MILLIS);
             return completed(
                     reply(Verdict.REFUSED, "too many tasks are recorded")
                             .setRetryAfterMillis(RECORDS_FULL_RETRY_MILLIS));
         }
         OptionalLong retryAfterMillis = retryAfterMillis(definition, match.get().queue());
         if (retryAfterMillis.isPresent()) {
-            log.refused(definition, match.get().queue(), retryAfterMillis.getAsLong());
+            log.refused(
+                    lineDecisions.decideRefused(WorkflowLeader.monotonicMillis()),
+                    definition,
+                    match.get().queue(),
+                    retryAfterMillis.getAsLong());
             return completed(
                     reply(Verdict.REFUSED, "the backlog is too long")
                             .setRetryAfterMillis(retryAfterMillis.getAsLong()));
         }
+        WorkflowDefinition decided =
+                lineDecisions.decide(definition, WorkflowLeader.monotonicMillis());
         AcceptWorkflow accept =
                 AcceptWorkflow.newBuilder()
-                        .setDefinition(definition)
+                        .setDefinition(decided)
                         .setQueue(match.get().queue())
                         .build();
-        log.accepted(definition, match.get().queue(), configuration.get());
+        log.accepted(decided, match.get().queue(), configuration.get());
         return leader.propose(WorkflowCommand.newBuilder().setAccept(accept))
                 .thenApply(result -> commitReply(result, workflowId));
     }
@@ -236,7 +249,12 @@
                             .build();
             default -> {
                 EventLog.warning(
-                        Event.OUTCOME_UNKNOWN, "subject", subject, "reason", result.getMessage());
+                        RequestLines.UNDECIDED,
+                        Event.OUTCOME_UNKNOWN,
+                        "subject",
+                        subject,
+                        "reason",
+                        result.getMessage());
                 yield reply(Verdict.UNCERTAIN, result.getMessage()).build();
             }
         };
--- a/src/main/java/org/yuccabank/entry/workflow/WorkflowGateway.java
+++ b/src/main/java/org/yuccabank/entry/workflow/WorkflowGateway.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import org.yuccabank.event.Event;
 import org.yuccabank.event.EventLog;
+import org.yuccabank.event.RequestLines;
 import org.yuccabank.policy.workflow.OutageBackoff;
 import org.yuccabank.protocol.LeaderClient;
 import org.yuccabank.protocol.PeerAddress;
@@ -200,7 +201,7 @@
             WorkflowRequest request, AttemptDeadlines deadlines, boolean inDoubt) {
         long remainingMillis = deadlines.remainingMillis(inDoubt, monotonicMillis());
         if (remainingMillis <= 0) {
-            return Mono.just(failedReply(inDoubt, "no leader answered in time"));
+            return Mono.just(failedReply(request, inDoubt, "no leader answered in time"));
         }
         Duration timeout = Duration.ofMillis(Math.min(remainingMillis, ATTEMPT_TIMEOUT.toMillis()));
         Envelope message = Envelope.newBuilder().setWorkflowRequest(request).build();
@@ -221,9 +222,7 @@
             AttemptDeadlines deadlines,
             boolean inDoubt) {
         if (!envelope.hasWorkflowReply()) {
-            EventLog.warning(
-                    Event.OUTCOME_UNKNOWN, "reason", envelope.getProtocolError().getMessage());
-            return Mono.just(failedReply(true, envelope.getProtocolError().getMessage()));
+            return Mono.just(failedReply(request, true, envelope.getProtocolError().getMessage()));
         }
         lastReplyMillis = monotonicMillis();
         WorkflowReply reply = envelope.getWorkflowReply();
@@ -234,17 +233,29 @@
             return attempt(request, deadlines, true);
         }
         boolean mayHaveBeenAccepted = inDoubt && reply.getVerdict() == Verdict.REFUSED;
-        return Mono.just(mayHaveBeenAccepted ? failedReply(true, reply.getMessage()) : reply);
+        return Mono.just(
+                mayHaveBeenAccepted ? failedReply(request, true, reply.getMessage()) : reply);
     }
 
-    private WorkflowReply failedReply(boolean inDoubt, String reason) {
+    private WorkflowReply failedReply(WorkflowRequest request, boolean inDoubt, String reason) {
         // Before the first reply, the outage is measured from the start of this process.
         long outageStartMillis = Math.max(lastReplyMillis, startMillis);
         long outageMillis = Math.max(0, monotonicMillis() - outageStartMillis);
         long retryAfterMillis =
                 OutageBackoff.retryAfterMillis(
                         outageMillis, ThreadLocalRandom.current().nextDouble());
-        EventLog.warning(inDoubt ? Event.OUTCOME_UNKNOWN : Event.REQUEST_REFUSED, "reason", reason);
+        // An entry knows no decision of the leader on the lines of this request. It has one line.
+        EventLog.warning(
+                RequestLines.UNDECIDED,
+                inDoubt ? Event.OUTCOME_UNKNOWN : Event.REQUEST_REFUSED,
+                "reason",
+                reason,
+                "request",
+                request.getRequestCase(),
+                "path",
+                request.getAddress().getPath(),
+                "sinceLeaderReplyMillis",
+                outageMillis);
         return WorkflowReply.newBuilder()
                 .setVerdict(inDoubt ? Verdict.UNCERTAIN : Verdict.REFUSED)
                 .setRetryAfterMillis(retryAfterMillis)
