Log each call of an agent and what it concludes from its worker

An agent now logs starts and stops sent and answered, confirmed absences, ends that the worker lists, runs found without a definition, runs dropped by a new incarnation, each promise of a lease end with its milliseconds and the grant after it (619 to 628).

--- a/src/main/java/org/yuccabank/agent/workflow/RunCalls.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunCalls.java
@@ -134,6 +134,7 @@
         entry.setCallInProgress(true);
         entry.beginStart();
         WorkerAnnouncement target = context.worker().orElseThrow();
+        WorkflowAgentLog.startSent(entry, target, context.term(), leaseEnd);
         api.start(
                         target,
                         entry.startRequest().orElseThrow(),
@@ -145,6 +146,7 @@
             RunEntry entry, WorkerAnnouncement target, WorkerApi.CallOutcome outcome) {
         entry.setCallInProgress(false);
         entry.endStart(outcome instanceof WorkerApi.CallOutcome.Unanswered);
+        WorkflowAgentLog.startAnswered(entry, target, outcome);
         if (!isCurrent(entry, target) || entry.stage() != RunEntry.Stage.STARTING) {
             return;
         }
@@ -206,6 +208,7 @@
         entry.setCallInProgress(true);
         entry.recordStopSent(WorkflowAgent.nowMillis());
         WorkerAnnouncement target = context.worker().orElseThrow();
+        WorkflowAgentLog.stopSent(entry, target, context.term());
         api.stop(target, entry.run(), context.term())
                 .subscribe(outcome -> loop.execute(() -> onStopOutcome(entry, target, outcome)));
     }
@@ -213,6 +216,7 @@
     private void onStopOutcome(
             RunEntry entry, WorkerAnnouncement target, WorkerApi.CallOutcome outcome) {
         entry.setCallInProgress(false);
+        WorkflowAgentLog.stopAnswered(entry, target, outcome);
         if (!isCurrent(entry, target) || entry.stage() == RunEntry.Stage.ENDED) {
             return;
         }
--- a/src/main/java/org/yuccabank/agent/workflow/RunEntry.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunEntry.java
@@ -117,6 +117,11 @@
         absenceCheckedFromMillis = nowMillis;
     }
 
+    /** Returns the time given to {@link #awaitAbsence}. */
+    long absenceCheckedFromMillis() {
+        return absenceCheckedFromMillis;
+    }
+
     boolean isAbsenceConfirmed(long listRequestedMillis) {
         return stage == Stage.AWAITING_ABSENCE && listRequestedMillis > absenceCheckedFromMillis;
     }
--- a/src/main/java/org/yuccabank/agent/workflow/RunTable.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunTable.java
@@ -35,6 +35,7 @@
     private long answeredMillis;
 
     void clear() {
+        WorkflowAgentLog.dropped(entries.values());
         entries.clear();
         acknowledgedNumber = 0;
     }
@@ -105,7 +106,7 @@
      * still reach the worker.
      */
     RunEntry requestStop(RunAddress run) {
-        RunEntry entry = entries.computeIfAbsent(run, RunEntry::discovered);
+        RunEntry entry = entryOrDiscovered(run, "stop order");
         entry.requestStop();
         return entry;
     }
@@ -121,7 +122,7 @@
         Set<RunAddress> listedRuns = new HashSet<>();
         for (ActiveRun each : active) {
             listedRuns.add(each.getRun());
-            RunEntry entry = entries.computeIfAbsent(each.getRun(), RunEntry::discovered);
+            RunEntry entry = entryOrDiscovered(each.getRun(), "active on the worker");
             entry.setListed(each);
             if (entry.stage() == RunEntry.Stage.STARTING
                     || entry.stage() == RunEntry.Stage.UNCERTAIN) {
@@ -133,14 +134,16 @@
             if (each.getNumber() <= acknowledgedNumber) {
                 continue;
             }
-            RunEntry entry = entries.computeIfAbsent(each.getRun(), RunEntry::discovered);
+            RunEntry entry = entryOrDiscovered(each.getRun(), "ended on the worker");
             if (entry.end().map(EndedRun::getNumber).orElse(0L) == 0) {
+                WorkflowAgentLog.endListed(entry, each);
                 entry.recordEnd(each);
                 changed = true;
             }
         }
         for (RunEntry entry : entries.values()) {
             if (!listedRuns.contains(entry.run()) && entry.isAbsenceConfirmed(requestedMillis)) {
+                WorkflowAgentLog.absenceConfirmed(entry, requestedMillis);
                 entry.recordNotStarted("absent after a stop");
                 changed = true;
             }
@@ -148,6 +151,17 @@
         return changed;
     }
 
+    private RunEntry entryOrDiscovered(RunAddress run, String source) {
+        RunEntry known = entries.get(run);
+        if (known != null) {
+            return known;
+        }
+        WorkflowAgentLog.discovered(run, source);
+        RunEntry entry = RunEntry.discovered(run);
+        entries.put(run, entry);
+        return entry;
+    }
+
     void acknowledge(long number) {
         acknowledgedNumber = Math.max(acknowledgedNumber, number);
         entries.values()
--- a/src/main/java/org/yuccabank/agent/workflow/WorkerLease.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkerLease.java
@@ -88,6 +88,7 @@
         if (timeLeftReported || workerClockAtReport.isEmpty()) {
             return;
         }
+        WorkflowAgentLog.granted(timeLeftPromised, workerClockAtReport, latestSentEnd);
         timeLeftPromised = false;
         long end = workerClockAtReport.getAsLong() + durations.horizonMillis();
         horizonEnd = OptionalLong.of(Math.max(end, horizonEnd.orElse(end)));
@@ -122,6 +123,7 @@
      */
     OptionalLong promiseTimeLeft(long nowMillis) {
         if (ended) {
+            WorkflowAgentLog.leaseEndPromised(OptionalLong.empty(), OptionalLong.empty());
             timeLeftPromised = true;
             return OptionalLong.of(0);
         }
@@ -129,6 +131,7 @@
         if (responsive || !coversPreviousLeases || clock.isEmpty()) {
             return OptionalLong.empty();
         }
+        WorkflowAgentLog.leaseEndPromised(latestSentEnd, clock);
         timeLeftPromised = true;
         return OptionalLong.of(Math.max(0, latestSentEnd.orElseThrow() - clock.getAsLong()));
     }
--- a/src/main/java/org/yuccabank/event/Event.java
+++ b/src/main/java/org/yuccabank/event/Event.java
@@ -88,6 +88,26 @@
     BEST_EFFORT_HELD(617),
     /** A workflow has failed because one of its tasks crashes its workers. */
     WORKFLOW_GIVEN_UP(618),
+    /** An agent sends the start of a run to its worker. */
+    START_SENT(619),
+    /** The start of a run was answered, refused or not answered. */
+    START_ANSWERED(620),
+    /** An agent sends the stop of a run to its worker. */
+    STOP_SENT(621),
+    /** The stop of a run was answered, refused or not answered. */
+    STOP_ANSWERED(622),
+    /** A list of the worker that was requested after a confirmed stop does not contain the run. */
+    ABSENCE_CONFIRMED(623),
+    /** An agent found a run without knowing its definition. */
+    RUN_DISCOVERED(624),
+    /** A worker has listed the end of a run. */
+    END_LISTED(625),
+    /** A new incarnation of the worker started; the agent drops a run of the previous one. */
+    RUN_DROPPED(626),
+    /** An agent promises that a worker that does not answer runs nothing after a time. */
+    LEASE_END_PROMISED(627),
+    /** A grant of the leader has ended the promise of a lease end. */
+    LEASE_GRANT_RESUMED(628),
     /** A host announced itself. */
     HOST_JOINED(700),
     /** A host has not reported for the suspicion timeout. */
