Measure the leases of tasks on a steady clock

A task of the product's own path could run twice after a step of the time of day: the leader measured leases by System.currentTimeMillis, so a step forward ended all of them at once and the tasks were queued again, while the agents, which measure them on a steady clock, ran on.

LeaseTable now reads a steady clock itself and takes no time from its callers. ControlHandlerTest lets a leader run a round with a time of day one hour ahead: before, LEASE_EXPIRED was logged and the task could be leased again (ACCEPTED), now its lease stands (CONFLICT).

--- a/src/main/java/org/yuccabank/control/ControlLeader.java
+++ b/src/main/java/org/yuccabank/control/ControlLeader.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.yuccabank.control.workflow.LeaseBound;
 import org.yuccabank.control.workflow.WorkflowLeader;
@@ -59,7 +60,10 @@
         this.replica = replica;
         this.state = state;
         proposer = Proposer.of(replica, System::currentTimeMillis);
-        leases = LeaseTable.of(configuration.clockDriftFraction());
+        leases =
+                LeaseTable.of(
+                        configuration.clockDriftFraction(),
+                        () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
         long leaseMillis = configuration.leaseMillis();
         scheduler =
                 new Scheduler(replica, proposer, registry, leases, placement, random, leaseMillis);
@@ -94,7 +98,7 @@
         registry.clear();
         entries.clear();
         reportHandler.clear();
-        leases.startLeadership(System.currentTimeMillis());
+        leases.startLeadership();
         EventLog.information(
                 leads ? Event.LEADER_ELECTED : Event.LEADER_STEPPED_DOWN, "term", term);
     }
@@ -203,7 +207,7 @@
         if (task.isEmpty()) {
             return;
         }
-        leases.renew(task.get().getLease().getFencingToken(), System.currentTimeMillis());
+        leases.renew(task.get().getLease().getFencingToken());
         JobRecord job = records.job(task.get().getJobId()).orElseThrow();
         TaskDirective start = reportHandler.startDirective(task.get(), job, records);
         registry.host(task.get().getLease().getHostId()).ifPresent(host -> send(host, start));
--- a/src/main/java/org/yuccabank/control/LeaseTable.java
+++ b/src/main/java/org/yuccabank/control/LeaseTable.java
@@ -2,9 +2,11 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.LongSupplier;
 
 /**
- * Records when each lease was last renewed, by the clock of this leader.
+ * Records when each lease was last renewed, by a clock of this leader that steps of the time of day
+ * do not change. A suspension of the leader's host only lengthens the leases that it assumes.
  *
  * <p>A new leader does not know the renewals of its predecessor, so it treats every lease as
  * renewed at the start of its own leadership. Confined to the replica thread.
@@ -19,9 +21,11 @@
 
     private final double clockDriftFraction;
     private final Map<Long, Long> renewedAtMillis = new HashMap<>();
+    private final LongSupplier steadyClock;
     private long leaderSinceMillis;
 
-    private LeaseTable(double clockDriftFraction) {
+    private LeaseTable(double clockDriftFraction, LongSupplier steadyClock) {
+        this.steadyClock = steadyClock;
         this.clockDriftFraction = clockDriftFraction;
     }
 
@@ -30,19 +34,20 @@
      *
      * @param clockDriftFraction maximum relative difference between the rates of two clocks, 0.1
      *     for 10%
+     * @param steadyClock supplies the time of a monotonic clock in milliseconds
      * @return the table
      */
-    static LeaseTable of(double clockDriftFraction) {
-        return new LeaseTable(clockDriftFraction);
+    static LeaseTable of(double clockDriftFraction, LongSupplier steadyClock) {
+        return new LeaseTable(clockDriftFraction, steadyClock);
     }
 
-    void startLeadership(long nowMillis) {
+    void startLeadership() {
         renewedAtMillis.clear();
-        leaderSinceMillis = nowMillis;
+        leaderSinceMillis = steadyClock.getAsLong();
     }
 
-    void renew(long fencingToken, long nowMillis) {
-        renewedAtMillis.put(fencingToken, nowMillis);
+    void renew(long fencingToken) {
+        renewedAtMillis.put(fencingToken, steadyClock.getAsLong());
     }
 
     void remove(long fencingToken) {
@@ -54,13 +59,12 @@
      *
      * @param fencingToken token of the lease
      * @param leaseMillis duration of the lease
-     * @param nowMillis current time
      * @return true if the lease has expired, including clock drift and the margin
      */
-    boolean isExpired(long fencingToken, long leaseMillis, long nowMillis) {
+    boolean isExpired(long fencingToken, long leaseMillis) {
         long renewedMillis = renewedAtMillis.getOrDefault(fencingToken, leaderSinceMillis);
         long timeoutMillis =
                 (long) Math.ceil(leaseMillis * (1 + clockDriftFraction)) + EXPIRY_MARGIN_MILLIS;
-        return nowMillis - renewedMillis > timeoutMillis;
+        return steadyClock.getAsLong() - renewedMillis > timeoutMillis;
     }
 }
--- a/src/main/java/org/yuccabank/control/ReportHandler.java
+++ b/src/main/java/org/yuccabank/control/ReportHandler.java
@@ -83,7 +83,7 @@
         if (host.isEmpty()) {
             return directives.setFullReportWanted(true).build();
         }
-        addDirectives(host.get(), state, nowMillis, directives);
+        addDirectives(host.get(), state, directives);
         return directives.build();
     }
 
@@ -184,15 +184,12 @@
     }
 
     private void addDirectives(
-            ReportedHost host,
-            SystemState state,
-            long nowMillis,
-            AgentDirectives.Builder directives) {
+            ReportedHost host, SystemState state, AgentDirectives.Builder directives) {
         Set<String> leased = new HashSet<>();
         for (TaskRecord task : state.leasedTasksOfHost(host.hostId())) {
             long token = task.getLease().getFencingToken();
             leased.add(task.getTaskId());
-            leases.renew(token, nowMillis);
+            leases.renew(token);
             directives.addRenewedTokens(token);
             directive(host, task, state).ifPresent(directives::addDirectives);
         }
--- a/src/main/java/org/yuccabank/control/Scheduler.java
+++ b/src/main/java/org/yuccabank/control/Scheduler.java
@@ -96,7 +96,7 @@
      */
     void runRound(SystemState state, long nowMillis) {
         updateSuspects(nowMillis);
-        endExpiredLeases(state, nowMillis);
+        endExpiredLeases(state);
         placeQueuedTasks(state, nowMillis);
     }
 
@@ -119,11 +119,11 @@
         }
     }
 
-    private void endExpiredLeases(SystemState state, long nowMillis) {
+    private void endExpiredLeases(SystemState state) {
         for (String taskId : state.leasedTasks()) {
             LeaseRecord lease = state.task(taskId).orElseThrow().getLease();
             long token = lease.getFencingToken();
-            if (leases.isExpired(token, lease.getLeaseMillis(), nowMillis)) {
+            if (leases.isExpired(token, lease.getLeaseMillis())) {
                 EventLog.warning(
                         Event.LEASE_EXPIRED,
                         "task",
--- a/src/test/java/org/yuccabank/control/ControlHandlerTest.java
+++ b/src/test/java/org/yuccabank/control/ControlHandlerTest.java
@@ -15,8 +15,13 @@
 import org.testng.annotations.Test;
 import org.yuccabank.policy.placement.ScanningPlacement;
 import org.yuccabank.protocol.generated.CancelWorkflow;
+import org.yuccabank.protocol.generated.CommandRequest;
+import org.yuccabank.protocol.generated.CommandResult;
 import org.yuccabank.protocol.generated.Envelope;
+import org.yuccabank.protocol.generated.LeaseGranted;
 import org.yuccabank.protocol.generated.ReplicaMessage;
+import org.yuccabank.protocol.generated.StateCommand;
+import org.yuccabank.protocol.generated.SubmitJob;
 import org.yuccabank.protocol.generated.WorkflowDefinition;
 import org.yuccabank.protocol.generated.WorkflowRequest;
 import org.yuccabank.replication.ReplicaMember;
@@ -25,7 +30,7 @@
 import org.yuccabank.replication.ReplicaTiming;
 import org.yuccabank.state.ReplicatedState;
 
-/** Tests the replies of a leader that is cut off from the other replicas. */
+/** Tests a leader that is cut off from the other replicas or whose time of day is stepped. */
 public final class ControlHandlerTest {
 
     private static final InetSocketAddress NO_ADDRESS = new InetSocketAddress("127.0.0.1", 0);
@@ -36,6 +41,7 @@
 
     private final Map<String, ReplicaService> replicas = new HashMap<>();
     private final Map<String, ControlHandler> handlers = new HashMap<>();
+    private final Map<String, ControlLeader> leaders = new HashMap<>();
     private volatile boolean cut;
 
     @AfterMethod
@@ -70,6 +76,7 @@
                         ScanningPlacement.bestFit(),
                         RandomGenerator.getDefault());
         replicas.put(id, replica);
+        leaders.put(id, leader);
         handlers.put(id, ControlHandler.of(replica, leader));
     }
 
@@ -125,4 +132,42 @@
             assertEquals(reply.getProtocolError().getCode(), "not-leader", reply.toString());
         }
     }
+
+    private static CommandResult propose(Proposer proposer, StateCommand.Builder command)
+            throws Exception {
+        return proposer.propose(command)
+                .toCompletableFuture()
+                .get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Guards against a task that runs twice because a step of the time of day ended its lease. */
+    @Test
+    public void shouldNotEndLeaseByTimeOfDay() throws Exception {
+        List<ReplicaMember> members = List.of(ReplicaMember.voter("a", "a"));
+        start("a", members, Files.createTempDirectory("handler"));
+        ReplicaService replica = replicas.get("a");
+        assertTrue(replica.start().isSuccess());
+        ControlLeader leader = leaders.get(awaitLeader());
+        Proposer proposer = Proposer.of(replica, System::currentTimeMillis);
+        CommandRequest.Builder job =
+                CommandRequest.newBuilder()
+                        .setAccount("studio")
+                        .setSubmitJob(SubmitJob.newBuilder().setKind("render").setTaskCount(1));
+        String jobId = propose(proposer, StateCommand.newBuilder().setRequest(job)).getIdentifier();
+        LeaseGranted.Builder lease =
+                LeaseGranted.newBuilder().setTaskId(jobId + ".0").setHostId("h");
+        CommandResult granted = propose(proposer, StateCommand.newBuilder().setLeaseGranted(lease));
+        assertEquals(granted.getVerdict(), CommandResult.Verdict.ACCEPTED);
+        long stepMillis = TimeUnit.HOURS.toMillis(1);
+        replica.call(
+                        () -> {
+                            leader.runRound(System.currentTimeMillis() + stepMillis);
+                            return true;
+                        })
+                .toCompletableFuture()
+                .get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        // The end of a lease would be committed before this command.
+        CommandResult again = propose(proposer, StateCommand.newBuilder().setLeaseGranted(lease));
+        assertEquals(again.getVerdict(), CommandResult.Verdict.CONFLICT);
+    }
 }
