Let clocks that diverge end the configuration lease of an entry

An entry of the product's own path could apply old rules for longer than its configuration lease: it measured the lease by the time of day, so a step back prolonged it by the length of the step, for example by a minute. A step forward refused requests until the next directory.

The lease now holds only while the steady clock and the time of day have advanced alike, to within 50 ms, since the request that control answered. The next directory, after 0.2 s, starts it again. ConfigurationLeaseTest: measured by the time of day alone, the lease was valid 10 s after its start when the clock had been stepped back by a minute; now it is not, nor after a suspension.

--- a/src/main/java/org/yuccabank/entry/ControlClient.java
+++ b/src/main/java/org/yuccabank/entry/ControlClient.java
@@ -25,7 +25,7 @@
     private final Scheduler decisionScheduler;
     private boolean pollInProgress;
     private volatile boolean directoryReceived;
-    private long leaseStartMillis;
+    private final ConfigurationLease lease;
 
     ControlClient(
             EntryConfiguration configuration,
@@ -36,14 +36,15 @@
         this.leaderClient = leaderClient;
         this.directory = directory;
         this.decisionScheduler = decisionScheduler;
+        lease = new ConfigurationLease(configuration.configurationLeaseMillis());
     }
 
     /**
      * Requests the directory from the leader unless a request is already in progress.
      *
-     * @param nowMillis current time in milliseconds
+     * @param now the current time
      */
-    void pollDirectory(long nowMillis) {
+    void pollDirectory(ConfigurationLease.Moment now) {
         if (pollInProgress) {
             return;
         }
@@ -59,27 +60,25 @@
                 .request(Envelope.newBuilder().setDirectoryRequest(request).build(), POLL_TIMEOUT)
                 .publishOn(decisionScheduler)
                 .doFinally(signal -> decisionScheduler.schedule(() -> pollInProgress = false))
-                .subscribe(reply -> applyDirectory(reply, nowMillis), error -> {});
+                .subscribe(reply -> applyDirectory(reply, now), error -> {});
     }
 
-    /** Starts the lease at the time of the request because the response may have been delayed. */
-    private void applyDirectory(Envelope reply, long requestedMillis) {
+    private void applyDirectory(Envelope reply, ConfigurationLease.Moment requested) {
         if (reply.hasDirectory()) {
-            directory.update(reply.getDirectory(), requestedMillis);
+            directory.update(reply.getDirectory(), requested.wallMillis());
             directoryReceived = true;
-            leaseStartMillis = requestedMillis;
+            lease.start(requested);
         }
     }
 
     /**
      * Returns whether the configuration lease is valid, so that the local rules are current.
      *
-     * @param nowMillis current time in milliseconds
+     * @param now the current time
      * @return true until the lease expires
      */
-    boolean hasConfigurationLease(long nowMillis) {
-        return directoryReceived
-                && nowMillis - leaseStartMillis <= configuration.configurationLeaseMillis();
+    boolean hasConfigurationLease(ConfigurationLease.Moment now) {
+        return lease.isValid(now);
     }
 
     /**
--- a/src/main/java/org/yuccabank/entry/EntryRoutes.java
+++ b/src/main/java/org/yuccabank/entry/EntryRoutes.java
@@ -324,7 +324,7 @@
             return ParsedRequest.refuse(
                     400, "deadline is invalid", DEADLINE_HEADER + " is a number of milliseconds");
         }
-        Optional<String> refusalReason = notAdmittingReason(atMostOnce, nowMillis);
+        Optional<String> refusalReason = notAdmittingReason(atMostOnce);
         if (refusalReason.isPresent()) {
             return ParsedRequest.unavailable(refusalReason.get());
         }
@@ -349,7 +349,7 @@
         return new ParsedRequest(serviceRequest, Optional.empty());
     }
 
-    private Optional<String> notAdmittingReason(boolean atMostOnce, long nowMillis) {
+    private Optional<String> notAdmittingReason(boolean atMostOnce) {
         if (draining) {
             return Optional.of("the entry is stopping");
         }
@@ -357,7 +357,7 @@
             return Optional.of("the entry has not confirmed the newest rules with control yet");
         }
         boolean needsControl = atMostOnce || !configuration.serveIdempotentWithoutControl();
-        if (needsControl && !controlClient.hasConfigurationLease(nowMillis)) {
+        if (needsControl && !controlClient.hasConfigurationLease(ConfigurationLease.Moment.now())) {
             return Optional.of("control cannot be reached");
         }
         return Optional.empty();
--- a/src/main/java/org/yuccabank/entry/EntryService.java
+++ b/src/main/java/org/yuccabank/entry/EntryService.java
@@ -145,7 +145,7 @@
      */
     public EntryService start() {
         decisionScheduler.schedulePeriodically(
-                () -> controlClient.pollDirectory(System.currentTimeMillis()),
+                () -> controlClient.pollDirectory(ConfigurationLease.Moment.now()),
                 0,
                 DIRECTORY_POLL_MILLIS,
                 TimeUnit.MILLISECONDS);
