Estimate the worker's clock never ahead of a slow one

The estimate added the whole time since the last sample, while the clock of a worker may be 2 % slow. After 8.5 s of silence the time left that the agent promised was up to 0.17 s too short. The estimate now allows for the drift that the leader allows for, 3 %.

The tests of the lease state a drift of 0 for their figures.

--- a/src/main/java/org/yuccabank/agent/workflow/WorkerLease.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkerLease.java
@@ -83,7 +83,8 @@
     /** Returns an estimate of the worker's clock that is never ahead of it, empty if unknown. */
     OptionalLong workerClock(long nowMillis) {
         return sampled
-                ? OptionalLong.of(clockMillis + nowMillis - sampledAtMillis)
+                ? OptionalLong.of(
+                        clockMillis + durations.minimumWorkerMillis(nowMillis - sampledAtMillis))
                 : OptionalLong.empty();
     }
 
--- a/src/test/java/org/yuccabank/agent/workflow/WorkerLeaseTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/WorkerLeaseTest.java
@@ -9,7 +9,7 @@
 /** Tests how long a worker may run tasks without a leader. */
 public final class WorkerLeaseTest {
 
-    private static final LeaseDurations DURATIONS = new LeaseDurations(9_000, 5_000);
+    private static final LeaseDurations DURATIONS = new LeaseDurations(9_000, 5_000, 0);
 
     private static WorkerLease granted() {
         WorkerLease lease = new WorkerLease(DURATIONS);
@@ -118,4 +118,26 @@
             assertEquals(lease.promiseTimeLeft(20_000), OptionalLong.of(0));
         }
     }
+
+    /**
+     * Guards against a remaining time that is too short after a long silence of a worker whose
+     * clock is slow: its tasks were started elsewhere while it ran them.
+     */
+    @Test
+    public void shouldNotBeAheadOfSlowWorkerClock() {
+        double drift = 0.03;
+        WorkerLease lease = new WorkerLease(new LeaseDurations(9_000, 8_000, drift));
+        lease.sampleClock(100_000, 1_000);
+        lease.markResponsive();
+        lease.grant(lease.workerClock(1_000), false);
+        lease.renew(1_000);
+        lease.markUnresponsive();
+        for (long now = 1_000; now < 10_000; now += 500) {
+            double workerClock = 100_000 + 0.98 * (now - 1_000);
+            assertTrue(lease.workerClock(now).orElseThrow() <= workerClock, "at " + now);
+            assertTrue(
+                    lease.promiseTimeLeft(now).orElseThrow() >= 108_000 - workerClock,
+                    "promise at " + now);
+        }
+    }
 }
--- a/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
@@ -175,7 +175,7 @@
                                 "host",
                                 "zone",
                                 List.of(server.address()),
-                                new LeaseDurations(9_000, 8_000),
+                                new LeaseDurations(9_000, 8_000, 0),
                                 TIMEOUT.toMillis()),
                         worker,
                         eventLoops);
