--- a/src/main/java/org/yuccabank/verify/FakeDisk.java
+++ b/src/main/java/org/yuccabank/verify/FakeDisk.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import org.yuccabank.replication.StorageDirectory;
 import org.yuccabank.replication.StorageFile;
 
 /**
@@ -16,7 +15,7 @@
  * read, but are never written to the disk: a later sync succeeds without them, and a crash loses
  * them. The same holds for every second replacement that fails. Not thread-safe.
  */
-final class FakeDisk implements StorageDirectory {
+final class FakeDisk implements SimulatedDisk {
 
     private static final int SECTOR_BYTES = 512;
     private static final int NO_FAILURE = Integer.MAX_VALUE;
@@ -31,17 +30,18 @@
         this.simulation = simulation;
     }
 
-    void setFull(boolean newFull) {
+    @Override
+    public void setFull(boolean newFull) {
         full = newFull;
     }
 
-    /** Makes one operation fail after the given number of successful ones. */
-    void failAfter(int operations) {
+    @Override
+    public void failAfter(int operations) {
         operationsUntilFailure = operations;
     }
 
-    /** Makes the disk writable and cancels a scheduled failure. */
-    void clearFaults() {
+    @Override
+    public void clearFaults() {
         full = false;
         operationsUntilFailure = NO_FAILURE;
     }
@@ -58,8 +58,8 @@
         }
     }
 
-    /** Loses all or part of the unsynced writes. */
-    void crash() {
+    @Override
+    public void crash() {
         for (String name : List.copyOf(files.keySet())) {
             FakeFile file = files.get(name);
             while (file != null && file.renameLost) {
@@ -101,9 +101,6 @@
         files.put(name, replacement);
     }
 
-    @Override
-    public void close() {}
-
     /** In-memory file. */
     private final class FakeFile implements StorageFile {
 
--- a/src/main/java/org/yuccabank/verify/SimulatedGroup.java
+++ b/src/main/java/org/yuccabank/verify/SimulatedGroup.java
@@ -19,6 +19,7 @@
     private final SchedulePlan plan;
     private final VerifyOptions options;
     private final InvariantChecker checker;
+    private final HostModel hostModel;
     private final FakeNetwork network;
     private final Map<String, SimulatedReplica> replicas = new TreeMap<>();
     private boolean faultsEnabled = true;
@@ -29,10 +30,20 @@
             SchedulePlan plan,
             VerifyOptions options,
             InvariantChecker checker) {
+        this(simulation, plan, options, checker, HostModel.defaults());
+    }
+
+    SimulatedGroup(
+            Simulation simulation,
+            SchedulePlan plan,
+            VerifyOptions options,
+            InvariantChecker checker,
+            HostModel hostModel) {
         this.simulation = simulation;
         this.plan = plan;
         this.options = options;
         this.checker = checker;
+        this.hostModel = hostModel;
         network = new FakeNetwork(simulation, plan.fastIo());
     }
 
@@ -71,6 +82,10 @@
         return options;
     }
 
+    HostModel hostModel() {
+        return hostModel;
+    }
+
     InvariantChecker checker() {
         return checker;
     }
--- a/src/main/java/org/yuccabank/verify/SimulatedReplica.java
+++ b/src/main/java/org/yuccabank/verify/SimulatedReplica.java
@@ -28,7 +28,8 @@
     private final ReplicaSettings settings;
     private final FakeClock clock;
     private final List<Runnable> pausedInputs = new ArrayList<>();
-    private FakeDisk disk;
+    private final List<Consumer<ReplicaNode>> inputsDuringSync = new ArrayList<>();
+    private SimulatedDisk disk;
     private CheckedStateMachine stateMachine;
     private ReplicaNode node;
     private int incarnation;
@@ -51,14 +52,19 @@
                         group.plan().timing(),
                         group.plan().snapshotEntries(),
                         group.plan().maximumBatchBytes());
-        disk = new FakeDisk(simulation);
+        disk = group.hostModel().diskFactory().apply(simulation);
     }
 
     String id() {
         return settings.replicaId();
     }
 
-    FakeDisk disk() {
+    /** Returns the number in the identifier, which is lower for replicas that started earlier. */
+    int number() {
+        return Integer.parseInt(id().substring(1));
+    }
+
+    SimulatedDisk disk() {
         return disk;
     }
 
@@ -107,6 +113,7 @@
             syncScheduled = false;
             paused = false;
             pausedInputs.clear();
+            inputsDuringSync.clear();
             scheduleTick(incarnation);
         } else {
             reportCorruption(opened.findings().toString());
@@ -163,8 +170,17 @@
             pausedInputs.add(() -> handleInput(input));
             return;
         }
+        if (syncScheduled && group.hostModel().blockingSync()) {
+            inputsDuringSync.add(input);
+            return;
+        }
+        handle(List.of(input));
+    }
+
+    /** Handles inputs as one batch, which shares the next sync. */
+    private void handle(List<Consumer<ReplicaNode>> inputs) {
         ReplicaNode currentNode = node;
-        input.accept(currentNode);
+        inputs.forEach(input -> input.accept(currentNode));
         afterInput(currentNode);
     }
 
@@ -197,23 +213,34 @@
     }
 
     private void completeSync(int expectedIncarnation) {
-        if (incarnation == expectedIncarnation) {
-            handleInput(
-                    currentNode -> {
-                        syncScheduled = false;
-                        currentNode.sync(nowMillis());
-                    });
+        if (incarnation != expectedIncarnation) {
+            return;
         }
+        if (paused) {
+            pausedInputs.add(() -> completeSync(expectedIncarnation));
+            return;
+        }
+        syncScheduled = false;
+        List<Consumer<ReplicaNode>> inputs = new ArrayList<>(inputsDuringSync);
+        inputsDuringSync.clear();
+        inputs.add(0, currentNode -> currentNode.sync(nowMillis()));
+        handle(inputs);
     }
 
     /** Crashes the process, which loses unsynced writes, and schedules a restart. */
     void crash() {
-        if (node == null) {
-            return;
+        if (node != null) {
+            losePower();
         }
+    }
+
+    /** Loses power, also while the process is down, and schedules a restart if it ran. */
+    void losePower() {
         simulation.countFault(Fault.CRASH);
         disk.crash();
-        restart();
+        if (node != null) {
+            restart();
+        }
     }
 
     /** Restarts the process. Its host stays up and keeps unsynced writes. */
@@ -232,7 +259,7 @@
         node = null;
         incarnation++;
         retired = newIdAfterDiskLoss;
-        disk = new FakeDisk(simulation);
+        disk = group.hostModel().diskFactory().apply(simulation);
         if (!newIdAfterDiskLoss) {
             simulation.scheduleMillis(
                     simulation.random().nextLong(MAXIMUM_DOWNTIME_MILLIS), this::start);
