Sync the log before the next write to it

Callers saw a replica that never started again after a loss of power: it reported a corrupt log at each attempt. With the tolerated disks lost as well, that ends the group.

The replica may write to its log twice before it syncs, for example a new leader whose own vote was synced last. Power loss keeps, loses or tears each of these writes on its own. If the first was torn and the second kept, the damage was followed by a complete record and was taken for corruption, as only whole missing sectors count as torn.

An append now syncs the previous one first, so that only the last write of the log can be torn, which the reader drops. The reader stays as strict as before.

--- a/src/main/java/org/yuccabank/replication/DiskStorage.java
+++ b/src/main/java/org/yuccabank/replication/DiskStorage.java
@@ -252,10 +252,16 @@
         }
     }
 
+    /**
+     * Appends entries with one write, once the previous ones are synced. A loss of power keeps or
+     * loses each write since the last sync on its own: a later one that is kept would follow a torn
+     * one in the middle of the log, where damage is indistinguishable from corruption.
+     */
     private void append(List<LogEntry> entries) throws IOException {
         if (entries.isEmpty()) {
             return;
         }
+        syncLog();
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         for (LogEntry entry : entries) {
             entryOffsets.add(logEndOffset + bytes.size());
@@ -351,6 +357,10 @@
             replaceWithChecksum(STATE_FILE, unsyncedState.get().toByteArray());
             unsyncedState = Optional.empty();
         }
+        syncLog();
+    }
+
+    private void syncLog() throws IOException {
         if (batchStartOffset < logEndOffset) {
             log.sync();
             batchStartOffset = logEndOffset;
--- a/src/test/java/org/yuccabank/verify/FinalFaultTest.java
+++ b/src/test/java/org/yuccabank/verify/FinalFaultTest.java
@@ -36,6 +36,18 @@
         assertEquals(violations, List.of());
     }
 
+    /** Seeds with which a replica once took a torn write before a complete one for corruption. */
+    @DataProvider
+    public Object[][] seedsWithTornWrite() {
+        return new Object[][] {{108L}, {1_814L}, {1_830L}};
+    }
+
+    /** Guards against a replica that does not start again after a loss of power. */
+    @Test(dataProvider = "seedsWithTornWrite")
+    public void shouldStartAfterTornWrite(long seed) {
+        assertEquals(violations(seed, VerifyOptions.defaults()), List.of());
+    }
+
     /** Guards against schedules that cannot be replayed from their seed. */
     @Test
     public void shouldReplayScheduleOfSeed() {
