--- a/src/main/java/org/yuccabank/verify/FinalFaultSchedule.java
+++ b/src/main/java/org/yuccabank/verify/FinalFaultSchedule.java
@@ -56,7 +56,11 @@
         simulation = new Simulation(seed);
         checker = new InvariantChecker(seed);
         RandomGenerator random = simulation.random();
-        HostModel hostModel = new HostModel(PowerLossDisk::new, random.nextBoolean());
+        HostModel hostModel = 
+                new HostModel(
+                        PowerLossDisk::new,
+                        random.nextBoolean(),
+                        seed % 2 == 0 ? HostModel.FAST_SYNC_MICROS : HostModel.SLOW_SYNC_MICROS);
         group = new SimulatedGroup(simulation, plan(random), options, checker, hostModel);
         faults = new HostFaults(group, hosts, random.nextBoolean());
         membershipDriver = new MembershipDriver(group, policy, hosts);
--- a/src/main/java/org/yuccabank/verify/SimulatedReplica.java
+++ b/src/main/java/org/yuccabank/verify/SimulatedReplica.java
@@ -16,7 +16,6 @@
 final class SimulatedReplica {
 
     private static final long TICK_INTERVAL_MILLIS = 10;
-    private static final long MAXIMUM_SYNC_MICROS = 3_000;
     private static final long MAXIMUM_FAST_SYNC_MICROS = 300;
     private static final long MAXIMUM_SLOW_SYNC_MICROS = 300_000;
     private static final double SLOW_SYNC_PROBABILITY = 0.002;
@@ -203,7 +202,10 @@
 
     private void scheduleSync(int expectedIncarnation) {
         syncScheduled = true;
-        long maximumDelay = group.plan().fastIo() ? MAXIMUM_FAST_SYNC_MICROS : MAXIMUM_SYNC_MICROS;
+        long maximumDelay =
+                group.plan().fastIo()
+                        ? MAXIMUM_FAST_SYNC_MICROS
+                        : group.hostModel().maximumSyncMicros();
         long delay = simulation.random().nextLong(maximumDelay) + 1;
         if (group.areFaultsEnabled() && simulation.nextBoolean(SLOW_SYNC_PROBABILITY)) {
             simulation.countFault(Fault.DISK_SLOW);
