Show that an uncommitted demotion can end the group

Five voters; one is gone with its disk, one is cut off, and a third is cut off for 500 ms when the leader demotes the second.

--- a/src/test/java/org/yuccabank/control/workflow/VoterPolicyTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/VoterPolicyTest.java
@@ -112,6 +112,20 @@
         assertEquals(nextChange(3, threeAnd(LEARNER), silent, "d"), Optional.empty());
     }
 
+    /**
+     * Guards against a demotion that is not committed because another voter has just become silent:
+     * the demoted voter could not help to elect a leader, and the next lost disk ended the group.
+     */
+    @Test
+    public void shouldKeepSilentVoterWhileMajorityOfOthersDoesNotAnswerNow() {
+        Map<String, Long> silent = Map.of("b", 9_000L, "c", 500L, "d", 10L);
+        assertEquals(nextChange(3, threeAnd(LEARNER), silent, "d"), Optional.empty());
+        Map<String, Long> answering = Map.of("b", 9_000L, "c", 300L, "d", 10L);
+        assertEquals(
+                nextChange(3, threeAnd(LEARNER), answering, "d"),
+                Optional.of(new Change.Demote("b")));
+    }
+
     /** Guards against a lost disk whose former identifier keeps its vote. */
     @Test
     public void shouldReplaceAndRemoveMemberWhoseDiskIsLost() {
--- a/src/test/java/org/yuccabank/verify/FinalFaultTest.java
+++ b/src/test/java/org/yuccabank/verify/FinalFaultTest.java
@@ -48,6 +48,15 @@
         assertEquals(violations(seed, VerifyOptions.defaults()), List.of());
     }
 
+    /**
+     * Guards against a group that ends because a voter was demoted by a change that its leader
+     * could not commit.
+     */
+    @Test
+    public void shouldRecoverAfterLossOfMajorityBeforeDemotion() {
+        assertEquals(violations(1_554, VerifyOptions.defaults()), List.of());
+    }
+
     /** Guards against schedules that cannot be replayed from their seed. */
     @Test
     public void shouldReplayScheduleOfSeed() {
