Refuse the shutdown of a worker that does not drain

A worker announces that it drains before it deregisters. A deregistration that another writer sent under its identifier stopped all of its runs, kept it without tasks until its next incarnation, and let a single refused connection count as its end.

The existing test of a shutdown announces that the worker drains first, as a worker does; what it checks has not changed.

--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -197,11 +197,13 @@
     }
 
     /**
-     * Handles the shutdown of the worker, whose runs the leader stops.
+     * Handles the shutdown of the worker, whose runs the leader stops. A worker announces that it
+     * drains before it shuts down, so a shutdown without it comes from another writer.
      *
      * @param workerId identifier of the worker
      * @return completes with true once the leader has answered a report that the worker runs
-     *     nothing any more, immediately for an unknown worker
+     *     nothing any more, immediately for an unknown worker, or with false if the worker does not
+     *     drain
      */
     public Mono<Boolean> leave(String workerId) {
         return onLoop(
@@ -213,6 +215,10 @@
                         sink.success(true);
                         return;
                     }
+                    if (!worker.map(WorkerAnnouncement::draining).orElse(false)) {
+                        sink.success(false);
+                        return;
+                    }
                     shutdown.request(sink);
                     requestReport();
                 });
--- a/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
@@ -154,6 +154,11 @@
     }
 
     private static WorkerAnnouncement announcement(String workerId, long bornMillis) {
+        return announcement(workerId, bornMillis, 1, false);
+    }
+
+    private static WorkerAnnouncement announcement(
+            String workerId, long bornMillis, long sequence, boolean draining) {
         return new WorkerAnnouncement(
                 WorkerIdentity.newBuilder().setWorkerId(workerId).setBornMillis(bornMillis).build(),
                 "service",
@@ -162,9 +167,9 @@
                 "rack",
                 Set.of(),
                 Resources.of(1_000, 1_000, 0),
-                false,
+                draining,
                 FakeWorker.clockMillis(),
-                1);
+                sequence);
     }
 
     private WorkflowAgent startAgent() {
@@ -322,6 +327,7 @@
         worker.stopOutcome = new WorkerApi.CallOutcome.Done(OptionalLong.empty());
         worker.listed = List.of(ActiveRun.newBuilder().setRun(RUN).build());
         await(this::isReportedActive);
+        agent.announce(announcement("w", 1, 2, true)).block(TIMEOUT);
         AtomicBoolean confirmed = new AtomicBoolean();
         var unused = agent.leave("w").subscribe(confirmed::set);
         await(() -> worker.stops.contains(RUN));
@@ -378,6 +384,15 @@
         assertFalse(worker.startedIncarnations.contains(2L));
     }
 
+    /** Guards against tasks that are stopped because another writer deregisters their worker. */
+    @Test
+    public void shouldRefuseShutdownOfWorkerThatDoesNotDrain() {
+        assertEquals(agent.leave("w").block(TIMEOUT), Boolean.FALSE);
+        long sequence = leader.latest.getSequence();
+        await(() -> leader.latest.getSequence() > sequence + 1);
+        assertFalse(leader.latest.getLeaving());
+    }
+
     /** Guards against a start that is never sent because it had to wait. */
     @Test
     public void shouldSendWaitingStartOnceTheLeaderHasConfirmedIt() {
