--- a/src/main/java/org/yuccabank/agent/workflow/RunEntry.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunEntry.java
@@ -121,6 +121,14 @@
         return stage == Stage.AWAITING_ABSENCE && listRequestedMillis > absenceCheckedFromMillis;
     }
 
+    /**
+     * Returns whether the next list is expected to show that the run has not started. The end of a
+     * run that the worker has confirmed takes longer and ends the wait of a list.
+     */
+    boolean isAbsenceExpected() {
+        return stage == Stage.AWAITING_ABSENCE && confirmedAtMillis.isEmpty();
+    }
+
     /** Records that a start call is being sent, after which the worker may run it at any time. */
     void beginStart() {
         startSent = true;
--- a/src/main/java/org/yuccabank/agent/workflow/RunTable.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunTable.java
@@ -179,10 +179,9 @@
                 .anyMatch(end -> end.getNumber() > acknowledgedNumber);
     }
 
-    /** Returns whether the next list is needed to learn that a run has not started. */
-    boolean isAbsenceAwaited() {
-        return entries.values().stream()
-                .anyMatch(entry -> entry.stage() == RunEntry.Stage.AWAITING_ABSENCE);
+    /** Returns whether the next list is expected to show that a run has not started. */
+    boolean isAbsenceExpected() {
+        return entries.values().stream().anyMatch(RunEntry::isAbsenceExpected);
     }
 
     long acknowledgedNumber() {
--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -484,7 +484,7 @@
         listInProgress = true;
         listsPaused = false;
         boolean immediate =
-                (listRequested && listedTerm != order.term()) || runs.isAbsenceAwaited();
+                (listRequested && listedTerm != order.term()) || runs.isAbsenceExpected();
         listRequested = false;
         long requestedMillis = nowMillis();
         long requestTerm = order.term();
--- a/src/test/java/org/yuccabank/agent/workflow/RunTableTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/RunTableTest.java
@@ -81,6 +81,18 @@
         assertFalse(table.hasUnacknowledgedEnds());
     }
 
+    /** Guards against lists without a wait during each stop of a run that the worker confirms. */
+    @Test
+    public void shouldExpectAbsenceOnlyOfRunThatWorkerHasNotConfirmed() {
+        RunTable table = new RunTable();
+        RunEntry entry = table.requestStop(RUN);
+        assertFalse(table.isAbsenceExpected(), "the stop is not confirmed");
+        entry.awaitAbsence(100);
+        assertTrue(table.isAbsenceExpected());
+        table.recordAnswer(List.of(RUN), 110);
+        assertFalse(table.isAbsenceExpected(), "the run is being stopped");
+    }
+
     /** Guards against a second start call for a known run. */
     @Test
     public void shouldAddStartOnce() {
--- a/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
@@ -62,6 +62,7 @@
         private volatile boolean assigned;
         private volatile boolean startSent;
         private volatile boolean ended;
+        private volatile boolean stopsRun;
         private volatile long directivesNumber;
         private volatile WorkerReport latest = WorkerReport.getDefaultInstance();
 
@@ -73,6 +74,9 @@
                             .setTerm(1)
                             .setNumber(directivesNumber)
                             .setWorker(report.getWorker());
+            if (stopsRun) {
+                directives.addStops(RUN);
+            }
             if (ended || report.getLeaving()) {
                 report.getActiveList().forEach(run -> directives.addStops(run.getRun()));
             } else if (assigned) {
@@ -384,6 +388,21 @@
         assertFalse(worker.startedIncarnations.contains(2L));
     }
 
+    /**
+     * Guards against a run of the previous incarnation that the next one under the same identifier
+     * carries out late, after its agent has reported that it does not run.
+     */
+    @Test
+    public void shouldGiveUpRunOfPreviousIncarnationOnlyAfterConfirmedStop() {
+        leader.stopsRun = true;
+        agent.announce(announcement("w", 2)).block(TIMEOUT);
+        await(() -> leader.latest.getListed() && leader.latest.getWorker().getBornMillis() == 2);
+        await(() -> worker.stops.contains(RUN));
+        assertFalse(isReportedAsNotStarted(), "the stop is not confirmed");
+        worker.stopOutcome = new WorkerApi.CallOutcome.Done(OptionalLong.empty());
+        await(this::isReportedAsNotStarted);
+    }
+
     /** Guards against tasks that are stopped because another writer deregisters their worker. */
     @Test
     public void shouldRefuseShutdownOfWorkerThatDoesNotDrain() {
