--- a/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
@@ -62,6 +62,7 @@
         private volatile boolean assigned;
         private volatile boolean startSent;
         private volatile boolean ended;
+        private volatile boolean stopsRun;
         private volatile long directivesNumber;
         private volatile WorkerReport latest = WorkerReport.getDefaultInstance();
 
@@ -73,6 +74,9 @@
                             .setTerm(1)
                             .setNumber(directivesNumber)
                             .setWorker(report.getWorker());
+            if (stopsRun) {
+                directives.addStops(RUN);
+            }
             if (ended || report.getLeaving()) {
                 report.getActiveList().forEach(run -> directives.addStops(run.getRun()));
             } else if (assigned) {
@@ -154,6 +158,11 @@
     }
 
     private static WorkerAnnouncement announcement(String workerId, long bornMillis) {
+        return announcement(workerId, bornMillis, 1, false);
+    }
+
+    private static WorkerAnnouncement announcement(
+            String workerId, long bornMillis, long sequence, boolean draining) {
         return new WorkerAnnouncement(
                 WorkerIdentity.newBuilder().setWorkerId(workerId).setBornMillis(bornMillis).build(),
                 "service",
@@ -162,9 +171,9 @@
                 "rack",
                 Set.of(),
                 Resources.of(1_000, 1_000, 0),
-                false,
+                draining,
                 FakeWorker.clockMillis(),
-                1);
+                sequence);
     }
 
     private WorkflowAgent startAgent() {
@@ -322,6 +331,7 @@
         worker.stopOutcome = new WorkerApi.CallOutcome.Done(OptionalLong.empty());
         worker.listed = List.of(ActiveRun.newBuilder().setRun(RUN).build());
         await(this::isReportedActive);
+        agent.announce(announcement("w", 1, 2, true)).block(TIMEOUT);
         AtomicBoolean confirmed = new AtomicBoolean();
         var unused = agent.leave("w").subscribe(confirmed::set);
         await(() -> worker.stops.contains(RUN));
@@ -378,6 +388,30 @@
         assertFalse(worker.startedIncarnations.contains(2L));
     }
 
+    /**
+     * Guards against a run of the previous incarnation that the next one under the same identifier
+     * carries out late, after its agent has reported that it does not run.
+     */
+    @Test
+    public void shouldGiveUpRunOfPreviousIncarnationOnlyAfterConfirmedStop() {
+        leader.stopsRun = true;
+        agent.announce(announcement("w", 2)).block(TIMEOUT);
+        await(() -> leader.latest.getListed() && leader.latest.getWorker().getBornMillis() == 2);
+        await(() -> worker.stops.contains(RUN));
+        assertFalse(isReportedAsNotStarted(), "the stop is not confirmed");
+        worker.stopOutcome = new WorkerApi.CallOutcome.Done(OptionalLong.empty());
+        await(this::isReportedAsNotStarted);
+    }
+
+    /** Guards against tasks that are stopped because another writer deregisters their worker. */
+    @Test
+    public void shouldRefuseShutdownOfWorkerThatDoesNotDrain() {
+        assertEquals(agent.leave("w").block(TIMEOUT), Boolean.FALSE);
+        long sequence = leader.latest.getSequence();
+        await(() -> leader.latest.getSequence() > sequence + 1);
+        assertFalse(leader.latest.getLeaving());
+    }
+
     /** Guards against a start that is never sent because it had to wait. */
     @Test
     public void shouldSendWaitingStartOnceTheLeaderHasConfirmedIt() {
