--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgentLog.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgentLog.java
@@ -145,7 +145,7 @@
                 format(entry.run()),
                 "ending",
                 end.getEnding(),
-                "number",
+                "endNumber",
                 end.getNumber(),
                 "reason",
                 end.getReason(),
@@ -162,7 +162,7 @@
                     format(entry.run()),
                     "stage",
                     entry.stage(),
-                    "number",
+                    "endNumber",
                     entry.end().map(EndedRun::getNumber).orElse(0L));
         }
     }
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLog.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLog.java
@@ -181,7 +181,7 @@
                         "ending", end.getEnding(),
                         "reason", end.getReason(),
                         "source", source,
-                        "number", end.getNumber());
+                        "endNumber", end.getNumber());
         Optional<WorkerIdentity> worker =
                 records.openRun(end.getRun()).flatMap(WorkflowTask::worker);
         details.add("worker");
--- a/src/test/java/org/yuccabank/control/workflow/RequestLinesTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/RequestLinesTest.java
@@ -16,6 +16,7 @@
 import java.util.stream.Collectors;
 import org.testng.annotations.Test;
 import org.yuccabank.agent.workflow.AgentLinesProcess;
+import org.yuccabank.event.Event;
 
 /** Tests that the lines of a request are whole on all processes. */
 public final class RequestLinesTest {
@@ -50,6 +51,14 @@
                 .collect(Collectors.groupingBy(id -> id, Collectors.counting()));
     }
 
+    /** A detail named as a field of the header would overwrite it. */
+    private static void assertHeader(List<JsonNode> lines) {
+        for (JsonNode line : lines) {
+            int number = Event.valueOf(line.path("event").asText()).number();
+            assertEquals(line.path("number").asInt(), number, line.toString());
+        }
+    }
+
     /**
      * Guards against a request that is kept on one process only or in part. With the former limit
      * of 200 lines of an event per second, every request beyond the first 20 lacked lines.
@@ -60,6 +69,8 @@
         try {
             List<JsonNode> leader = run(LeaderLinesProcess.class, starts);
             List<JsonNode> agent = run(AgentLinesProcess.class, starts);
+            assertHeader(leader);
+            assertHeader(agent);
             Map<String, Long> kept = linesOfEachWorkflow(leader);
             Map<String, Long> onAgent = linesOfEachWorkflow(agent);
             assertEquals(Set.copyOf(kept.values()), Set.of(LEADER_LINES));
