Hold capacity back only for gangs that can fit

Callers saw jobs wait while all workers were idle: a gang that can never fit stands first in each planning round, and PlanningRound.reserve kept its reservations until the end of the round.

Capacity is now held back for a gang only if all members would fit once all tasks ended that do not last, with labels, limits for each worker and lasting tasks as they are. While more than 0.4 of its service is free, it is held back in the first half of every 3 s only, as a workflow may not wait for 3 s beside free capacity; with less free it is held back throughout, so that a gang that can fit gets what ends. Otherwise a gang is tried on copies of the capacities.

Evidence: three of the new tests of WorkflowPlannerTest fail before, shouldPlaceOthersBesideGangThatNeverFits: at 1000 expected [2] but found [0] shouldPlaceOthersBesideGangThatLastingTasksKeepOut: expected [2] but found [0] shouldLeaveMostlyFreeCapacityToOthersByTurns: expected [2] but found [0] and all 21 pass after. The label form and the test against starvation passed before, too; they guard what stays.

--- a/src/main/java/org/yuccabank/control/workflow/PlanningRound.java
+++ b/src/main/java/org/yuccabank/control/workflow/PlanningRound.java
@@ -8,8 +8,10 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.yuccabank.policy.workflow.CrashIsolation;
 import org.yuccabank.policy.workflow.MaximumHeadroomSelector;
+import org.yuccabank.policy.workflow.WaitingTask;
 import org.yuccabank.policy.workflow.WorkerCapacity;
 import org.yuccabank.policy.workflow.WorkerSelector;
 import org.yuccabank.protocol.generated.Assignment;
@@ -22,7 +24,8 @@
  * Places the waiting tasks of one planning round on the capacity of the workers.
  *
  * <p>Invariants: no placement exceeds the capacity that earlier ones have left; a gang is placed as
- * a whole; a worker that starts suspected tasks gets no others. Not thread-safe.
+ * a whole; a worker that starts suspected tasks gets no others; capacity is held back only for a
+ * gang that fits once tasks end, and with short breaks while much of it is free. Not thread-safe.
  */
 final class PlanningRound {
 
@@ -32,6 +35,12 @@
      */
     private static final double MOSTLY_FREE_SHARE = 0.4;
 
+    /**
+     * Period in which capacity of a mostly free service is held back for gangs once and left to
+     * others once. Half of it is less than the 3 s that a workflow may wait beside free capacity.
+     */
+    private static final long HOLD_PERIOD_MILLIS = 3_000;
+
     private final WorkerSelector selector;
     private final WorkerSelector lastResortSelector = new MaximumHeadroomSelector();
     private final List<WorkerCapacity> capacities;
@@ -39,6 +48,8 @@
     private final CrashIsolation isolation;
     private final Set<String> runningWorkflowIds;
     private final boolean mostlyFree;
+    private final Set<String> mostlyFreeServices;
+    private final long nowMillis;
     private final List<Assignment> plan = new ArrayList<>();
 
     /**
@@ -49,19 +60,30 @@
      * @param workers the available workers
      * @param capacities what the open runs leave of their capacity
      * @param isolation keeps suspected tasks apart
+     * @param nowMillis current time, in milliseconds since the epoch
      */
     PlanningRound(
             WorkerSelector selector,
             WorkflowRecords records,
             Collection<AvailableWorker> workers,
             Collection<WorkerCapacity> capacities,
-            CrashIsolation isolation) {
+            CrashIsolation isolation,
+            long nowMillis) {
         this.selector = selector;
         this.capacities = List.copyOf(capacities);
         this.isolation = isolation;
         workers.forEach(worker -> identities.put(worker.key(), worker.report().getWorker()));
         runningWorkflowIds = runningWorkflowIds(records);
         mostlyFree = isMostlyFree(capacities);
+        mostlyFreeServices =
+                capacities.stream()
+                        .collect(Collectors.groupingBy(WorkerCapacity::service))
+                        .entrySet()
+                        .stream()
+                        .filter(each -> isMostlyFree(each.getValue()))
+                        .map(Map.Entry::getKey)
+                        .collect(Collectors.toSet());
+        this.nowMillis = nowMillis;
     }
 
     /** Returns the assignments in the order of their placement. */
@@ -136,12 +158,15 @@
     }
 
     /**
-     * Reserves capacity for tasks of a step, for a gang only if there is enough for all. If the
-     * selector finds no worker and the step may interfere, one task goes to the worker with the
-     * most headroom.
+     * Reserves capacity for tasks of a step, for a gang only if there is enough for all or if
+     * capacity may be held back for it. If the selector finds no worker and the step may interfere,
+     * one task goes to the worker with the most headroom.
      */
     private List<WorkerCapacity> reserve(
             StepCandidates step, int count, List<WorkerCapacity> candidates) {
+        if (step.isGang() && !mayHoldBack(step, count) && !fits(step, count, candidates)) {
+            return List.of();
+        }
         List<WorkerCapacity> selected = selector.reserve(step.representative(), count, candidates);
         if (step.isGang() && selected.size() < count) {
             // The reservations are kept until the end of the round to prevent starvation of the
@@ -154,6 +179,30 @@
                 : selected;
     }
 
+    private boolean fits(StepCandidates step, int count, List<WorkerCapacity> candidates) {
+        List<WorkerCapacity> copies = candidates.stream().map(WorkerCapacity::copy).toList();
+        return selector.reserve(step.representative(), count, copies).size() == count;
+    }
+
+    /**
+     * Returns whether capacity may be held back for a gang that does not fit: it would fit if all
+     * tasks ended that do not last, and its service is not mostly free or it is the turn of gangs.
+     */
+    private boolean mayHoldBack(StepCandidates step, int count) {
+        WaitingTask task = step.representative();
+        boolean free = mostlyFreeServices.contains(task.constraints().service());
+        if (free && nowMillis % HOLD_PERIOD_MILLIS >= HOLD_PERIOD_MILLIS / 2) {
+            return false;
+        }
+        int room = 0;
+        for (WorkerCapacity worker : capacities) {
+            if (room < count) {
+                room += worker.roomWhenEmpty(task, count - room);
+            }
+        }
+        return room >= count;
+    }
+
     private void assign(
             StepCandidates step, List<WorkflowTask> tasks, List<WorkerCapacity> selected) {
         int gangAttempt = tasks.stream().mapToInt(WorkflowTask::latestAttempt).max().orElse(0) + 1;
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowPlanner.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowPlanner.java
@@ -74,7 +74,8 @@
                         records,
                         workers,
                         workerCapacities(records, workers, estimates).values(),
-                        CrashSuspects.isolation(records, workers, suspectsWaiting));
+                        CrashSuspects.isolation(records, workers, suspectsWaiting),
+                        nowMillis);
         List<StepCandidates> ordered =
                 order.order(List.copyOf(candidates.keySet()), nowMillis).stream()
                         .map(candidates::get)
--- a/src/main/java/org/yuccabank/policy/workflow/WorkerCapacity.java
+++ b/src/main/java/org/yuccabank/policy/workflow/WorkerCapacity.java
@@ -29,6 +29,7 @@
     private final Resources capacity;
     private final Map<String, Integer> taskCountByStep = new HashMap<>();
     private Resources free;
+    private Resources lasting = Resources.none();
     private int servingCount;
     private boolean antiAffinity;
     private final Pressures pressures;
@@ -68,6 +69,28 @@
         this.pressures = pressures;
     }
 
+    /**
+     * Returns a copy for a trial placement.
+     *
+     * @return a copy that shares nothing mutable with this instance
+     */
+    public WorkerCapacity copy() {
+        WorkerCapacity copy =
+                new WorkerCapacity(workerId, service, rack, labels, capacity, pressures);
+        copy.taskCountByStep.putAll(taskCountByStep);
+        copy.free = free;
+        copy.lasting = lasting;
+        copy.servingCount = servingCount;
+        copy.antiAffinity = antiAffinity;
+        copy.pressureLimits.putAll(pressureLimits);
+        copy.bestEffortCounts.putAll(bestEffortCounts);
+        copy.pressureByServingImage.putAll(pressureByServingImage);
+        copy.expectedProcessorMillis = expectedProcessorMillis;
+        copy.tasks = tasks;
+        copy.probeOnly = probeOnly;
+        return copy;
+    }
+
     /**
      * Reserves resources for a task, even if they exceed the free capacity.
      *
@@ -83,6 +106,7 @@
         switch (load.kind()) {
             case SERVING -> {
                 servingCount++;
+                lasting = lasting.plus(resources);
                 antiAffinity |= load.antiAffinity();
                 pressureByServingImage.computeIfAbsent(load.image(), this::pressureOn);
             }
@@ -185,6 +209,27 @@
                 && fits(task.resources());
     }
 
+    /**
+     * Returns how many tasks of a step this worker could run if nothing else ran on it but its
+     * lasting tasks, which do not end.
+     *
+     * @param task one of the tasks
+     * @param limit number of tasks from which the exact result does not matter
+     * @return the number of tasks, at most the limit
+     */
+    public int roomWhenEmpty(WaitingTask task, int limit) {
+        WorkerCapacity empty =
+                new WorkerCapacity(workerId, service, rack, labels, capacity, pressures);
+        empty.free = capacity.minus(lasting);
+        empty.probeOnly = probeOnly;
+        int room = 0;
+        while (room < limit && empty.admits(task)) {
+            empty.reserve(task.stepKey(), task.resources(), task.load());
+            room++;
+        }
+        return room;
+    }
+
     private boolean fits(Resources requested) {
         return requested.processorMillis() <= free.processorMillis()
                 && requested.memoryMebibytes() <= free.memoryMebibytes()
@@ -202,6 +247,15 @@
                 : (double) free.processorMillis() / capacity.processorMillis();
     }
 
+    /**
+     * Returns the service that the worker belongs to.
+     *
+     * @return the service
+     */
+    public String service() {
+        return service;
+    }
+
     /**
      * Returns the identifier of the worker.
      *
--- a/src/test/java/org/yuccabank/control/workflow/WorkflowPlannerTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/WorkflowPlannerTest.java
@@ -22,6 +22,7 @@
 import org.yuccabank.policy.workflow.Pressures;
 import org.yuccabank.policy.workflow.ServingRecovery;
 import org.yuccabank.policy.workflow.WorkerCircuitBreaker;
+import org.yuccabank.protocol.generated.AcceptWorkflow;
 import org.yuccabank.protocol.generated.ActiveRun;
 import org.yuccabank.protocol.generated.Assignment;
 import org.yuccabank.protocol.generated.FleetConfiguration;
@@ -32,6 +33,7 @@
 import org.yuccabank.protocol.generated.StepDefinition;
 import org.yuccabank.protocol.generated.WorkerReport;
 import org.yuccabank.protocol.generated.WorkflowAddress;
+import org.yuccabank.protocol.generated.WorkflowCommand;
 import org.yuccabank.protocol.generated.WorkflowDefinition;
 import org.yuccabank.state.workflow.WorkflowRecords;
 
@@ -259,6 +261,78 @@
                 List.of("serving"));
     }
 
+    private static WorkflowCommand acceptWithLowPriority(
+            String workflowId, StepDefinition.Builder step) {
+        AcceptWorkflow accept = accept(workflowId, step).getAccept();
+        return WorkflowCommand.newBuilder()
+                .setAccept(
+                        accept.toBuilder().setQueue(accept.getQueue().toBuilder().setPriority(1)))
+                .build();
+    }
+
+    private List<Assignment> planAt(long nowMillis, int cores) {
+        return planner.plan(
+                records,
+                List.of(worker(cores, WorkerCircuitBreaker.State.CLOSED)),
+                ESTIMATES,
+                false,
+                nowMillis);
+    }
+
+    /** Guards against a gang that can never fit and keeps the workers idle (HopelessGang). */
+    @Test
+    public void shouldPlaceOthersBesideGangThatNeverFits() {
+        records.apply(accept("a", step(8).setGang(true)), NOW);
+        records.apply(acceptWithLowPriority("b", step(2)), NOW);
+        for (long nowMillis : new long[] {1_000, 2_000, 3_000}) {
+            assertEquals(planAt(nowMillis, 4).size(), 2, "at " + nowMillis);
+        }
+    }
+
+    /** Guards against a gang whose members need a label that too few workers have. */
+    @Test
+    public void shouldPlaceOthersBesideGangThatNeedsMissingLabel() {
+        records.apply(accept("a", step(2).setGang(true).setRequiredLabel("large")), NOW);
+        records.apply(acceptWithLowPriority("b", step(2)), NOW);
+        assertEquals(plan(worker(2, WorkerCircuitBreaker.State.CLOSED)).size(), 2);
+    }
+
+    /** Guards against a gang that waits for capacity which lasting tasks never leave. */
+    @Test
+    public void shouldPlaceOthersBesideGangThatLastingTasksKeepOut() {
+        records.apply(accept("web", step(3).setLasting(true).setImage("web")), NOW);
+        records.apply(assign(run("web", 0, 0, 1), run("web", 0, 1, 1), run("web", 0, 2, 1)), NOW);
+        records.apply(accept("a", step(3).setGang(true)), NOW);
+        records.apply(acceptWithLowPriority("b", step(2)), NOW);
+        assertEquals(planAt(1_000, 5).size(), 2);
+    }
+
+    /** Guards against starving a gang that fits by tasks that take what becomes free. */
+    @Test
+    public void shouldHoldCapacityBackForGangThatFitsOnceTasksEnd() {
+        records.apply(accept("running", step(3)), NOW);
+        records.apply(
+                assign(run("running", 0, 0, 1), run("running", 0, 1, 1), run("running", 0, 2, 1)),
+                NOW);
+        records.apply(accept("a", step(4).setGang(true)), NOW);
+        records.apply(acceptWithLowPriority("b", step(2)), NOW);
+        for (long nowMillis : new long[] {1_000, 2_000, 3_000}) {
+            assertEquals(planAt(nowMillis, 4).size(), 0, "at " + nowMillis);
+        }
+    }
+
+    /** Guards against capacity that is held back for a gang for 3 s while most of it is free. */
+    @Test
+    public void shouldLeaveMostlyFreeCapacityToOthersByTurns() {
+        records.apply(accept("running", step(1)), NOW);
+        records.apply(assign(run("running", 0, 0, 1)), NOW);
+        records.apply(accept("a", step(8).setGang(true)), NOW);
+        records.apply(acceptWithLowPriority("b", step(2)), NOW);
+        assertEquals(planAt(1_000, 8).size(), 0);
+        assertEquals(planAt(2_000, 8).size(), 2);
+        assertEquals(planAt(3_000, 8).size(), 0);
+    }
+
     /** Guards against starting only some members of a gang. */
     @Test
     public void shouldPlaceGangAsWhole() {
