Tell a worker that flaps from a task that crashes workers

Callers saw jobs as failed although no run of theirs had failed: a task that was started within 500 ms of two crashes counted as their cause, even if one worker went down and up all the time. The worker that had just come back was empty and got the suspects of its own crash first.

A crash within 3 s of the last one of its host is no evidence. Suspects start on workers without recent crashes first. Log entries say how often the worker had crashed without the workflow in the last 60 s, tasks keep the hosts that crashed under them, and CrashVerdict gives a task up after crashes of two different hosts, once as the sole suspect on a host without other crashes, or after three, either of different hosts or twice as the sole suspect. One worker cannot produce the former, and the latter bounds the starts of a culprit. All control processes need this release before a crash is recorded.

--- a/src/main/java/org/yuccabank/control/workflow/CrashCounters.java
+++ b/src/main/java/org/yuccabank/control/workflow/CrashCounters.java
@@ -20,6 +20,7 @@
  */
 final class CrashCounters {
 
+    private final WorkerCrashHistory history = new WorkerCrashHistory();
     private final Counter workerCrashes = new Counter();
     private final Counter workflowsGivenUp = new Counter();
 
@@ -28,8 +29,14 @@
         metrics.register("workflowsGivenUp", workflowsGivenUp);
     }
 
+    /** Returns the recent crashes of the workers. */
+    WorkerCrashHistory history() {
+        return history;
+    }
+
     /** Records a crash of a worker with open runs. */
-    void recordCrash(WorkerCrash crash, int openRuns) {
+    void recordCrash(WorkerCrash crash, int openRuns, long nowMillis) {
+        history.record(crash, nowMillis);
         workerCrashes.inc();
         EventLog.warning(
                 Event.WORKER_CRASHED,
@@ -62,6 +69,7 @@
 
     private void recordGivenUp(WorkflowTask task) {
         workflowsGivenUp.inc();
+        history.removeCrashesOf(task.workflow().id());
         EventLog.warning(
                 Event.WORKFLOW_GIVEN_UP,
                 "workflow",
--- a/src/main/java/org/yuccabank/control/workflow/CrashSuspects.java
+++ b/src/main/java/org/yuccabank/control/workflow/CrashSuspects.java
@@ -28,26 +28,30 @@
     }
 
     /**
-     * Returns the ends of the open runs of a worker that is gone.
+     * Returns the ends of the open runs of a worker that is gone. The crash of a worker that flaps
+     * makes none of them a suspect.
      *
      * @param openRuns the tasks with an open run on the worker
      * @param crash the crash of the worker as its agent saw it, empty if it did not crash or if the
      *     agent does not know
+     * @param history the recent crashes of the workers, with this one
      * @param reason why the runs end
      * @param checkpoint returns the saved checkpoint of a run
      */
     static List<EndedRun> endsOf(
             Collection<WorkflowTask> openRuns,
             Optional<WorkerCrash> crash,
+            WorkerCrashHistory history,
             String reason,
             Function<RunAddress, String> checkpoint) {
         Set<RunAddress> suspects = new HashSet<>();
         Set<RunAddress> uncertain = new HashSet<>();
-        crash.ifPresent(
-                each -> {
-                    suspects.addAll(each.getSuspectsList());
-                    uncertain.addAll(each.getUncertainSuspectsList());
-                });
+        crash.filter(each -> !history.wasFlapping(each.getWorker()))
+                .ifPresent(
+                        each -> {
+                            suspects.addAll(each.getSuspectsList());
+                            uncertain.addAll(each.getUncertainSuspectsList());
+                        });
         suspects.addAll(uncertain);
         boolean sole = workflowCount(suspects) == 1;
         List<EndedRun> ends = new ArrayList<>();
@@ -61,6 +65,9 @@
             if (suspects.contains(task.run())) {
                 end.setEnding(RunEnding.RUN_WORKER_CRASHED)
                         .setSoleSuspect(sole)
+                        .setOtherWorkerCrashes(
+                                history.crashesWithout(
+                                        task.worker().orElseThrow(), task.workflow().id()))
                         .setUncertainStart(uncertain.contains(task.run()));
             }
             ends.add(end.build());
@@ -84,7 +91,7 @@
         CrashIsolation isolation = new CrashIsolation();
         for (AvailableWorker worker : workers) {
             String key = worker.key();
-            isolation.addWorker(key);
+            isolation.addWorker(key, worker.reliability().ordinal());
             Set<WorkflowTask> openRuns = records.openRuns(worker.report().getWorker());
             if (suspectsWaiting || openRuns.stream().anyMatch(CrashSuspects::isSuspect)) {
                 Set<RunAddress> stable = stableRuns(worker);
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -320,9 +320,9 @@
         Set<WorkflowTask> openRuns = Set.copyOf(records().openRuns(worker));
         boolean ended = openRuns.stream().allMatch(task -> pendingEnds.containsKey(task.run()));
         if (crash.isPresent() && !ended) {
-            crashes.recordCrash(crash.get(), openRuns.size());
+            crashes.recordCrash(crash.get(), openRuns.size(), monotonicMillis());
         }
-        CrashSuspects.endsOf(openRuns, crash, reason, this::savedCheckpoint)
+        CrashSuspects.endsOf(openRuns, crash, crashes.history(), reason, this::savedCheckpoint)
                 .forEach(this::enqueueEnd);
     }
 
@@ -512,7 +512,9 @@
                                 new AvailableWorker(
                                         report,
                                         runMonitor.circuitState(
-                                                report.getWorker().getWorkerId(), ids, nowMillis)))
+                                                report.getWorker().getWorkerId(), ids, nowMillis),
+                                        crashes.history()
+                                                .reliability(report.getWorker(), nowMillis)))
                 .filter(worker -> worker.circuitState() != WorkerCircuitBreaker.State.OPEN)
                 .toList();
     }
--- a/src/main/java/org/yuccabank/policy/workflow/CrashIsolation.java
+++ b/src/main/java/org/yuccabank/policy/workflow/CrashIsolation.java
@@ -11,7 +11,7 @@
  * Separates tasks that are suspected of crashing their worker from other recent starts, for one
  * planning round. All runs that had started shortly before a crash are suspects, so a worker that
  * starts the suspects of a single workflow and nothing else shows by its next crash, or by its
- * survival, whether one of them is the cause.
+ * survival, whether one of them is the cause, provided that the worker does not crash on its own.
  *
  * <p>Invariants: a worker starts suspects only while none of its runs is unstable, which is a run
  * that may still crash its worker; a worker with an unstable suspect starts nothing else; suspects
@@ -19,22 +19,32 @@
  */
 public final class CrashIsolation {
 
+    /** Unreliability from which a worker starts no suspects while others are more reliable. */
+    public static final int FLAPPING = 2;
+
     private final Map<String, Occupancy> workers = new HashMap<>();
 
     /** The unstable runs of a worker, and whether it is closed to tasks that are no suspects. */
     private static final class Occupancy {
+        private final int unreliability;
         private int unstableRuns;
         private boolean startsSuspect;
         private boolean heldBack;
+
+        private Occupancy(int unreliability) {
+            this.unreliability = unreliability;
+        }
     }
 
     /**
      * Adds a worker.
      *
      * @param workerId the worker
+     * @param unreliability 0 for a worker without recent crashes, 1 for one with some, {@link
+     *     #FLAPPING} for one that has crashed just now and may crash again in any case
      */
-    public void addWorker(String workerId) {
-        workers.put(workerId, new Occupancy());
+    public void addWorker(String workerId, int unreliability) {
+        workers.put(workerId, new Occupancy(unreliability));
     }
 
     /**
@@ -50,8 +60,9 @@
     }
 
     /**
-     * Returns the workers that may start the suspects of a workflow, those with the fewest
-     * neighbours first, as a crash ends their runs too.
+     * Returns the workers that may start the suspects of a workflow: the most reliable first, as
+     * their crash is the strongest evidence, then those with the fewest neighbours, as a crash ends
+     * their runs too.
      *
      * @param candidates the workers
      * @return the workers without unstable runs, none if suspects already take half of all workers
@@ -62,8 +73,12 @@
         }
         return candidates.stream()
                 .filter(worker -> workers.get(worker.workerId()).unstableRuns == 0)
+                .filter(worker -> isReliable(worker.workerId()))
                 .sorted(
-                        Comparator.comparingInt(WorkerCapacity::servingCount)
+                        Comparator.comparingInt(
+                                        (WorkerCapacity worker) ->
+                                                workers.get(worker.workerId()).unreliability)
+                                .thenComparingInt(WorkerCapacity::servingCount)
                                 .thenComparingInt(WorkerCapacity::taskCount)
                                 .thenComparing(WorkerCapacity::workerId))
                 .toList();
@@ -92,6 +107,7 @@
         Optional<WorkerCapacity> best =
                 candidates.stream()
                         .filter(worker -> admitsOthers(worker.workerId()))
+                        .filter(worker -> isReliable(worker.workerId()))
                         .filter(admits)
                         .min(
                                 Comparator.comparingInt(
@@ -112,6 +128,12 @@
         return !occupancy.startsSuspect && !occupancy.heldBack;
     }
 
+    /** Returns whether a worker does not flap, or all workers do. */
+    private boolean isReliable(String workerId) {
+        return workers.get(workerId).unreliability < FLAPPING
+                || workers.values().stream().allMatch(each -> each.unreliability >= FLAPPING);
+    }
+
     private boolean isLimitReached() {
         long closed = workers.keySet().stream().filter(each -> !admitsOthers(each)).count();
         return 2 * (closed + 1) > Math.max(2, workers.size());
--- a/src/main/java/org/yuccabank/state/workflow/WorkflowRecords.java
+++ b/src/main/java/org/yuccabank/state/workflow/WorkflowRecords.java
@@ -23,6 +23,7 @@
 import org.yuccabank.protocol.generated.WorkflowCommand;
 import org.yuccabank.protocol.generated.WorkflowDefinition;
 import org.yuccabank.protocol.generated.WorkflowPhase;
+import org.yuccabank.state.generated.CountedCrash;
 import org.yuccabank.state.generated.WorkflowRecord;
 
 /**
@@ -36,10 +37,13 @@
  */
 public final class WorkflowRecords {
 
-    /** Confirmed crashes after which a task is given up if it was the only suspect of one. */
+    /**
+     * Confirmed crashes in log entries of older releases after which a task is given up if it was
+     * the only suspect of one.
+     */
     private static final int CONFIRMED_CRASHES = 2;
 
-    /** Crashes after which a task is given up in any case. */
+    /** Crashes in log entries of older releases after which a task is given up in any case. */
     private static final int MAXIMUM_CRASHES = 3;
 
     private final Map<String, Workflow> workflows = new LinkedHashMap<>();
@@ -224,6 +228,7 @@
             return;
         }
         WorkflowTask task = open.get();
+        WorkerIdentity worker = task.worker().orElseThrow();
         removeOpenRun(task);
         boolean success = ended.getEnding() == RunEnding.RUN_DONE;
         boolean failed = ended.getEnding() == RunEnding.RUN_FAILED;
@@ -232,7 +237,7 @@
         if (success) {
             markDone(task, nowMillis);
         }
-        updateCrashes(task, ended);
+        updateCrashes(task, worker, ended);
         if ((failed && areAttemptsExhausted(task)) || isGivenUp(task)) {
             workflow.end(WorkflowPhase.WORKFLOW_FAILED, nowMillis);
         }
@@ -257,8 +262,17 @@
         }
     }
 
-    private static void updateCrashes(WorkflowTask task, EndedRun ended) {
-        if (ended.getEnding() == RunEnding.RUN_WORKER_CRASHED) {
+    private static void updateCrashes(WorkflowTask task, WorkerIdentity worker, EndedRun ended) {
+        if (ended.getEnding() == RunEnding.RUN_WORKER_CRASHED && ended.hasOtherWorkerCrashes()) {
+            String host = worker.getHostId().isEmpty() ? worker.getWorkerId() : worker.getHostId();
+            task.recordCrash(
+                    CountedCrash.newBuilder()
+                            .setHostId(host)
+                            .setSoleSuspect(ended.getSoleSuspect())
+                            .setUncertainStart(ended.getUncertainStart())
+                            .setOtherWorkerCrashes(ended.getOtherWorkerCrashes())
+                            .build());
+        } else if (ended.getEnding() == RunEnding.RUN_WORKER_CRASHED) {
             task.recordCrash(!ended.getUncertainStart(), ended.getSoleSuspect());
         } else if (ended.getStable() || ended.getEnding() == RunEnding.RUN_FAILED) {
             task.clearCrashes();
@@ -272,7 +286,9 @@
      * @return true if its workflow fails for this reason
      */
     public static boolean isGivenUp(WorkflowTask task) {
-        return task.crashes() >= MAXIMUM_CRASHES
+        int older = task.crashes() - task.countedCrashes().size();
+        return CrashVerdict.isCause(task.countedCrashes())
+                || older >= MAXIMUM_CRASHES
                 || (task.confirmedCrashes() >= CONFIRMED_CRASHES && task.isSoleSuspect());
     }
 
--- a/src/main/java/org/yuccabank/state/workflow/WorkflowTask.java
+++ b/src/main/java/org/yuccabank/state/workflow/WorkflowTask.java
@@ -1,9 +1,12 @@
 package org.yuccabank.state.workflow;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import org.yuccabank.protocol.generated.RunAddress;
 import org.yuccabank.protocol.generated.TaskAddress;
 import org.yuccabank.protocol.generated.WorkerIdentity;
+import org.yuccabank.state.generated.CountedCrash;
 import org.yuccabank.state.generated.WorkflowTaskRecord;
 
 /**
@@ -24,6 +27,7 @@
     private int crashes;
     private int confirmedCrashes;
     private boolean soleSuspect;
+    private final List<CountedCrash> countedCrashes = new ArrayList<>();
     private String checkpoint = "";
     private WorkerIdentity worker;
 
@@ -89,7 +93,8 @@
     }
 
     /**
-     * Returns the number of these crashes before which the task had certainly started.
+     * Returns the number of these crashes before which the task had certainly started, of those
+     * that log entries of older releases record.
      *
      * @return the count
      */
@@ -97,6 +102,11 @@
         return confirmedCrashes;
     }
 
+    /** Returns the crashes that were recorded with what is known about their worker. */
+    List<CountedCrash> countedCrashes() {
+        return countedCrashes;
+    }
+
     /**
      * Returns whether the task was the only suspect of one of these crashes, apart from tasks of
      * its own workflow.
@@ -104,7 +114,7 @@
      * @return true if it was
      */
     public boolean isSoleSuspect() {
-        return soleSuspect;
+        return soleSuspect || countedCrashes.stream().anyMatch(CountedCrash::getSoleSuspect);
     }
 
     /**
@@ -176,7 +186,13 @@
         soleSuspect |= sole;
     }
 
+    void recordCrash(CountedCrash crash) {
+        crashes++;
+        countedCrashes.add(crash);
+    }
+
     void clearCrashes() {
+        countedCrashes.clear();
         crashes = 0;
         confirmedCrashes = 0;
         soleSuspect = false;
@@ -192,7 +208,8 @@
                         .setCheckpoint(checkpoint)
                         .setCrashes(crashes)
                         .setConfirmedCrashes(confirmedCrashes)
-                        .setSoleSuspect(soleSuspect);
+                        .setSoleSuspect(soleSuspect)
+                        .addAllCountedCrashes(countedCrashes);
         worker().ifPresent(record::setWorker);
         return record.build();
     }
@@ -205,6 +222,8 @@
         crashes = record.getCrashes();
         confirmedCrashes = record.getConfirmedCrashes();
         soleSuspect = record.getSoleSuspect();
+        countedCrashes.clear();
+        countedCrashes.addAll(record.getCountedCrashesList());
         worker = record.hasWorker() ? record.getWorker() : null;
     }
 }
--- a/src/test/java/org/yuccabank/control/workflow/CrashReplayTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/CrashReplayTest.java
@@ -6,6 +6,7 @@
 import static org.yuccabank.state.workflow.WorkflowFixtures.step;
 
 import java.util.Set;
+import java.util.stream.IntStream;
 import org.testng.annotations.Test;
 import org.yuccabank.protocol.generated.WorkflowPhase;
 import org.yuccabank.state.workflow.WorkflowTask;
@@ -92,4 +93,52 @@
                         .count(),
                 0);
     }
+
+    /**
+     * Submits a workflow each 300 ms while a worker is up for 400 ms and down for 600 ms by turns,
+     * for 7 s with pauses of 3 s.
+     */
+    private static int submitBesideFlappingWorker(CrashReplay replay, Set<String> deadly) {
+        int submitted = 0;
+        for (int step = 0; step < 500; step++) {
+            if (step % 3 == 0) {
+                replay.apply(accept("innocent-" + submitted, step(9)));
+                submitted++;
+            }
+            if (step == 100) {
+                deadly.forEach(id -> replay.apply(accept(id, step(1))));
+            }
+            if (step % 100 < 70 && step % 10 == 5) {
+                replay.crash(0, 600);
+            }
+            replay.advance(100);
+        }
+        replay.advance(60_000);
+        return submitted;
+    }
+
+    /** Guards against giving up tasks that start on a worker that flaps (review/4). */
+    @Test
+    public void shouldGiveUpNoTaskBesideFlappingWorker() {
+        CrashReplay replay = new CrashReplay(10, Set.of(), 200, 3_100);
+        int submitted = submitBesideFlappingWorker(replay, Set.of());
+        long completed =
+                IntStream.range(0, submitted)
+                        .filter(
+                                number ->
+                                        phase(replay, "innocent-" + number)
+                                                == WorkflowPhase.WORKFLOW_COMPLETED)
+                        .count();
+        assertEquals(completed, submitted);
+    }
+
+    /** Guards against a flapping worker that hides the tasks that crash the other workers. */
+    @Test
+    public void shouldGiveUpCulpritsBesideFlappingWorker() {
+        Set<String> deadly = Set.of("deadly-0", "deadly-1");
+        CrashReplay replay = new CrashReplay(10, deadly, 200, 3_100);
+        submitBesideFlappingWorker(replay, deadly);
+        deadly.forEach(id -> assertEquals(phase(replay, id), WorkflowPhase.WORKFLOW_FAILED));
+        assertEquals(replay.startsAfterThirdCrash(), 0);
+    }
 }
--- a/src/test/java/org/yuccabank/state/workflow/WorkflowRecordsTest.java
+++ b/src/test/java/org/yuccabank/state/workflow/WorkflowRecordsTest.java
@@ -15,10 +15,12 @@
 import com.google.protobuf.ByteString;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
+import org.yuccabank.protocol.generated.Assignment;
 import org.yuccabank.protocol.generated.EndedRun;
 import org.yuccabank.protocol.generated.FleetConfiguration;
 import org.yuccabank.protocol.generated.RunEnding;
 import org.yuccabank.protocol.generated.SchedulingRound;
+import org.yuccabank.protocol.generated.WorkerIdentity;
 import org.yuccabank.protocol.generated.WorkflowCommand;
 import org.yuccabank.protocol.generated.WorkflowPhase;
 
@@ -151,6 +153,71 @@
         assertEquals(phase("a"), WorkflowPhase.WORKFLOW_FAILED);
     }
 
+    private void crashOn(String host, int attempt, boolean soleSuspect, int otherCrashes) {
+        WorkerIdentity worker =
+                WorkerIdentity.newBuilder()
+                        .setWorkerId(host)
+                        .setHostId(host)
+                        .setBornMillis(attempt)
+                        .build();
+        EndedRun.Builder ended =
+                EndedRun.newBuilder()
+                        .setRun(run("a", 0, 0, attempt))
+                        .setEnding(RunEnding.RUN_WORKER_CRASHED)
+                        .setSoleSuspect(soleSuspect)
+                        .setOtherWorkerCrashes(otherCrashes);
+        Assignment.Builder assigned =
+                Assignment.newBuilder().setRun(run("a", 0, 0, attempt)).setWorker(worker);
+        apply(round(SchedulingRound.newBuilder().addAssigned(assigned)));
+        apply(round(SchedulingRound.newBuilder().addEnded(ended)));
+    }
+
+    /** Guards against giving up a task because one worker crashes again and again. */
+    @Test
+    public void shouldKeepTaskUnderWhichOneWorkerCrashesTwice() {
+        apply(accept("a", step(1)));
+        crashOn("host-1", 1, false, 0);
+        crashOn("host-1", 2, true, 0);
+        assertEquals(phase("a"), WorkflowPhase.WORKFLOW_ACTIVE);
+        crashOn("host-2", 3, false, 0);
+        assertEquals(phase("a"), WorkflowPhase.WORKFLOW_FAILED);
+    }
+
+    /** Guards against giving up a task after two crashes of workers that also crash without it. */
+    @Test
+    public void shouldKeepTaskUnderWhichUnreliableWorkersCrashTwice() {
+        apply(accept("a", step(1)));
+        crashOn("host-1", 1, true, 1);
+        crashOn("host-2", 2, true, 3);
+        assertEquals(phase("a"), WorkflowPhase.WORKFLOW_ACTIVE);
+        crashOn("host-3", 3, true, 1);
+        assertEquals(phase("a"), WorkflowPhase.WORKFLOW_FAILED);
+    }
+
+    /** Guards against starting a task again that has crashed two workers that run well without. */
+    @Test
+    public void shouldFailWorkflowOfTaskThatCrashesTwoReliableWorkers() {
+        apply(accept("a", step(1)));
+        crashOn("host-1", 1, false, 0);
+        assertEquals(phase("a"), WorkflowPhase.WORKFLOW_ACTIVE);
+        crashOn("host-2", 2, true, 0);
+        assertEquals(phase("a"), WorkflowPhase.WORKFLOW_FAILED);
+    }
+
+    /** Guards against counted crashes that a snapshot does not contain. */
+    @Test
+    public void shouldRestoreCountedCrashesFromSnapshot() {
+        apply(accept("a", step(1)));
+        crashOn("host-1", 1, true, 0);
+        records =
+                WorkflowRecords.of(
+                        FleetConfiguration.getDefaultInstance(),
+                        records.toRecords(),
+                        records.learned());
+        crashOn("host-2", 2, false, 0);
+        assertEquals(phase("a"), WorkflowPhase.WORKFLOW_FAILED);
+    }
+
     /** Guards against adding up crashes between which a run of the task has lasted. */
     @Test
     public void shouldForgetCrashesOnceRunIsStable() {
