Count failures of members of one gang run once

Callers could see a gang job as failed although it had not failed max_attempts times: two members that end as failed in the same run used up two attempts.

WorkflowRecords adds up the failures of all members. That is right only while the failure of one ends the others as broken. The leader now marks failures with once_per_gang_run, and a marked failure counts only if none of the same attempt was counted.

Evidence: a probe of the code before (gang of two, two attempts, both members end attempt 1 as failed) printed WORKFLOW_ACTIVE after the first end and WORKFLOW_FAILED after the second.

All control processes need this release before such ends are recorded.

--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -26,6 +26,7 @@
 import org.yuccabank.protocol.generated.CommandResult;
 import org.yuccabank.protocol.generated.EndedRun;
 import org.yuccabank.protocol.generated.RunAddress;
+import org.yuccabank.protocol.generated.RunEnding;
 import org.yuccabank.protocol.generated.SchedulingRound;
 import org.yuccabank.protocol.generated.StateCommand;
 import org.yuccabank.protocol.generated.StepDefinition;
@@ -309,9 +310,10 @@
             return;
         }
         EndedRun recorded =
-                runMonitor.isCleared(ended.getRun())
-                        ? ended.toBuilder().setStable(true).build()
-                        : ended;
+                ended.toBuilder()
+                        .setStable(ended.getStable() || runMonitor.isCleared(ended.getRun()))
+                        .setOncePerGangRun(ended.getEnding() == RunEnding.RUN_FAILED)
+                        .build();
         pendingEnds.put(ended.getRun(), recorded);
         runMonitor.recordEnd(recorded, task.get(), monotonicMillis());
     }
--- a/src/main/java/org/yuccabank/state/workflow/WorkflowRecords.java
+++ b/src/main/java/org/yuccabank/state/workflow/WorkflowRecords.java
@@ -232,7 +232,10 @@
         removeOpenRun(task);
         boolean success = ended.getEnding() == RunEnding.RUN_DONE;
         boolean failed = ended.getEnding() == RunEnding.RUN_FAILED;
-        task.end(failed, ended.getCheckpoint());
+        task.end(failed && !isFailureCounted(task, ended), ended.getCheckpoint());
+        if (failed && ended.getOncePerGangRun()) {
+            task.recordGangFailure();
+        }
         Workflow workflow = task.workflow();
         if (success) {
             markDone(task, nowMillis);
@@ -312,6 +315,16 @@
         return failures >= Math.max(1, workflow.queue().getMostAttempts());
     }
 
+    /** Returns whether the failure of another member of the same run of a gang was counted. */
+    private static boolean isFailureCounted(WorkflowTask task, EndedRun ended) {
+        TaskAddress address = task.address();
+        Workflow workflow = task.workflow();
+        return ended.getOncePerGangRun()
+                && workflow.step(address.getStep()).getGang()
+                && workflow.tasks(address.getOccurrence(), address.getStep()).stream()
+                        .anyMatch(each -> each.isGangFailureOf(ended.getRun().getAttempt()));
+    }
+
     private void removeOpenRun(WorkflowTask task) {
         WorkerIdentity worker = task.worker().orElseThrow();
         Set<WorkflowTask> tasks = openRuns.get(worker);
--- a/src/main/java/org/yuccabank/state/workflow/WorkflowTask.java
+++ b/src/main/java/org/yuccabank/state/workflow/WorkflowTask.java
@@ -24,6 +24,7 @@
     private boolean done;
     private int latestAttempt;
     private int failures;
+    private int latestFailedGangRun;
     private int crashes;
     private int confirmedCrashes;
     private boolean soleSuspect;
@@ -174,6 +175,16 @@
         return newlyDone;
     }
 
+    /** Records that the failure of the latest run counts for all members of its gang. */
+    void recordGangFailure() {
+        latestFailedGangRun = latestAttempt;
+    }
+
+    /** Returns whether the failure of a run of the gang was counted for this member. */
+    boolean isGangFailureOf(int attempt) {
+        return latestFailedGangRun == attempt;
+    }
+
     void end(boolean failed, String newCheckpoint) {
         worker = null;
         failures += failed ? 1 : 0;
@@ -209,7 +220,8 @@
                         .setCrashes(crashes)
                         .setConfirmedCrashes(confirmedCrashes)
                         .setSoleSuspect(soleSuspect)
-                        .addAllCountedCrashes(countedCrashes);
+                        .addAllCountedCrashes(countedCrashes)
+                        .setLatestFailedGangRun(latestFailedGangRun);
         worker().ifPresent(record::setWorker);
         return record.build();
     }
@@ -222,6 +234,7 @@
         crashes = record.getCrashes();
         confirmedCrashes = record.getConfirmedCrashes();
         soleSuspect = record.getSoleSuspect();
+        latestFailedGangRun = record.getLatestFailedGangRun();
         countedCrashes.clear();
         countedCrashes.addAll(record.getCountedCrashesList());
         worker = record.hasWorker() ? record.getWorker() : null;
--- a/src/test/java/org/yuccabank/state/workflow/WorkflowRecordsTest.java
+++ b/src/test/java/org/yuccabank/state/workflow/WorkflowRecordsTest.java
@@ -218,6 +218,26 @@
         assertEquals(phase("a"), WorkflowPhase.WORKFLOW_FAILED);
     }
 
+    private static WorkflowCommand failedMember(int index, int attempt) {
+        return round(
+                SchedulingRound.newBuilder()
+                        .addEnded(
+                                EndedRun.newBuilder()
+                                        .setRun(run("a", 0, index, attempt))
+                                        .setEnding(RunEnding.RUN_FAILED)
+                                        .setOncePerGangRun(true)));
+    }
+
+    /** Guards against a gang that uses up two attempts when two members fail in one run. */
+    @Test
+    public void shouldCountFailuresOfOneGangRunOnce() {
+        apply(accept("a", step(2).setGang(true)), assign(run("a", 0, 0, 1), run("a", 0, 1, 1)));
+        apply(failedMember(0, 1), failedMember(1, 1));
+        assertEquals(phase("a"), WorkflowPhase.WORKFLOW_ACTIVE);
+        apply(assign(run("a", 0, 0, 2), run("a", 0, 1, 2)), failedMember(1, 2));
+        assertEquals(phase("a"), WorkflowPhase.WORKFLOW_FAILED);
+    }
+
     /** Guards against adding up crashes between which a run of the task has lasted. */
     @Test
     public void shouldForgetCrashesOnceRunIsStable() {
