--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -26,6 +26,7 @@
 import org.yuccabank.protocol.generated.CommandResult;
 import org.yuccabank.protocol.generated.EndedRun;
 import org.yuccabank.protocol.generated.RunAddress;
+import org.yuccabank.protocol.generated.RunEnding;
 import org.yuccabank.protocol.generated.SchedulingRound;
 import org.yuccabank.protocol.generated.StateCommand;
 import org.yuccabank.protocol.generated.StepDefinition;
@@ -332,9 +333,10 @@
             return;
         }
         EndedRun recorded =
-                runMonitor.isCleared(ended.getRun())
-                        ? ended.toBuilder().setStable(true).build()
-                        : ended;
+                ended.toBuilder()
+                        .setStable(ended.getStable() || runMonitor.isCleared(ended.getRun()))
+                        .setOncePerGangRun(ended.getEnding() == RunEnding.RUN_FAILED)
+                        .build();
         pendingEnds.put(ended.getRun(), recorded);
         runMonitor.recordEnd(recorded, task.get(), monotonicMillis());
     }
@@ -343,9 +345,9 @@
         Set<WorkflowTask> openRuns = Set.copyOf(records().openRuns(worker));
         boolean ended = openRuns.stream().allMatch(task -> pendingEnds.containsKey(task.run()));
         if (crash.isPresent() && !ended) {
-            crashes.recordCrash(crash.get(), openRuns.size());
+            crashes.recordCrash(crash.get(), openRuns.size(), monotonicMillis());
         }
-        CrashSuspects.endsOf(openRuns, crash, reason, this::savedCheckpoint)
+        CrashSuspects.endsOf(openRuns, crash, crashes.history(), reason, this::savedCheckpoint)
                 .forEach(this::enqueueEnd);
     }
 
@@ -528,7 +530,9 @@
                                 new AvailableWorker(
                                         report,
                                         runMonitor.circuitState(
-                                                report.getWorker().getWorkerId(), ids, nowMillis)))
+                                                report.getWorker().getWorkerId(), ids, nowMillis),
+                                        crashes.history()
+                                                .reliability(report.getWorker(), nowMillis)))
                 .filter(worker -> worker.circuitState() != WorkerCircuitBreaker.State.OPEN)
                 .toList();
     }
