Take no conflict for the confirmation of another incarnation

A worker checks its identifier and then the token, and answers neither with its birth. An agent that was behind the newest leader took the conflict for the confirmation of any announced birth, and so accepted an incarnation that another writer had announced. A new incarnation has not received any token yet, so only an agent that knows no worker accepts the conflict.

--- a/src/main/java/org/yuccabank/agent/workflow/WorkerApi.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkerApi.java
@@ -27,6 +27,11 @@
     enum Identification {
         /** The worker is this incarnation. */
         CONFIRMED,
+        /**
+         * The worker has the identifier that the announcement names and has received a call from a
+         * leader of a later term, so its incarnation is unknown.
+         */
+        FENCED,
         /** The worker is another one, so the announcement is not its own. */
         DENIED,
         /** The worker has not answered. */
--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -247,13 +247,17 @@
     /**
      * Records an announcement of another incarnation if the worker has confirmed it. The runs of
      * the previous incarnation count as ended from then on, so an announcement by anyone else must
-     * not be taken for it.
+     * not be taken for it. An agent that knows no worker yet may be fenced, as it knows no leader
+     * either; an incarnation that follows a known one has not received any call.
      */
     private void onIdentified(
             WorkerAnnouncement announcement,
             WorkerApi.Identification identification,
             MonoSink<Boolean> sink) {
-        if (identification != WorkerApi.Identification.CONFIRMED) {
+        boolean confirmed =
+                identification == WorkerApi.Identification.CONFIRMED
+                        || (identification == WorkerApi.Identification.FENCED && worker.isEmpty());
+        if (!confirmed) {
             WorkflowAgentLog.announcementRefused(announcement.identity(), identification);
             sink.success(false);
         } else if (isOutdated(announcement)) {
--- a/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
@@ -312,7 +312,8 @@
     /** Guards against a worker that is replaced by one that another writer has announced. */
     @Test
     public void shouldRefuseAnnouncementThatWorkerDenies() {
-        for (Identification denied : List.of(Identification.DENIED, Identification.UNKNOWN)) {
+        for (Identification denied :
+                List.of(Identification.DENIED, Identification.UNKNOWN, Identification.FENCED)) {
             worker.identification = denied;
             assertEquals(agent.announce(announcement("other", 2)).block(TIMEOUT), Boolean.FALSE);
         }
@@ -324,6 +325,16 @@
         await(() -> leader.latest.getWorker().getWorkerId().equals("other"));
     }
 
+    /** Guards against a restarted agent that never accepts its worker before it knows a leader. */
+    @Test
+    public void shouldAcceptFirstAnnouncementOfWorkerThatIsFenced() {
+        agent.stop();
+        worker.identification = Identification.FENCED;
+        long sequence = leader.latest.getSequence();
+        agent = startAgent();
+        await(() -> leader.latest.getListed() && leader.latest.getSequence() != sequence);
+    }
+
     /** Guards against tasks that are started again while the worker that leaves still runs them. */
     @Test
     public void shouldConfirmShutdownOnlyAfterRunsHaveEnded() {
