Demote a voter only while a majority of the others answers

After two of five disks were lost, the group never elected a leader again, so every request failed and nothing that was confirmed could be read.

The leader counted voters that had been silent for up to 1.5 s towards the majority that has to commit a demotion. A leader that had just lost its majority proposed one, which counts for the replicas that have it although it was never committed: they needed three of four voters, of which two had lost their disks, while the demoted voter, which was only cut off, could not help.

A demotion now needs a majority of the others that has answered within 300 ms, four heartbeats, so that it is committed as a rule. A leader whose majority answers more slowly demotes later.

--- a/src/main/java/org/yuccabank/control/workflow/VoterPolicy.java
+++ b/src/main/java/org/yuccabank/control/workflow/VoterPolicy.java
@@ -16,7 +16,7 @@
  * a replica that has just joined.
  *
  * <p>Invariants: there are never more voters than desired, apart from those that an earlier release
- * has left; a voter is demoted only if the responsive voters are a majority of the others, and a
+ * has left; a voter is demoted only if a majority of the others answers at the moment, and a
  * voter that is not surplus only if a learner has caught up. Immutable.
  */
 final class VoterPolicy {
@@ -27,6 +27,14 @@
      */
     private static final long RESPONSIVE_TIMEOUT_MILLIS = 1_500;
 
+    /**
+     * A voter that has answered within this time counts for the majority that has to commit a
+     * demotion: four heartbeats, the time after which a follower holds its leader for lost. With
+     * the longer timeout, a leader that had just lost its majority demoted a voter, and that
+     * uncommitted change took a vote away which the group needed to recover.
+     */
+    private static final long ANSWERING_TIMEOUT_MILLIS = 300;
+
     private final int desiredVoters;
 
     VoterPolicy(int desiredVoters) {
@@ -85,8 +93,11 @@
 
     private static boolean hasMajorityWithout(String demoted, ReplicaStatus status) {
         List<String> others = status.voters().stream().filter(id -> !id.equals(demoted)).toList();
-        long responsive = others.stream().filter(id -> isResponsive(id, status)).count();
-        return 2 * responsive > others.size();
+        long answering =
+                others.stream()
+                        .filter(id -> silenceMillis(id, status) <= ANSWERING_TIMEOUT_MILLIS)
+                        .count();
+        return 2 * answering > others.size();
     }
 
     private static Optional<String> caughtUpLearner(ReplicaStatus status) {
