Show that a lost disk can keep its vote beside a stalled voter

Of five voters one has lost its disk and its successor has joined at the same address; another one stalls for a little longer.

--- a/src/test/java/org/yuccabank/control/workflow/VoterPolicyTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/VoterPolicyTest.java
@@ -144,6 +144,23 @@
                 Optional.of(new Change.Remove("c")));
     }
 
+    /**
+     * Guards against taking the vote of a host that is only cut off while a voter whose disk is
+     * known to be lost keeps its vote.
+     */
+    @Test
+    public void shouldReplaceVoterWhoseAddressIsTakenFirst() {
+        Map<String, Long> silent = Map.of("b", 1_600L, "c", 601L, "d", 10L, "e", 10L, "f", 10L);
+        List<ReplicaMember> members =
+                threeAnd(
+                        ReplicaMember.voter("d", "d"),
+                        ReplicaMember.voter("f", "f"),
+                        ReplicaMember.learner("e", "c"));
+        assertEquals(nextChange(5, members, silent, "e"), Optional.of(new Change.Demote("c")));
+        Map<String, Long> paused = Map.of("b", 10L, "c", 600L, "d", 10L, "e", 10L, "f", 10L);
+        assertEquals(nextChange(5, members, paused, "e"), Optional.empty());
+    }
+
     /** Guards against removing a live replica after a late request of a former one. */
     @Test
     public void shouldKeepResponsiveMemberWhoseAddressALaterMemberHas() {
--- a/src/test/java/org/yuccabank/verify/FinalFaultTest.java
+++ b/src/test/java/org/yuccabank/verify/FinalFaultTest.java
@@ -57,6 +57,12 @@
         assertEquals(violations(1_554, VerifyOptions.defaults()), List.of());
     }
 
+    /** Guards against a group that ends because a lost disk keeps its vote and a live one does not. */
+    @Test
+    public void shouldRecoverAfterDiskLossWhileAnotherVoterWasSilentForLonger() {
+        assertEquals(violations(11_287, VerifyOptions.defaults()), List.of());
+    }
+
     /** Guards against schedules that cannot be replayed from their seed. */
     @Test
     public void shouldReplayScheduleOfSeed() {
