--- a/src/test/java/org/yuccabank/replication/DiskStorageTest.java
+++ b/src/test/java/org/yuccabank/replication/DiskStorageTest.java
@@ -33,9 +33,13 @@
     }
 
     private DiskStorage open() throws IOException {
+        return open(FileDirectory.open(directory));
+    }
+
+    private DiskStorage open(StorageDirectory opened) {
         ReplicaSettings settings =
                 ReplicaSettings.of("g", "a", directory, List.of(ReplicaMember.voter("a", "a")));
-        return new DiskStorage(FileDirectory.open(directory), settings, (event, details) -> {});
+        return new DiskStorage(opened, settings, (event, details) -> {});
     }
 
     private static LogEntry entry(long index) {
@@ -116,6 +120,17 @@
         assertEquals(load(), 2);
     }
 
+    /** Guards against a replica that cannot be opened again after its log could not be closed. */
+    @Test
+    public void shouldUnlockDirectoryIfLogCannotBeClosed() throws IOException {
+        FailingDirectory.Disk disk = new FailingDirectory.Disk();
+        DiskStorage storage = open(new FailingDirectory(FileDirectory.open(directory), disk));
+        storage.load();
+        disk.setCloseFails(true);
+        assertThrows(IOException.class, storage::close);
+        assertEquals(load(), 0);
+    }
+
     /** Guards against batches that lose entries; also logs the disk throughput. */
     @Test
     public void shouldKeepEveryBatch() throws IOException {
--- a/src/test/java/org/yuccabank/replication/FailingDirectory.java
+++ b/src/test/java/org/yuccabank/replication/FailingDirectory.java
@@ -14,11 +14,17 @@
     static final class Disk {
 
         private volatile boolean full;
+        private volatile boolean closeFails;
 
         void setFull(boolean value) {
             full = value;
         }
 
+        /** Makes the close of each file report an error. */
+        void setCloseFails(boolean value) {
+            closeFails = value;
+        }
+
         private void requireSpace() throws IOException {
             if (full) {
                 throw new IOException("no space left on device");
@@ -85,6 +91,9 @@
         @Override
         public void close() throws IOException {
             file.close();
+            if (disk.closeFails) {
+                throw new IOException("input/output error");
+            }
         }
     }
 }
