Unlock the directory of a replica whose log cannot be closed

A replica that failed was not opened again in its process: each attempt found its directory in use. DiskStorage.close left the directory locked if the close of the log reported an error. It now closes the directory in any case.

--- a/src/main/java/org/yuccabank/replication/DiskStorage.java
+++ b/src/main/java/org/yuccabank/replication/DiskStorage.java
@@ -369,9 +369,13 @@
 
     @Override
     public void close() throws IOException {
-        if (log != null) {
-            log.close();
+        try {
+            if (log != null) {
+                log.close();
+            }
+        } finally {
+            // Also after a failure, as a directory that stays locked cannot be opened again.
+            directory.close();
         }
-        directory.close();
     }
 }
