--- a/src/test/java/org/yuccabank/verify/FinalFaultTest.java
+++ b/src/test/java/org/yuccabank/verify/FinalFaultTest.java
@@ -57,6 +57,12 @@
         assertEquals(violations(1_554, VerifyOptions.defaults()), List.of());
     }
 
+    /** Guards against a lost disk that keeps its vote while a live voter loses it. */
+    @Test
+    public void shouldRecoverAfterDiskLossWhileAnotherVoterWasSilentForLonger() {
+        assertEquals(violations(11_287, VerifyOptions.defaults()), List.of());
+    }
+
     /** Guards against schedules that cannot be replayed from their seed. */
     @Test
     public void shouldReplayScheduleOfSeed() {
