Keep the evidence and the bounds of a replaced worker until its runs end

The view of a host now keeps each crash with the time of its first report until the runs have ended, and the crash history measures intervals by that time; - one unanswered stop held back the ends of all other runs. Each run now ends as soon as it is given up.

EarlierIncarnationsTest has a case for each.

--- a/src/main/java/org/yuccabank/control/workflow/CrashCounters.java
+++ b/src/main/java/org/yuccabank/control/workflow/CrashCounters.java
@@ -34,9 +34,17 @@
         return history;
     }
 
-    /** Records a crash of a worker with open runs. */
-    void recordCrash(WorkerCrash crash, int openRuns, long nowMillis) {
-        history.record(crash, nowMillis);
+    /**
+     * Records a crash of a worker with open runs, unless it is recorded already.
+     *
+     * @param reported the crash
+     * @param openRuns number of open runs of the worker
+     */
+    void recordCrash(WorkerView.ReportedCrash reported, int openRuns) {
+        WorkerCrash crash = reported.crash();
+        if (!history.record(crash, reported.reportedAtMillis())) {
+            return;
+        }
         workerCrashes.inc();
         EventLog.warning(
                 Event.WORKER_CRASHED,
--- a/src/main/java/org/yuccabank/control/workflow/EarlierIncarnations.java
+++ b/src/main/java/org/yuccabank/control/workflow/EarlierIncarnations.java
@@ -1,12 +1,12 @@
 package org.yuccabank.control.workflow;
 
 import java.util.HashSet;
-import java.util.Map;
 import java.util.Set;
-import org.yuccabank.protocol.generated.EndedRun;
+import java.util.stream.Collectors;
 import org.yuccabank.protocol.generated.RunAddress;
 import org.yuccabank.protocol.generated.WorkerIdentity;
 import org.yuccabank.state.workflow.WorkflowRecords;
+import org.yuccabank.state.workflow.WorkflowTask;
 
 /**
  * Determines when the runs of the earlier incarnations of a worker have ended.
@@ -34,20 +34,13 @@
         return earlier;
     }
 
-    /** Returns whether the open runs of an earlier incarnation have ended and will not start. */
-    static boolean haveEnded(
-            WorkerIdentity earlier,
-            WorkerView view,
-            WorkflowRecords records,
-            Map<RunAddress, EndedRun> pendingEnds) {
-        if (!earlier.getWorkerId().equals(view.worker().getWorkerId())) {
-            return true;
-        }
+    /** Returns the open runs of an earlier incarnation that have ended and will not start. */
+    static Set<WorkflowTask> endedRuns(
+            WorkerIdentity earlier, WorkerView view, WorkflowRecords records) {
+        boolean sameIdentifier = earlier.getWorkerId().equals(view.worker().getWorkerId());
         Set<RunAddress> givenUp = view.runsGivenUp();
         return records.openRuns(earlier).stream()
-                .allMatch(
-                        task ->
-                                givenUp.contains(task.run())
-                                        || pendingEnds.containsKey(task.run()));
+                .filter(task -> !sameIdentifier || givenUp.contains(task.run()))
+                .collect(Collectors.toSet());
     }
 }
--- a/src/main/java/org/yuccabank/control/workflow/WorkerCrashHistory.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkerCrashHistory.java
@@ -54,13 +54,14 @@
      * Records a crash.
      *
      * @param crash the crash
-     * @param nowMillis current time
+     * @param nowMillis time at which it was reported
+     * @return false if it is recorded already
      */
-    void record(WorkerCrash crash, long nowMillis) {
+    boolean record(WorkerCrash crash, long nowMillis) {
         WorkerIdentity worker = crash.getWorker();
         List<RecordedCrash> crashes = recent(host(worker), nowMillis);
         if (crashes.stream().anyMatch(each -> each.worker().equals(worker))) {
-            return;
+            return false;
         }
         boolean flapping =
                 crashes.stream()
@@ -69,6 +70,7 @@
         suspects.addAll(workflowIds(crash.getUncertainSuspectsList()));
         crashes.add(new RecordedCrash(worker, suspects, nowMillis, flapping));
         crashesByHost.put(host(worker), crashes);
+        return true;
     }
 
     private static Set<String> workflowIds(Collection<RunAddress> runs) {
--- a/src/main/java/org/yuccabank/control/workflow/WorkerView.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkerView.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.yuccabank.policy.workflow.PressureEstimates;
 import org.yuccabank.protocol.PeerConnection;
@@ -27,6 +28,14 @@
  */
 final class WorkerView {
 
+    /**
+     * Crash of a worker.
+     *
+     * @param crash the crash as the agent saw it
+     * @param reportedAtMillis time of the first report that contained it
+     */
+    record ReportedCrash(WorkerCrash crash, long reportedAtMillis) {}
+
     /** A smaller change of a pressure has no effect on the speed of a task. */
     private static final double MINIMUM_PRESSURE_CHANGE = 0.01;
 
@@ -36,7 +45,8 @@
     private final ReporterOrder reporters;
     private WorkerReport report;
     private Set<WorkerIdentity> earlierIncarnations = Set.of();
-    private long incarnationReportedAtMillis = Long.MIN_VALUE / 2;
+    private OptionalLong incarnationReportedAtMillis = OptionalLong.empty();
+    private final Map<WorkerIdentity, ReportedCrash> earlierCrashes = new HashMap<>();
     private PeerConnection connection;
     private long leaseEndMillis;
     private long listedAtMillis = Long.MIN_VALUE / 2;
@@ -69,8 +79,10 @@
                 || isOutOfOrder(newReport)) {
             return false;
         }
+        if (!sameIncarnation || incarnationReportedAtMillis.isEmpty()) {
+            incarnationReportedAtMillis = OptionalLong.of(nowMillis);
+        }
         if (!sameIncarnation) {
-            incarnationReportedAtMillis = nowMillis;
             previousCheckpoints.clear();
             previousCheckpoints.putAll(checkpoints);
             checkpoints.clear();
@@ -80,6 +92,7 @@
             sentPressures.clear();
         }
         report = newReport;
+        recordEarlierCrash(nowMillis);
         connection = newConnection;
         reporters.recordReport(newReport);
         leaseEndMillis =
@@ -95,6 +108,13 @@
         return true;
     }
 
+    private void recordEarlierCrash(long nowMillis) {
+        if (report.hasCrash() && !report.getCrash().getWorker().equals(worker())) {
+            earlierCrashes.putIfAbsent(
+                    report.getCrash().getWorker(), new ReportedCrash(report.getCrash(), nowMillis));
+        }
+    }
+
     /** Returns whether a report was overtaken by a later one, whose state it must not overwrite. */
     private boolean isOutOfOrder(WorkerReport newReport) {
         return newReport.getReporterId() == report.getReporterId()
@@ -140,6 +160,7 @@
     /** Sets the earlier incarnations whose open runs the current one has to stop. */
     void setEarlierIncarnations(Set<WorkerIdentity> incarnations) {
         earlierIncarnations = incarnations;
+        earlierCrashes.keySet().retainAll(incarnations);
     }
 
     Set<WorkerIdentity> earlierIncarnations() {
@@ -153,7 +174,8 @@
      */
     boolean isEarlierLeaseExpired(long nowMillis, LeaseBound lease) {
         return isLeaseExpired(nowMillis)
-                && nowMillis > incarnationReportedAtMillis + 2 * lease.maximumMillis();
+                && nowMillis
+                        > incarnationReportedAtMillis.orElse(nowMillis) + 2 * lease.maximumMillis();
     }
 
     /** Returns whether every lease that the worker may hold has expired. */
@@ -165,20 +187,31 @@
         return report.getWorkerPresent()
                 && !report.getDraining()
                 && !report.getLeaving()
-                && crashOf(worker()).isEmpty()
+                && !hasCrashed()
                 && nowMillis - listedAtMillis <= maximumListAgeMillis;
     }
 
     /**
-     * Returns what the agent has reported on the crash of a worker, either of its current one that
-     * does not answer or of the one before.
+     * Returns what the agent has reported on the crash of a worker. That of the current one is
+     * withdrawn when it answers again; that of an earlier one is kept until its runs have ended,
+     * because the agent reports only the latest crash.
+     *
+     * @param worker the current or an earlier incarnation
+     * @param nowMillis current time
      */
-    Optional<WorkerCrash> crashOf(WorkerIdentity worker) {
-        return report.hasCrash() && report.getCrash().getWorker().equals(worker)
-                ? Optional.of(report.getCrash())
+    Optional<ReportedCrash> crashOf(WorkerIdentity worker, long nowMillis) {
+        if (!worker.equals(worker())) {
+            return Optional.ofNullable(earlierCrashes.get(worker));
+        }
+        return hasCrashed()
+                ? Optional.of(new ReportedCrash(report.getCrash(), nowMillis))
                 : Optional.empty();
     }
 
+    private boolean hasCrashed() {
+        return report.hasCrash() && report.getCrash().getWorker().equals(worker());
+    }
+
     boolean isListed() {
         return report.getListed();
     }
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -30,7 +30,6 @@
 import org.yuccabank.protocol.generated.SchedulingRound;
 import org.yuccabank.protocol.generated.StateCommand;
 import org.yuccabank.protocol.generated.StepDefinition;
-import org.yuccabank.protocol.generated.WorkerCrash;
 import org.yuccabank.protocol.generated.WorkerDirectives;
 import org.yuccabank.protocol.generated.WorkerIdentity;
 import org.yuccabank.protocol.generated.WorkerReport;
@@ -321,9 +320,10 @@
         Set<WorkerIdentity> earlier = EarlierIncarnations.of(view.worker(), records());
         view.setEarlierIncarnations(earlier);
         for (WorkerIdentity worker : earlier) {
-            if (EarlierIncarnations.haveEnded(worker, view, records(), pendingEnds)) {
-                endRuns(worker, view.crashOf(worker), "a new incarnation has started");
-            }
+            endRuns(
+                    EarlierIncarnations.endedRuns(worker, view, records()),
+                    view.crashOf(worker, monotonicMillis()),
+                    "a new incarnation has started");
         }
     }
 
@@ -341,13 +341,23 @@
         runMonitor.recordEnd(recorded, task.get(), monotonicMillis());
     }
 
-    private void endRuns(WorkerIdentity worker, Optional<WorkerCrash> crash, String reason) {
-        Set<WorkflowTask> openRuns = Set.copyOf(records().openRuns(worker));
-        boolean ended = openRuns.stream().allMatch(task -> pendingEnds.containsKey(task.run()));
+    private void endRuns(
+            WorkerIdentity worker, Optional<WorkerView.ReportedCrash> crash, String reason) {
+        endRuns(Set.copyOf(records().openRuns(worker)), crash, reason);
+    }
+
+    private void endRuns(
+            Set<WorkflowTask> runs, Optional<WorkerView.ReportedCrash> crash, String reason) {
+        boolean ended = runs.stream().allMatch(task -> pendingEnds.containsKey(task.run()));
         if (crash.isPresent() && !ended) {
-            crashes.recordCrash(crash.get(), openRuns.size(), monotonicMillis());
+            crashes.recordCrash(crash.get(), runs.size());
         }
-        CrashSuspects.endsOf(openRuns, crash, crashes.history(), reason, this::savedCheckpoint)
+        CrashSuspects.endsOf(
+                        runs,
+                        crash.map(WorkerView.ReportedCrash::crash),
+                        crashes.history(),
+                        reason,
+                        this::savedCheckpoint)
                 .forEach(this::enqueueEnd);
     }
 
@@ -438,11 +448,11 @@
         for (WorkerView view : workers.values()) {
             if (view.isLeaseExpired(nowMillis) && !records().openRuns(view.worker()).isEmpty()) {
                 log.workerLost(view.worker(), records().openRuns(view.worker()).size(), nowMillis);
-                endRuns(view.worker(), view.crashOf(view.worker()), "the lease is over");
+                endRuns(view.worker(), view.crashOf(view.worker(), nowMillis), "the lease is over");
             }
             if (view.isEarlierLeaseExpired(nowMillis, lease)) {
                 for (WorkerIdentity earlier : view.earlierIncarnations()) {
-                    endRuns(earlier, view.crashOf(earlier), "the lease is over");
+                    endRuns(earlier, view.crashOf(earlier, nowMillis), "the lease is over");
                 }
             }
         }
--- a/src/test/java/org/yuccabank/control/workflow/CrashReplay.java
+++ b/src/test/java/org/yuccabank/control/workflow/CrashReplay.java
@@ -224,7 +224,9 @@
     private void endRunsOfCrashedWorker(FakeWorker worker) {
         Set<WorkflowTask> openRuns = Set.copyOf(records.openRuns(worker.identity));
         if (!openRuns.isEmpty()) {
-            crashCounters.recordCrash(worker.crash.orElseThrow(), openRuns.size(), nowMillis);
+            crashCounters.recordCrash(
+                    new WorkerView.ReportedCrash(worker.crash.orElseThrow(), nowMillis),
+                    openRuns.size());
         }
         CrashSuspects.endsOf(
                         openRuns,
--- a/src/test/java/org/yuccabank/control/workflow/EarlierIncarnationsTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/EarlierIncarnationsTest.java
@@ -13,16 +13,19 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.yuccabank.protocol.generated.ActiveRun;
 import org.yuccabank.protocol.generated.EndedRun;
 import org.yuccabank.protocol.generated.RunAddress;
 import org.yuccabank.protocol.generated.RunEnding;
+import org.yuccabank.protocol.generated.WorkerCrash;
 import org.yuccabank.protocol.generated.WorkerDirectives;
 import org.yuccabank.protocol.generated.WorkerIdentity;
 import org.yuccabank.protocol.generated.WorkerReport;
 import org.yuccabank.state.workflow.WorkflowRecords;
+import org.yuccabank.state.workflow.WorkflowTask;
 
 /** Tests when the leader ends the runs of an incarnation that was replaced. */
 public final class EarlierIncarnationsTest {
@@ -54,8 +57,10 @@
         view.setEarlierIncarnations(EarlierIncarnations.of(view.worker(), records));
     }
 
-    private boolean haveEnded() {
-        return EarlierIncarnations.haveEnded(WORKER, view, records, Map.of());
+    private Set<RunAddress> endedRuns() {
+        return EarlierIncarnations.endedRuns(WORKER, view, records).stream()
+                .map(WorkflowTask::run)
+                .collect(Collectors.toSet());
     }
 
     /**
@@ -66,18 +71,18 @@
     public void shouldKeepRunUntilNextIncarnationHasGivenItUp() {
         update(report(REBORN));
         assertEquals(view.earlierIncarnations(), Set.of(WORKER));
-        assertFalse(haveEnded(), "the first report has no list");
+        assertEquals(endedRuns(), Set.of(), "the first report has no list");
         update(report(REBORN).setListed(true));
-        assertFalse(haveEnded(), "the start may be carried out after this list");
+        assertEquals(endedRuns(), Set.of(), "the start may be carried out after this list");
         update(report(REBORN).setListed(true).addActive(ActiveRun.newBuilder().setRun(RUN)));
-        assertFalse(haveEnded(), "the run goes on");
+        assertEquals(endedRuns(), Set.of(), "the run goes on");
         update(
                 report(REBORN)
                         .addEnded(
                                 EndedRun.newBuilder()
                                         .setRun(RUN)
                                         .setEnding(RunEnding.RUN_NOT_STARTED)));
-        assertTrue(haveEnded(), "the run was stopped and is absent");
+        assertEquals(endedRuns(), Set.of(RUN), "the run was stopped and is absent");
     }
 
     /** Guards against a run that goes on because no one stops it at the next incarnation. */
@@ -106,7 +111,7 @@
     @Test
     public void shouldEndRunAtOnceForOtherIdentifier() {
         update(report(worker("worker-2", 2_000)));
-        assertTrue(haveEnded());
+        assertEquals(endedRuns(), Set.of(RUN));
     }
 
     /** Guards against runs that never end because the next incarnation is lost too. */
@@ -117,4 +122,40 @@
         assertFalse(view.isEarlierLeaseExpired(leaseEndMillis + 1, LEASE));
         assertTrue(view.isEarlierLeaseExpired(leaseEndMillis + LEASE.maximumMillis() + 1, LEASE));
     }
+
+    /** Guards against one unanswered stop that holds back the other runs of the incarnation. */
+    @Test
+    public void shouldEndEachRunOnceItIsGivenUp() {
+        RunAddress otherRun = run("b", 0, 0, 1);
+        records.apply(accept("b", step(1)), 0);
+        records.apply(assign(otherRun), 0);
+        update(
+                report(REBORN)
+                        .addEnded(
+                                EndedRun.newBuilder()
+                                        .setRun(otherRun)
+                                        .setEnding(RunEnding.RUN_NOT_STARTED)));
+        assertEquals(endedRuns(), Set.of(otherRun));
+    }
+
+    /** Guards against a new leader that knows only the next incarnation and waits for less. */
+    @Test
+    public void shouldAwaitLeasesOfNextIncarnationAfterChangeOfLeader() {
+        WorkerReport first = report(REBORN).build();
+        view = new WorkerView(first, TERM);
+        update(first.toBuilder());
+        assertFalse(view.isEarlierLeaseExpired(1_000 + LEASE.maximumMillis() + 1, LEASE));
+    }
+
+    /** Guards against losing the evidence of a crash if the next incarnation crashes as well. */
+    @Test
+    public void shouldKeepCrashOfEarlierIncarnationUntilItsRunsHaveEnded() {
+        update(
+                report(REBORN)
+                        .setCrash(WorkerCrash.newBuilder().setWorker(WORKER).addSuspects(RUN)));
+        update(report(REBORN).setCrash(WorkerCrash.newBuilder().setWorker(REBORN)));
+        WorkerView.ReportedCrash crash = view.crashOf(WORKER, 9_000).orElseThrow();
+        assertEquals(crash.crash().getSuspectsList(), List.of(RUN));
+        assertEquals(crash.reportedAtMillis(), 1_000);
+    }
 }
