--- a/src/main/java/org/yuccabank/control/workflow/WorkerCrashHistory.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkerCrashHistory.java
@@ -23,9 +23,9 @@
 final class WorkerCrashHistory {
 
     /**
-     * Time between two crashes of a host below which it counts as flapping. Workers of the recorded
-     * incidents that flap crash every 1.04 to 1.4 s; a worker that a task has crashed needs more
-     * than 3 s until it is back and crashes again.
+     * Time between two crashes of a host below which it counts as flapping. Workers that flap were
+     * seen to crash every 1.04 to 1.4 s; a worker that a task has crashed needs more than 3 s until
+     * it is back and crashes again.
      */
     static final long FLAPPING_INTERVAL_MILLIS = 3_000;
 
