Accept any attempt of the workflow that fits in the test of a restarted agent

The log shows why: the third workflow was assigned 8 ms before the restarted agent received its first directives. A start in the first directives may have been sent by the former process, so the agent stops it before it is given up, and the workflow starts as its second attempt, 91 ms later. The test waited for the first one.

The test now waits for any start of the workflow that fits. It still demands that the one that exceeds the capacity does not start before the capacity is back, and that the running one starts once.

--- a/src/test/java/org/yuccabank/platform/PlatformPathTest.java
+++ b/src/test/java/org/yuccabank/platform/PlatformPathTest.java
@@ -278,6 +278,10 @@
         awaitState("eeeeeeeeeeeeeeee", "completed");
     }
 
+    private boolean hasStarted(String workflowId) {
+        return minion.starts().stream().anyMatch(each -> each.startsWith(workflowId));
+    }
+
     /**
      * Guards against a start that exceeds the shrunken capacity of the worker because a restarted
      * agent receives it again and does not know the size of the runs beside it.
@@ -297,8 +301,8 @@
         agent = AgentRole.start(workerSettings);
         sendHeartbeat(2_000, 4_000);
         submit("fffffffffffffffd", 1_000);
-        await(() -> minion.starts().contains("fffffffffffffffd.0.0.0#1") ? 1 : 0, 1);
-        assertTrue(minion.starts().stream().noneMatch(each -> each.startsWith("fffffffffffffffe")));
+        await(() -> hasStarted("fffffffffffffffd") ? 1 : 0, 1);
+        assertFalse(hasStarted("fffffffffffffffe"));
         sendHeartbeat(2_000, 8_000);
         await(() -> minion.starts().contains("fffffffffffffffe.0.0.0#2") ? 1 : 0, 1);
         minion.enableCompletion();
