Review case 8: a job starts long after its cancelling was acknowledged

A machine that takes requests freezes for 6.5 s. Clients whose submissions got no response cancel at another node and get 410. When the machine wakes, it forwards the submissions, which are accepted and run.

--- a/review/harness-2/Case.java
+++ b/review/harness-2/Case.java
@@ -21,6 +21,7 @@
             java.util.List<Deployment.Machine> machines,
             Case played) {
         int result = NOT_RUN;
+        endAfter(115);
         try (Deployment deployment =
                 Deployment.started(
                         java.nio.file.Path.of(folder), attempts, processorMillis, machines)) {
@@ -37,6 +38,22 @@
         System.exit(result);
     }
 
+    /** Ends this process, and with it all that it started, if a case takes too long. */
+    private static void endAfter(int seconds) {
+        Thread watchdog =
+                new Thread(
+                        () -> {
+                            try {
+                                Thread.sleep(seconds * 1_000L);
+                                System.exit(NOT_RUN);
+                            } catch (InterruptedException exception) {
+                                Thread.currentThread().interrupt();
+                            }
+                        });
+        watchdog.setDaemon(true);
+        watchdog.start();
+    }
+
     /** Returns the machines of one service, three to a rack, all of kind `a`. */
     static java.util.List<Deployment.Machine> machines(String service, int count, int firstRack) {
         java.util.List<Deployment.Machine> machines = new java.util.ArrayList<>();
--- a/review/harness-2/Deployment.java
+++ b/review/harness-2/Deployment.java
@@ -26,6 +26,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
@@ -72,6 +73,7 @@
     private final int appPort;
     private final int internalPort;
     private final Random random = new Random();
+    private final AtomicBoolean closed = new AtomicBoolean();
     private int nextEntry;
 
     Deployment(Path folder) throws IOException {
@@ -132,9 +134,11 @@
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
     }
 
-    synchronized void record(String line) {
-        record.println(String.format("%8.3f  %s", millis() / 1000.0, line));
-        record.flush();
+    void record(String line) {
+        synchronized (record) {
+            record.println(String.format("%8.3f  %s", millis() / 1000.0, line));
+            record.flush();
+        }
     }
 
     GangBoard gangs() {
@@ -171,6 +175,27 @@
         }
     }
 
+    /** Starts a machine without a disk that takes requests from clients only; returns its number. */
+    int addEntryMachine() throws IOException {
+        int number = EDGES + 1 + keys("entry-").size() - EDGES;
+        startProcess("entry", entryName(number), network + number, false, "");
+        return number;
+    }
+
+    private static String entryName(int number) {
+        return "edge-zone-" + number + "-1";
+    }
+
+    /** Freezes or thaws the machine of {@link #addEntryMachine}, which runs one process. */
+    void freezeEntryMachine(int number, boolean frozen) throws IOException, InterruptedException {
+        long id;
+        synchronized (processes) {
+            id = processes.get("entry-" + entryName(number)).pid();
+        }
+        new ProcessBuilder("kill", frozen ? "-STOP" : "-CONT", String.valueOf(id)).start().waitFor();
+        record("machine " + entryName(number) + (frozen ? " freezes" : " wakes"));
+    }
+
     /** Starts the agent of a new machine and returns its minion, which is not started. */
     Minion addMachine(String service, int processorMillis, List<String> labels) throws IOException {
         int number = minions.size() + 1;
@@ -207,34 +232,45 @@
         record("process " + role + " starts on " + name);
     }
 
+    /**
+     * Returns the settings of a process.
+     *
+     * @param disk whether the machine is an edge with a disk, which serves control too
+     */
     private String settings(
-            String role, String name, String ip, boolean edge, String service) throws IOException {
+            String role, String name, String ip, boolean disk, String service) throws IOException {
+        boolean edge = !role.equals("agent");
         ObjectNode root = MAPPER.createObjectNode();
         root.put("node_name", name).put("role", role);
         root.put("machine_class", edge ? "edge" : "side");
         ArrayNode serves = root.putArray("serves");
-        (edge ? List.of("edge", "control") : List.of("side")).forEach(serves::add);
+        (edge ? disk ? List.of("edge", "control") : List.of("edge") : List.of("side"))
+                .forEach(serves::add);
         root.put("ip", ip).put("zone", "zone-1").put("region", "region-1");
         root.putObject("zones").put("zone-1", "region-1");
         ObjectNode bind = root.putObject("bind_addrs");
         if (edge) {
             bind.put("frontend", ip + ":" + frontendPort).put("ready", ip + ":" + readyPort);
         }
-        bind.put("control_plane", ip + ":" + controlPort);
+        if (disk || !edge) {
+            bind.put("control_plane", ip + ":" + controlPort);
+        }
         root.putArray("internal_ports").add(internalPort).add(internalPort + 15);
         ArrayNode seeds = root.putArray("seeds");
-        for (int seed = 1; seed <= EDGES; seed++) {
-            seeds.add(network + seed + ":" + controlPort);
+        // Each machine may be told of the seeds in another order.
+        int first = disk ? 0 : Integer.parseInt(ip.substring(ip.lastIndexOf('.') + 1));
+        for (int seed = 0; seed < EDGES; seed++) {
+            seeds.add(network + ((first + seed) % EDGES + 1) + ":" + controlPort);
         }
-        root.put("bootstrap", true).put("in_fault_domain", edge);
+        root.put("bootstrap", true).put("in_fault_domain", disk);
         root.putObject("limits")
                 .put("cpu_share", 0.75)
                 .put("cores", 2)
                 .put("memory_mb", edge ? 430 : 298)
                 .put("max_fds", 4_096)
                 .put("link_mbps", 1_000.0)
-                .put("disk_mb", edge ? 128 : 0);
-        if (edge) {
+                .put("disk_mb", disk ? 128 : 0);
+        if (disk) {
             Path data = Files.createDirectories(temporary.resolve("data-" + role + "-" + name));
             root.put("data_dir", data.toString());
         }
@@ -278,6 +314,12 @@
         return MAPPER.writerWithDefaultPrettyPrinter().writeValueAsString(root);
     }
 
+    private List<String> keys(String prefix) {
+        synchronized (processes) {
+            return processes.keySet().stream().filter(key -> key.startsWith(prefix)).toList();
+        }
+    }
+
     /** Returns whether all processes run. */
     boolean allAlive() {
         synchronized (processes) {
@@ -410,9 +452,15 @@
         return String.format("%016x", random.nextLong());
     }
 
-    /** Submits a job until it is accepted; the same request goes to the next node after a refusal. */
-    boolean submit(String queue, String id, List<Step> steps, long timeoutMillis)
-            throws InterruptedException {
+    /** Sends a job once to one node, and returns the status, 0 without a response in time. */
+    int submitOnce(int node, String queue, String id, List<Step> steps) {
+        Answer answer =
+                call("POST", network + node, frontendPort, "/" + queue + "/" + id, job(id, steps));
+        record("client submits " + id + " to " + queue + " at node " + node + ": " + answer.status());
+        return answer.status();
+    }
+
+    private ObjectNode job(String id, List<Step> steps) {
         ObjectNode job = MAPPER.createObjectNode();
         job.put("spec", "review");
         ArrayNode nodes = job.putArray("steps");
@@ -422,6 +470,13 @@
             stepPlans.put(index, steps.get(index).plan());
         }
         plans.put(id, stepPlans);
+        return job;
+    }
+
+    /** Submits a job until it is accepted; the same request goes to the next node after a refusal. */
+    boolean submit(String queue, String id, List<Step> steps, long timeoutMillis)
+            throws InterruptedException {
+        ObjectNode job = job(id, steps);
         long deadline = millis() + timeoutMillis;
         while (millis() < deadline) {
             Answer answer = client("POST", queue, id, job);
@@ -450,10 +505,11 @@
                 : "status " + answer.status();
     }
 
-    boolean cancel(String queue, String id) {
+    /** Cancels a job and returns the status. */
+    int cancel(String queue, String id) {
         Answer answer = client("DELETE", queue, id, null);
         record("client cancels " + id + ": " + answer.status());
-        return answer.status() == 200;
+        return answer.status();
     }
 
     private Answer client(String method, String queue, String id, JsonNode body) {
@@ -495,20 +551,23 @@
 
     /** Ends all processes that this deployment started. */
     @Override
-    public synchronized void close() {
-        minions.forEach(Minion::close);
+    public void close() {
+        if (!closed.compareAndSet(false, true)) {
+            return;
+        }
+        List<Process> started;
         synchronized (processes) {
-            processes.values().forEach(Process::destroyForcibly);
-            for (Process process : processes.values()) {
-                try {
-                    process.waitFor(5, TimeUnit.SECONDS);
-                } catch (InterruptedException exception) {
-                    Thread.currentThread().interrupt();
-                }
+            started = List.copyOf(processes.values());
+        }
+        started.forEach(Process::destroyForcibly);
+        for (Process process : started) {
+            try {
+                process.waitFor(5, TimeUnit.SECONDS);
+            } catch (InterruptedException exception) {
+                Thread.currentThread().interrupt();
             }
-            processes.clear();
         }
-        record.flush();
+        minions.forEach(Minion::close);
         if (System.getenv("KEEP_LOGS") == null) {
             try (Stream<Path> files = Files.walk(temporary)) {
                 files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
