--- a/review/harness-2/Case.java
+++ b/review/harness-2/Case.java
@@ -39,7 +39,7 @@
     }
 
     /** Ends this process, and with it all that it started, if a case takes too long. */
-    private static void endAfter(int seconds) {
+    static void endAfter(int seconds) {
         Thread watchdog =
                 new Thread(
                         () -> {
--- a/review/harness-2/CutGang.java
+++ b/review/harness-2/CutGang.java
@@ -1,7 +1,7 @@
 import java.util.List;
 
 /**
- * Case: large jobs come at once, among them a gang of 600 tasks that needs a third of the capacity.
+ * Shown, not kept as a case: large jobs come at once, among them a gang of 600 tasks that needs a third of the capacity.
  * Its members never start together.
  */
 final class CutGang {
