Replace voters that cannot be reached before those that are paused

The successor got the vote of the paused one, as only the time without a reply was compared, and two lost disks later two of five votes were left.

The leader opens connections to all members anyway. Their result now reaches VoterPolicy: of the voters that have been silent for over 1.5 s, one whose address refuses connections or does not answer them is replaced first. The host of a paused process or a stalled disk accepts connections. Works because it separates the hosts that may return with their log from those that are not there.

Related paths: the demotion of surplus voters uses the same choice; the simulated network of verify tells whether a connection could be opened.

The two new tests of VoterPolicyTest and FinalFaultTest fail with the choice by silence alone.

--- a/src/main/java/org/yuccabank/control/ControlService.java
+++ b/src/main/java/org/yuccabank/control/ControlService.java
@@ -35,6 +35,7 @@
 import org.yuccabank.replication.ReplicaService;
 import org.yuccabank.replication.ReplicaSettings;
 import org.yuccabank.replication.ReplicaStatus;
+import org.yuccabank.replication.ReplicaTransport;
 import org.yuccabank.result.Result;
 import org.yuccabank.state.ReplicatedState;
 
@@ -93,7 +94,7 @@
                         configuration.members(),
                         configuration.timing(),
                         ReplicaSettings.DEFAULT_SNAPSHOT_ENTRIES);
-        replica = ReplicaService.of(settings, state, this::sendToReplica);
+        replica = ReplicaService.of(settings, state, new ConnectionTransport());
         List<InetSocketAddress> joinAddresses =
                 configuration.joinAddresses().isEmpty()
                         ? List.of(configuration.protocolAddress())
@@ -235,17 +236,28 @@
                                         error.getMessage()));
     }
 
-    private void sendToReplica(String address, ReplicaMessage message) {
-        if (address.isEmpty()) {
-            return;
+    /** Sends messages over one connection to each other replica. Thread-safe. */
+    private final class ConnectionTransport implements ReplicaTransport {
+
+        @Override
+        public void send(String address, ReplicaMessage message) {
+            if (address.isEmpty()) {
+                return;
+            }
+            replicaClients
+                    .computeIfAbsent(address, this::connect)
+                    .send(Envelope.newBuilder().setReplicaMessage(message).build());
         }
-        replicaClients
-                .computeIfAbsent(address, this::connect)
-                .send(Envelope.newBuilder().setReplicaMessage(message).build());
-    }
 
-    private PeerClient connect(String address) {
-        return PeerClient.of(transport, PeerAddress.parse(address), PeerHandler.none());
+        @Override
+        public boolean isUnreachable(String address) {
+            PeerClient client = replicaClients.get(address);
+            return client != null && client.isUnreachable();
+        }
+
+        private PeerClient connect(String address) {
+            return PeerClient.of(transport, PeerAddress.parse(address), PeerHandler.none());
+        }
     }
 
     /**
--- a/src/main/java/org/yuccabank/control/workflow/VoterPolicy.java
+++ b/src/main/java/org/yuccabank/control/workflow/VoterPolicy.java
@@ -16,6 +16,11 @@
  * odd number of voters as it is, whereas one voter more would raise it and make the group depend on
  * a replica that has just joined.
  *
+ * <p>Of several silent voters, one whose address cannot be reached goes first. A host that is gone
+ * for good accepts no connections, whereas the host of a paused process or a stalled disk does, and
+ * returns with its log. If the wrong voter is replaced, the group counts a vote that is never cast
+ * again, for as long as the other one stays away.
+ *
  * <p>Invariants: there are never more voters than desired, apart from those that an earlier release
  * has left; a voter is demoted only if a majority of the others answers at the moment, and a voter
  * that is not surplus only if a learner has caught up. Immutable.
@@ -77,7 +82,10 @@
         Optional<String> learner = caughtUpLearner(status);
         Optional<Change> change = Optional.empty();
         if (voters > desiredVoters) {
-            change = longestSilentVoter(status).map(Change.Demote::new);
+            change =
+                    unresponsiveVoter(status)
+                            .or(() -> longestSilentVoter(status))
+                            .map(Change.Demote::new);
         } else if (voters < desiredVoters) {
             change = learner.map(Change.Promote::new);
         } else if (learner.isPresent()) {
@@ -93,14 +101,26 @@
      * Returns the voter that has been silent for the longest time, if the others can do without.
      */
     private static Optional<String> longestSilentVoter(ReplicaStatus status) {
-        return status.voters().stream()
-                .filter(id -> !id.equals(status.replicaId()))
+        return otherVoters(status)
                 .max(Comparator.comparingLong(id -> silenceMillis(id, status)))
                 .filter(id -> hasMajorityWithout(id, status));
     }
 
+    /**
+     * Returns the unresponsive voter that is the least likely to return, if the others can do
+     * without: one that cannot be reached, and of these the one that has been silent for longest.
+     */
     private static Optional<String> unresponsiveVoter(ReplicaStatus status) {
-        return longestSilentVoter(status).filter(id -> !isResponsive(id, status));
+        return otherVoters(status)
+                .filter(id -> !isResponsive(id, status))
+                .max(
+                        Comparator.<String, Boolean>comparing(status.unreachableMembers()::contains)
+                                .thenComparing(id -> silenceMillis(id, status)))
+                .filter(id -> hasMajorityWithout(id, status));
+    }
+
+    private static Stream<String> otherVoters(ReplicaStatus status) {
+        return status.voters().stream().filter(id -> !id.equals(status.replicaId()));
     }
 
     /** Returns a silent voter whose address a later member has, if the others can do without. */
--- a/src/main/java/org/yuccabank/protocol/PeerClient.java
+++ b/src/main/java/org/yuccabank/protocol/PeerClient.java
@@ -21,6 +21,7 @@
     private Mono<PeerConnection> pendingConnection;
     private volatile PeerConnection connection;
     private volatile long lastRequestNanos = System.nanoTime();
+    private volatile boolean lastAttemptFailed;
     private volatile boolean stopped;
 
     private PeerClient(PeerTransport transport, InetSocketAddress address, PeerHandler handler) {
@@ -96,6 +97,16 @@
         return address;
     }
 
+    /**
+     * Returns whether the latest attempt to connect was refused or timed out. A connection that was
+     * open and is lost does not count until the next attempt has failed.
+     *
+     * @return true after a failed attempt, until an attempt succeeds
+     */
+    public boolean isUnreachable() {
+        return lastAttemptFailed;
+    }
+
     /** Closes the connection; later requests that need a new one fail as not sent. */
     public void stop() {
         stopped = true;
@@ -128,6 +139,7 @@
         future.addListener(
                 result -> {
                     clearPendingConnection();
+                    lastAttemptFailed = !result.isSuccess();
                     if (result.isSuccess()) {
                         PeerConnection newConnection =
                                 future.channel().pipeline().get(PeerConnection.class);
--- a/src/main/java/org/yuccabank/replication/ReplicaNode.java
+++ b/src/main/java/org/yuccabank/replication/ReplicaNode.java
@@ -572,6 +572,7 @@
                 state.log().lastIndex(),
                 List.copyOf(state.membership().members()),
                 core.millisSinceReply(),
+                transport.unreachableMembers(state.membership().members()),
                 core.caughtUpLearners(),
                 stopReason);
     }
--- a/src/main/java/org/yuccabank/replication/ReplicaService.java
+++ b/src/main/java/org/yuccabank/replication/ReplicaService.java
@@ -94,6 +94,7 @@
                 settings.initialMembers(),
                 Map.of(),
                 Set.of(),
+                Set.of(),
                 Optional.of(STOPPED_MESSAGE));
     }
 
--- a/src/main/java/org/yuccabank/replication/ReplicaStatus.java
+++ b/src/main/java/org/yuccabank/replication/ReplicaStatus.java
@@ -17,6 +17,7 @@
  * @param lastIndex index of the last log entry
  * @param members members according to the latest membership in the log
  * @param millisSinceReply time since the last reply of each other member, known to the leader only
+ * @param unreachableMembers other members to which the latest attempt to connect failed
  * @param caughtUpLearners learners that can be promoted, known to the leader only
  * @param stopReason why the replica stopped, empty while it runs
  */
@@ -30,6 +31,7 @@
         long lastIndex,
         List<ReplicaMember> members,
         Map<String, Long> millisSinceReply,
+        Set<String> unreachableMembers,
         Set<String> caughtUpLearners,
         Optional<String> stopReason) {
 
--- a/src/main/java/org/yuccabank/verify/FakeNetwork.java
+++ b/src/main/java/org/yuccabank/verify/FakeNetwork.java
@@ -45,6 +45,10 @@
         blockedLinks.remove(new Link(from, to));
     }
 
+    boolean isBlocked(String from, String to) {
+        return blockedLinks.contains(new Link(from, to));
+    }
+
     /** Delivers a message once after a delay, or loses or duplicates it. */
     void send(String from, String to, Runnable delivery) {
         if (blockedLinks.contains(new Link(from, to))) {
--- a/src/main/java/org/yuccabank/verify/HostFaults.java
+++ b/src/main/java/org/yuccabank/verify/HostFaults.java
@@ -169,6 +169,7 @@
                     () -> {
                         SimulatedReplica successor = group.startReplica(List.of());
                         host.setReplica(successor, newAddress ? successor.id() : host.address());
+                        group.takeOver(host.address(), successor);
                     });
         }
     }
--- a/src/main/java/org/yuccabank/verify/SimulatedGroup.java
+++ b/src/main/java/org/yuccabank/verify/SimulatedGroup.java
@@ -22,6 +22,7 @@
     private final HostModel hostModel;
     private final FakeNetwork network;
     private final Map<String, SimulatedReplica> replicas = new TreeMap<>();
+    private final Map<String, SimulatedReplica> replicasByAddress = new TreeMap<>();
     private boolean faultsEnabled = true;
     private int createdCount;
 
@@ -66,6 +67,7 @@
                         simulation.random().nextLong(MAXIMUM_CLOCK_OFFSET_MICROS));
         SimulatedReplica replica = new SimulatedReplica(this, "r" + createdCount, members, clock);
         replicas.put(replica.id(), replica);
+        replicasByAddress.put(replica.id(), replica);
         replica.start();
         return replica;
     }
@@ -106,6 +108,20 @@
         return Optional.ofNullable(replicas.get(id));
     }
 
+    /** Records that a replica listens at the address of its predecessor. */
+    void takeOver(String address, SimulatedReplica replica) {
+        replicasByAddress.put(address, replica);
+    }
+
+    /** Returns whether a replica could open a connection to an address now. */
+    boolean isReachable(String from, String address) {
+        SimulatedReplica target = replicasByAddress.get(address);
+        return target != null
+                && target.isListening()
+                && !network.isBlocked(from, target.id())
+                && !network.isBlocked(target.id(), from);
+    }
+
     Collection<SimulatedReplica> replicas() {
         return replicas.values();
     }
--- a/src/main/java/org/yuccabank/verify/SimulatedReplica.java
+++ b/src/main/java/org/yuccabank/verify/SimulatedReplica.java
@@ -10,6 +10,7 @@
 import org.yuccabank.replication.ReplicaMember;
 import org.yuccabank.replication.ReplicaNode;
 import org.yuccabank.replication.ReplicaSettings;
+import org.yuccabank.replication.ReplicaTransport;
 import org.yuccabank.result.Result;
 
 /** Replica with a fake disk and clock that can crash, pause and restart. Not thread-safe. */
@@ -35,6 +36,7 @@
     private boolean paused;
     private boolean syncScheduled;
     private boolean retired;
+    private boolean listening;
     private int diskFailures;
 
     SimulatedReplica(
@@ -71,6 +73,11 @@
         return node != null;
     }
 
+    /** Returns whether the host accepts connections; a stopped replica in a live process does. */
+    boolean isListening() {
+        return listening;
+    }
+
     boolean isPaused() {
         return paused;
     }
@@ -101,7 +108,7 @@
         ReplicaNode.Environment environment =
                 new ReplicaNode.Environment(
                         stateMachine,
-                        this::send,
+                        new SimulatedTransport(),
                         disk,
                         this::onEvent,
                         Simulation.newRandomGenerator(simulation.random().nextLong()));
@@ -109,6 +116,7 @@
                 group.options().nodeFactory().open(settings, environment, nowMillis());
         if (opened.isSuccess()) {
             node = opened.get();
+            listening = true;
             syncScheduled = false;
             paused = false;
             pausedInputs.clear();
@@ -130,17 +138,27 @@
         group.onEvent(event);
     }
 
-    private void send(String address, ReplicaMessage message) {
-        if (address.isEmpty()) {
-            return;
+    /** Transport that knows whether a connection to another replica could be opened now. */
+    private final class SimulatedTransport implements ReplicaTransport {
+
+        @Override
+        public void send(String address, ReplicaMessage message) {
+            if (address.isEmpty()) {
+                return;
+            }
+            group.network()
+                    .send(
+                            id(),
+                            message.getTo(),
+                            () ->
+                                    group.replica(message.getTo())
+                                            .ifPresent(each -> each.receive(message)));
+        }
+
+        @Override
+        public boolean isUnreachable(String address) {
+            return !group.isReachable(id(), address);
         }
-        group.network()
-                .send(
-                        id(),
-                        message.getTo(),
-                        () ->
-                                group.replica(message.getTo())
-                                        .ifPresent(each -> each.receive(message)));
     }
 
     private void receive(ReplicaMessage message) {
@@ -241,6 +259,7 @@
     void losePower() {
         simulation.countFault(Fault.CRASH);
         disk.crash();
+        listening = false;
         if (node != null) {
             restart();
         }
@@ -260,6 +279,7 @@
      */
     void loseDisk(boolean newIdAfterDiskLoss) {
         node = null;
+        listening = false;
         incarnation++;
         retired = newIdAfterDiskLoss;
         disk = group.hostModel().diskFactory().apply(simulation);
@@ -272,6 +292,7 @@
     /** Stops the process permanently after its member was removed. */
     void retire() {
         node = null;
+        listening = false;
         incarnation++;
         retired = true;
     }
--- a/src/test/java/org/yuccabank/control/workflow/VoterPolicyTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/VoterPolicyTest.java
@@ -35,6 +35,16 @@
             List<ReplicaMember> members,
             Map<String, Long> millisSinceReply,
             String... caughtUpLearners) {
+        return nextChange(
+                desiredVoters, members, millisSinceReply, Set.of(), Set.of(caughtUpLearners));
+    }
+
+    private static Optional<Change> nextChange(
+            int desiredVoters,
+            List<ReplicaMember> members,
+            Map<String, Long> millisSinceReply,
+            Set<String> unreachableMembers,
+            Set<String> caughtUpLearners) {
         ReplicaStatus status =
                 new ReplicaStatus(
                         "a",
@@ -46,7 +56,8 @@
                         10,
                         members,
                         millisSinceReply,
-                        Set.of(caughtUpLearners),
+                        unreachableMembers,
+                        caughtUpLearners,
                         Optional.empty());
         return new VoterPolicy(desiredVoters).nextChange(status);
     }
@@ -161,6 +172,40 @@
         assertEquals(nextChange(5, members, paused, "e"), Optional.empty());
     }
 
+    /**
+     * Guards against taking the vote of a paused process while a host that is gone for good, whose
+     * successor has another address, keeps its vote.
+     */
+    @Test
+    public void shouldReplaceUnreachableVoterBeforePausedOne() {
+        Map<String, Long> silent = Map.of("b", 2_000L, "c", 1_600L, "d", 10L, "e", 10L, "f", 10L);
+        List<ReplicaMember> members =
+                threeAnd(
+                        ReplicaMember.voter("d", "d"),
+                        ReplicaMember.voter("e", "e"),
+                        ReplicaMember.learner("f", "f"));
+        assertEquals(
+                nextChange(5, members, silent, Set.of("c"), Set.of("f")),
+                Optional.of(new Change.Demote("c")));
+        assertEquals(
+                nextChange(5, members, silent, Set.of("b", "c"), Set.of("f")),
+                Optional.of(new Change.Demote("b")));
+    }
+
+    /** Guards against replacing a voter whose process restarts while another one is paused. */
+    @Test
+    public void shouldReplacePausedVoterWhileUnreachableOneIsSilentForShorter() {
+        Map<String, Long> silent = Map.of("b", 2_000L, "c", 400L, "d", 10L, "e", 10L, "f", 10L);
+        List<ReplicaMember> members =
+                threeAnd(
+                        ReplicaMember.voter("d", "d"),
+                        ReplicaMember.voter("e", "e"),
+                        ReplicaMember.learner("f", "f"));
+        assertEquals(
+                nextChange(5, members, silent, Set.of("c"), Set.of("f")),
+                Optional.of(new Change.Demote("b")));
+    }
+
     /** Guards against removing a live replica after a late request of a former one. */
     @Test
     public void shouldKeepResponsiveMemberWhoseAddressALaterMemberHas() {
--- a/src/test/java/org/yuccabank/protocol/PeerClientTest.java
+++ b/src/test/java/org/yuccabank/protocol/PeerClientTest.java
@@ -107,4 +107,24 @@
                         () -> client.request(invoke("1"), TIMEOUT).block(TIMEOUT));
         assertFalse(error.isInDoubt());
     }
+
+    /** Guards against taking a paused process, whose host accepts connections, for a lost host. */
+    @Test
+    public void shouldReachProcessThatDoesNotReplyButNotOneThatIsGone() {
+        PeerServer server =
+                PeerServer.start(
+                        transport,
+                        new InetSocketAddress("127.0.0.1", 0),
+                        (from, request) -> Mono.never());
+        PeerClient client = PeerClient.of(transport, server.address(), PeerHandler.none());
+        assertFalse(client.isUnreachable());
+        expectThrows(
+                PeerException.class,
+                () -> client.request(invoke("1"), Duration.ofMillis(50)).block(TIMEOUT));
+        assertFalse(client.isUnreachable());
+        server.stop();
+        PeerClient other = PeerClient.of(transport, server.address(), PeerHandler.none());
+        expectThrows(PeerException.class, () -> other.request(invoke("2"), TIMEOUT).block(TIMEOUT));
+        assertTrue(other.isUnreachable());
+    }
 }
--- a/src/test/java/org/yuccabank/verify/FinalFaultTest.java
+++ b/src/test/java/org/yuccabank/verify/FinalFaultTest.java
@@ -63,6 +63,15 @@
         assertEquals(violations(11_287, VerifyOptions.defaults()), List.of());
     }
 
+    /**
+     * Guards against a host that is gone for good and keeps its vote while a voter whose host
+     * accepts connections loses it.
+     */
+    @Test
+    public void shouldRecoverAfterReplacementWhileAnotherVoterDoesNotAnswer() {
+        assertEquals(violations(21_107, VerifyOptions.defaults()), List.of());
+    }
+
     /** Guards against schedules that cannot be replayed from their seed. */
     @Test
     public void shouldReplayScheduleOfSeed() {
