Close the circuit of a worker by a probe that works

Cause: a half-open worker could hold one task, counted over all of its tasks, so a lasting one left no place for a probe; and only an end as done closed the circuit, which a lasting task never reaches.

The breaker now follows the runs that were assigned after the failures. One probe at a time is awaited, whatever ran before; a later run that has worked for 2 s, or 5 s if it is one that ends, closes the circuit. Probes come at least every 3 s, so that a lasting task starts within 7 s of the recovery. A replica that leads again starts without recorded failures, as its open probes would be those of a former term.

--- a/src/main/java/org/yuccabank/control/workflow/RunMonitor.java
+++ b/src/main/java/org/yuccabank/control/workflow/RunMonitor.java
@@ -16,6 +16,7 @@
 import org.yuccabank.policy.workflow.WaitingTask;
 import org.yuccabank.policy.workflow.WorkerCircuitBreaker;
 import org.yuccabank.protocol.generated.ActiveRun;
+import org.yuccabank.protocol.generated.Assignment;
 import org.yuccabank.protocol.generated.EndedRun;
 import org.yuccabank.protocol.generated.RunAddress;
 import org.yuccabank.protocol.generated.RunEnding;
@@ -46,6 +47,7 @@
             clearedRuns.add(run.getRun());
         }
         StepDefinition step = task.workflow().step(task.address().getStep());
+        recordActive(run, task, step.getLasting(), nowMillis);
         if (restarts.contains(run.getRun()) || step.getGang()) {
             return;
         }
@@ -66,6 +68,26 @@
         }
     }
 
+    private void recordActive(ActiveRun run, WorkflowTask task, boolean lasting, long nowMillis) {
+        String workerId = task.worker().orElseThrow().getWorkerId();
+        if (circuitBreaker.hasFailures(workerId)) {
+            circuitBreaker.recordActive(
+                    workerId,
+                    WorkflowLog.format(run.getRun()),
+                    run.getPercent(),
+                    lasting,
+                    nowMillis);
+        }
+    }
+
+    /** Processes the committed assignment of a run. */
+    void recordAssignment(Assignment assignment) {
+        String workerId = assignment.getWorker().getWorkerId();
+        if (circuitBreaker.hasFailures(workerId)) {
+            circuitBreaker.recordAssignment(workerId, WorkflowLog.format(assignment.getRun()));
+        }
+    }
+
     private boolean shouldMigrate(ActiveRun run, StepDefinition step, long nowMillis) {
         return StepEstimates.loadKind(step) == WaitingTask.LoadKind.BEST_EFFORT
                 && throttledRuns
@@ -127,6 +149,9 @@
                 || (ended.getEnding() == RunEnding.RUN_FAILED && !lasting)) {
             circuitBreaker.recordFailure(workerId, task.address().getWorkflowId(), nowMillis);
         }
+        if (circuitBreaker.hasFailures(workerId)) {
+            circuitBreaker.recordEnd(workerId, WorkflowLog.format(ended.getRun()));
+        }
     }
 
     /** Returns the expected duration of a full run of a step. */
@@ -167,5 +192,6 @@
         restarts.clear();
         clearedRuns.clear();
         throttledRuns.clear();
+        circuitBreaker.clear();
     }
 }
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -570,7 +570,10 @@
             return;
         }
         Set<WorkerIdentity> affected = new HashSet<>();
-        round.getAssignedList().forEach(each -> affected.add(each.getWorker()));
+        for (Assignment assignment : round.getAssignedList()) {
+            affected.add(assignment.getWorker());
+            runMonitor.recordAssignment(assignment);
+        }
         for (EndedRun ended : round.getEndedList()) {
             pendingEnds.remove(ended.getRun());
             workers.values().forEach(view -> view.removeCheckpoint(ended.getRun()));
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowPlanner.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowPlanner.java
@@ -12,7 +12,6 @@
 import org.yuccabank.policy.workflow.TaskOrder;
 import org.yuccabank.policy.workflow.WaitingTask;
 import org.yuccabank.policy.workflow.WorkerCapacity;
-import org.yuccabank.policy.workflow.WorkerCircuitBreaker;
 import org.yuccabank.policy.workflow.WorkerSelector;
 import org.yuccabank.protocol.generated.ActiveRun;
 import org.yuccabank.protocol.generated.Assignment;
@@ -107,8 +106,12 @@
         for (AvailableWorker worker : workers) {
             String key = worker.key();
             WorkerCapacity capacity = workerCapacity(key, worker.report(), records, estimates);
-            if (worker.circuitState() == WorkerCircuitBreaker.State.HALF_OPEN) {
-                capacity.limitToProbe();
+            switch (worker.circuitState()) {
+                case HALF_OPEN -> capacity.limitNewTasks(1);
+                case PROBING, OPEN -> capacity.limitNewTasks(0);
+                default -> {
+                    // A closed circuit limits nothing.
+                }
             }
             capacities.put(key, capacity);
         }
--- a/src/main/java/org/yuccabank/policy/workflow/WorkerCapacity.java
+++ b/src/main/java/org/yuccabank/policy/workflow/WorkerCapacity.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.yuccabank.model.Resources;
 
@@ -41,7 +42,7 @@
 
     private long expectedProcessorMillis;
     private int tasks;
-    private boolean probeOnly;
+    private OptionalInt newTasksLeft = OptionalInt.empty();
 
     /**
      * Creates the capacity of a worker without tasks.
@@ -87,7 +88,7 @@
         copy.pressureByServingImage.putAll(pressureByServingImage);
         copy.expectedProcessorMillis = expectedProcessorMillis;
         copy.tasks = tasks;
-        copy.probeOnly = probeOnly;
+        copy.newTasksLeft = newTasksLeft;
         return copy;
     }
 
@@ -100,6 +101,9 @@
      */
     public void reserve(String stepKey, Resources resources, WaitingTask.Load load) {
         free = free.minus(resources);
+        if (newTasksLeft.isPresent()) {
+            newTasksLeft = OptionalInt.of(newTasksLeft.getAsInt() - 1);
+        }
         tasks++;
         taskCountByStep.merge(stepKey, 1, Integer::sum);
         expectedProcessorMillis += load.expectedProcessorMillis();
@@ -187,9 +191,14 @@
         return pressureByServingImage.values().stream().anyMatch(sum -> sum >= NOTICEABLE_PRESSURE);
     }
 
-    /** Limits the worker to one task, for a worker whose circuit breaker is half open. */
-    public void limitToProbe() {
-        probeOnly = true;
+    /**
+     * Limits the number of tasks that the worker may still receive, for a worker whose circuit
+     * breaker is not closed. Tasks that are reserved already do not count.
+     *
+     * @param count number of further tasks
+     */
+    public void limitNewTasks(int count) {
+        newTasksLeft = OptionalInt.of(count);
     }
 
     /**
@@ -200,7 +209,7 @@
      */
     public boolean admits(WaitingTask task) {
         WaitingTask.Constraints constraints = task.constraints();
-        return !(probeOnly && tasks > 0)
+        return newTasksLeft.orElse(1) > 0
                 && constraints.service().equals(service)
                 && constraints.requiredLabel().map(labels::contains).orElse(true)
                 && (constraints.maximumPerWorker() == 0
@@ -221,7 +230,7 @@
         WorkerCapacity empty =
                 new WorkerCapacity(workerId, service, rack, labels, capacity, pressures);
         empty.free = capacity.minus(lasting);
-        empty.probeOnly = probeOnly;
+        empty.newTasksLeft = newTasksLeft;
         int room = 0;
         while (room < limit && empty.admits(task)) {
             empty.reserve(task.stepKey(), task.resources(), task.load());
--- a/src/test/java/org/yuccabank/control/workflow/WorkflowPlannerTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/WorkflowPlannerTest.java
@@ -398,6 +398,19 @@
         assertEquals(plan(worker(9, WorkerCircuitBreaker.State.HALF_OPEN)).size(), 1);
     }
 
+    /**
+     * Guards against a worker that gets no probe because a task of before still runs on it, such as
+     * one that lasts (review/7).
+     */
+    @Test
+    public void shouldProbeWorkerOnWhichEarlierTaskRuns() {
+        records.apply(accept("lasting", step(1).setLasting(true)), NOW);
+        records.apply(assign(run("lasting", 0, 0, 1)), NOW);
+        records.apply(accept("a", step(9)), NOW);
+        assertEquals(plan(worker(9, WorkerCircuitBreaker.State.HALF_OPEN)).size(), 1);
+        assertEquals(plan(worker(9, WorkerCircuitBreaker.State.PROBING)).size(), 0);
+    }
+
     /** Guards against more tasks of a step on one worker than its definition allows. */
     @Test
     public void shouldLimitTasksOfStepPerWorker() {
--- a/src/test/java/org/yuccabank/policy/workflow/WorkflowPolicyTest.java
+++ b/src/test/java/org/yuccabank/policy/workflow/WorkflowPolicyTest.java
@@ -113,6 +113,84 @@
         assertEquals(circuitBreaker.state("w", 5_000), WorkerCircuitBreaker.State.CLOSED);
     }
 
+    private static WorkerCircuitBreaker halfOpenCircuit() {
+        WorkerCircuitBreaker circuitBreaker = new WorkerCircuitBreaker();
+        circuitBreaker.recordFailure("w", "a", 0);
+        circuitBreaker.recordFailure("w", "b", 10);
+        circuitBreaker.recordFailure("w", "b", 20);
+        assertEquals(circuitBreaker.state("w", 2_000), WorkerCircuitBreaker.State.HALF_OPEN);
+        return circuitBreaker;
+    }
+
+    /** Guards against a worker that stays excluded because its probe is a task that never ends. */
+    @Test
+    public void shouldCloseCircuitAfterLastingProbeHasWorkedForAWhile() {
+        WorkerCircuitBreaker circuitBreaker = halfOpenCircuit();
+        circuitBreaker.recordAssignment("w", "probe");
+        assertEquals(circuitBreaker.state("w", 2_000), WorkerCircuitBreaker.State.PROBING);
+        for (long now = 2_100; now <= 4_100; now += 500) {
+            assertEquals(circuitBreaker.state("w", now), WorkerCircuitBreaker.State.PROBING);
+            circuitBreaker.recordActive("w", "probe", 100, true, now);
+        }
+        assertEquals(circuitBreaker.state("w", 4_100), WorkerCircuitBreaker.State.CLOSED);
+    }
+
+    /** Guards against more than one probe at a time, and none after the probe was stopped. */
+    @Test
+    public void shouldAllowNextProbeOnceProbeIsOver() {
+        WorkerCircuitBreaker circuitBreaker = halfOpenCircuit();
+        circuitBreaker.recordAssignment("w", "probe");
+        circuitBreaker.recordEnd("w", "other");
+        assertEquals(circuitBreaker.state("w", 2_000), WorkerCircuitBreaker.State.PROBING);
+        circuitBreaker.recordEnd("w", "probe");
+        assertEquals(circuitBreaker.state("w", 2_000), WorkerCircuitBreaker.State.HALF_OPEN);
+    }
+
+    /** Guards against closing the circuit of a worker on which tasks stand still. */
+    @Test
+    public void shouldKeepCircuitOpenWhileProbeMakesNoProgress() {
+        WorkerCircuitBreaker circuitBreaker = halfOpenCircuit();
+        circuitBreaker.recordAssignment("w", "probe");
+        for (long now = 2_100; now <= 30_000; now += 500) {
+            circuitBreaker.recordActive("w", "probe", 40, false, now);
+        }
+        assertEquals(circuitBreaker.state("w", 30_000), WorkerCircuitBreaker.State.PROBING);
+    }
+
+    /** Guards against taking a run from before the failures for a sign of recovery. */
+    @Test
+    public void shouldNotCloseCircuitBecauseOfEarlierRun() {
+        WorkerCircuitBreaker circuitBreaker = halfOpenCircuit();
+        for (long now = 0; now <= 30_000; now += 500) {
+            circuitBreaker.recordActive("w", "earlier", 100, true, now);
+        }
+        assertEquals(circuitBreaker.state("w", 30_000), WorkerCircuitBreaker.State.HALF_OPEN);
+    }
+
+    /**
+     * Guards against a task that only one worker can run and that waits for long after the recovery
+     * of that worker: it has to start within 7 s.
+     */
+    @Test
+    public void shouldProbeRecoveredWorkerInTime() {
+        WorkerCircuitBreaker circuitBreaker = new WorkerCircuitBreaker();
+        long now = 0;
+        for (int failure = 0; failure < 20; failure++) {
+            circuitBreaker.recordFailure("w", "workflow " + failure, now);
+            while (circuitBreaker.state("w", now) == WorkerCircuitBreaker.State.OPEN) {
+                now += 100;
+            }
+        }
+        circuitBreaker.recordFailure("w", "last", now);
+        for (long end = now + 7_000; now < end; now += 100) {
+            if (circuitBreaker.state("w", now) == WorkerCircuitBreaker.State.HALF_OPEN) {
+                circuitBreaker.recordAssignment("w", "probe");
+            }
+            circuitBreaker.recordActive("w", "probe", 100, true, now);
+        }
+        assertEquals(circuitBreaker.state("w", now), WorkerCircuitBreaker.State.CLOSED);
+    }
+
     /** Guards against excluding a healthy worker because of one faulty workflow. */
     @Test
     public void shouldKeepCircuitClosedWhenOnlyOneWorkflowFails() {
