Keep cancellations of workflows that are not known yet

Cause: a cancellation of an unknown workflow left no trace, so the submission that arrived later was accepted. The order of the two decided instead of the cancellation.

--- a/src/main/java/org/yuccabank/control/workflow/WorkflowRequestHandler.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowRequestHandler.java
@@ -29,9 +29,10 @@
 /**
  * Handles the requests of clients and operators on the leader.
  *
- * <p>Invariants: a change is reported as accepted only after it is committed; a submission or
- * cancellation that arrives while a submission of the same workflow is being committed waits for
- * its outcome. Confined to the replica thread.
+ * <p>Invariants: a change is reported as accepted only after it is committed; a workflow whose
+ * cancellation was acknowledged is not accepted later, known or not; a submission or cancellation
+ * that arrives while a submission of the same workflow is being committed waits for its outcome.
+ * Confined to the replica thread.
  */
 final class WorkflowRequestHandler {
 
@@ -152,6 +153,9 @@
         if (leader.records().workflow(workflowId).isPresent()) {
             return completed(reply(Verdict.ACCEPTED, "accepted before"));
         }
+        if (leader.records().isCancelledEarly(workflowId, System.currentTimeMillis())) {
+            return completed(cancelledEarly());
+        }
         if (pendingSubmissions.containsKey(workflowId)) {
             // A repeated submission that is refused would deny that the first one runs.
             return pendingSubmissions.get(workflowId);
@@ -204,7 +208,7 @@
                         (result, error) -> {
                             pendingSubmissions.remove(workflowId, outcome);
                             if (error == null) {
-                                outcome.complete(commitReply(result, workflowId));
+                                outcome.complete(submissionReply(result, workflowId));
                             } else {
                                 outcome.completeExceptionally(error);
                             }
@@ -212,6 +216,19 @@
         return outcome;
     }
 
+    /** Returns the reply to a submission, which a cancellation may have overtaken in the log. */
+    private WorkflowReply submissionReply(CommandResult result, String workflowId) {
+        WorkflowReply reply = commitReply(result, workflowId);
+        boolean accepted = reply.getVerdict() == Verdict.ACCEPTED;
+        return accepted && leader.records().workflow(workflowId).isEmpty()
+                ? cancelledEarly().build()
+                : reply;
+    }
+
+    private static WorkflowReply.Builder cancelledEarly() {
+        return reply(Verdict.REFUSED, "the workflow was cancelled before it was submitted");
+    }
+
     private OptionalLong retryAfterMillis(WorkflowDefinition definition, QueueDefinition queue) {
         if (!leader.hasDiscoveredWorkers()) {
             return OptionalLong.empty();
@@ -245,14 +262,12 @@
                                             : CompletableFuture.completedFuture(reply));
         }
         if (workflow.isEmpty()) {
-            return completed(reply(Verdict.UNKNOWN_WORKFLOW, "no such workflow"));
+            return cancelUnknown(workflowId);
         }
         if (workflow.get().isFinal()) {
             return completed(reply(Verdict.ACCEPTED, "ended before"));
         }
-        CancelWorkflowById cancel =
-                CancelWorkflowById.newBuilder().setWorkflowId(workflowId).build();
-        return leader.propose(WorkflowCommand.newBuilder().setCancel(cancel))
+        return leader.propose(cancelCommand(workflowId))
                 .thenApply(
                         result -> {
                             WorkflowReply reply = commitReply(result, workflowId);
@@ -261,6 +276,29 @@
                         });
     }
 
+    /**
+     * Records the cancellation of an unknown workflow before it is acknowledged, as its submission
+     * may still be under way.
+     */
+    private CompletionStage<WorkflowReply> cancelUnknown(String workflowId) {
+        WorkflowReply unknown = reply(Verdict.UNKNOWN_WORKFLOW, "no such workflow").build();
+        if (workflowId.isEmpty()
+                || leader.records().isCancelledEarly(workflowId, System.currentTimeMillis())) {
+            return CompletableFuture.completedFuture(unknown);
+        }
+        return leader.propose(cancelCommand(workflowId))
+                .thenApply(
+                        result -> {
+                            WorkflowReply reply = commitReply(result, workflowId);
+                            return reply.getVerdict() == Verdict.ACCEPTED ? unknown : reply;
+                        });
+    }
+
+    private static WorkflowCommand.Builder cancelCommand(String workflowId) {
+        return WorkflowCommand.newBuilder()
+                .setCancel(CancelWorkflowById.newBuilder().setWorkflowId(workflowId));
+    }
+
     private CompletionStage<WorkflowReply> replaceConfiguration(FleetConfiguration configuration) {
         EventLog.information(
                 Event.CONFIGURATION_APPLIED,
--- a/src/main/java/org/yuccabank/state/SystemState.java
+++ b/src/main/java/org/yuccabank/state/SystemState.java
@@ -342,6 +342,7 @@
                         workflows.configuration().orElse(FleetConfiguration.getDefaultInstance()))
                 .addAllWorkflows(workflows.toRecords())
                 .setLearned(workflows.learned())
+                .addAllEarlyCancellations(workflows.toEarlyCancellations())
                 .build();
     }
 
@@ -364,7 +365,8 @@
                 WorkflowRecords.of(
                         snapshot.getConfiguration(),
                         snapshot.getWorkflowsList(),
-                        snapshot.getLearned());
+                        snapshot.getLearned(),
+                        snapshot.getEarlyCancellationsList());
         return state;
     }
 }
--- a/src/main/java/org/yuccabank/state/workflow/WorkflowRecords.java
+++ b/src/main/java/org/yuccabank/state/workflow/WorkflowRecords.java
@@ -24,6 +24,7 @@
 import org.yuccabank.protocol.generated.WorkflowDefinition;
 import org.yuccabank.protocol.generated.WorkflowPhase;
 import org.yuccabank.state.generated.CountedCrash;
+import org.yuccabank.state.generated.EarlyCancellation;
 import org.yuccabank.state.generated.WorkflowRecord;
 
 /**
@@ -31,9 +32,9 @@
  *
  * <p>Invariants: the version of the configuration never decreases, and other content under the same
  * version changes nothing; an identifier refers to a single workflow even if it is submitted
- * repeatedly; the end of a run is counted once; a run of a final workflow is never opened; the
- * workflow of a task that crashes its workers ends with the round that records the crash. Confined
- * to the replica thread.
+ * repeatedly; a workflow is not accepted after its cancellation; the end of a run is counted once;
+ * a run of a final workflow is never opened; the workflow of a task that crashes its workers ends
+ * with the round that records the crash. Confined to the replica thread.
  */
 public final class WorkflowRecords {
 
@@ -50,6 +51,7 @@
     private final Map<String, Workflow> liveWorkflows = new LinkedHashMap<>();
     private final Map<String, QueueWork> queueWork = new HashMap<>();
     private final Map<WorkerIdentity, Set<WorkflowTask>> openRuns = new HashMap<>();
+    private final EarlyCancellations earlyCancellations = new EarlyCancellations();
     private FleetConfiguration configuration = FleetConfiguration.getDefaultInstance();
     private LearnedState learned = LearnedState.getDefaultInstance();
     private long liveElements;
@@ -80,6 +82,18 @@
         return Optional.ofNullable(workflows.get(workflowId));
     }
 
+    /**
+     * Returns whether a workflow was cancelled before any submission of it arrived. Such a workflow
+     * is not accepted for as long as a submission may have been under way.
+     *
+     * @param workflowId its identifier
+     * @param nowMillis current time in milliseconds since the epoch
+     * @return true if a submission is too late
+     */
+    public boolean isCancelledEarly(String workflowId, long nowMillis) {
+        return earlyCancellations.contains(workflowId, nowMillis);
+    }
+
     /**
      * Returns all workflows.
      *
@@ -166,9 +180,7 @@
     public void apply(WorkflowCommand command, long nowMillis) {
         switch (command.getCommandCase()) {
             case ACCEPT -> accept(command.getAccept(), nowMillis);
-            case CANCEL ->
-                    workflow(command.getCancel().getWorkflowId())
-                            .ifPresent(each -> cancel(each, nowMillis));
+            case CANCEL -> cancel(command.getCancel().getWorkflowId(), nowMillis);
             case CONFIGURATION -> replaceConfiguration(command.getConfiguration());
             case ROUND -> applyRound(command.getRound(), nowMillis);
             case LEARNED -> learned = command.getLearned();
@@ -180,7 +192,8 @@
 
     private void accept(AcceptWorkflow accept, long nowMillis) {
         String workflowId = accept.getDefinition().getWorkflowId();
-        if (!workflows.containsKey(workflowId)) {
+        if (!workflows.containsKey(workflowId)
+                && !earlyCancellations.contains(workflowId, nowMillis)) {
             add(new Workflow(accept.getDefinition(), accept.getQueue(), nowMillis));
         }
     }
@@ -199,9 +212,14 @@
         }
     }
 
-    private void cancel(Workflow workflow, long nowMillis) {
-        workflow.end(WorkflowPhase.WORKFLOW_CANCELLED, nowMillis);
-        removeFromLiveIfFinal(workflow);
+    private void cancel(String workflowId, long nowMillis) {
+        Workflow workflow = workflows.get(workflowId);
+        if (workflow == null) {
+            earlyCancellations.record(workflowId, nowMillis);
+        } else {
+            workflow.end(WorkflowPhase.WORKFLOW_CANCELLED, nowMillis);
+            removeFromLiveIfFinal(workflow);
+        }
     }
 
     private void removeFromLiveIfFinal(Workflow workflow) {
@@ -387,19 +405,33 @@
         return workflows.values().stream().map(Workflow::toRecord).toList();
     }
 
+    /**
+     * Returns the cancellations of unknown workflows as records for a snapshot.
+     *
+     * @return the records
+     */
+    public List<EarlyCancellation> toEarlyCancellations() {
+        return earlyCancellations.toRecords();
+    }
+
     /**
      * Restores the records from the content of a snapshot.
      *
      * @param configuration the configuration in force
      * @param records the workflows
      * @param learned what leaders have learned from runs
+     * @param earlyCancellations cancellations of unknown workflows, the oldest first
      * @return the restored records
      */
     public static WorkflowRecords of(
-            FleetConfiguration configuration, List<WorkflowRecord> records, LearnedState learned) {
+            FleetConfiguration configuration,
+            List<WorkflowRecord> records,
+            LearnedState learned,
+            List<EarlyCancellation> earlyCancellations) {
         WorkflowRecords restored = new WorkflowRecords();
         restored.configuration = configuration;
         restored.learned = learned;
+        restored.earlyCancellations.restore(earlyCancellations);
         for (WorkflowRecord record : records) {
             Workflow workflow = Workflow.fromRecord(record);
             restored.add(workflow);
--- a/src/test/java/org/yuccabank/control/workflow/LearnedStateKeeperTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/LearnedStateKeeperTest.java
@@ -58,7 +58,10 @@
         records.apply(WorkflowCommand.newBuilder().setLearned(learn()).build(), 0);
         WorkflowRecords restarted =
                 WorkflowRecords.of(
-                        FleetConfiguration.getDefaultInstance(), List.of(), records.learned());
+                        FleetConfiguration.getDefaultInstance(),
+                        List.of(),
+                        records.learned(),
+                        List.of());
         PressureEstimates laterPressures = new PressureEstimates();
         RunTimes laterRunTimes = new RunTimes();
         new LearnedStateKeeper(laterPressures, laterRunTimes)
--- a/src/test/java/org/yuccabank/control/workflow/WorkflowRequestHandlerTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/WorkflowRequestHandlerTest.java
@@ -1,6 +1,7 @@
 package org.yuccabank.control.workflow;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.nio.file.Files;
@@ -132,4 +133,36 @@
                         .get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
         assertEquals(phase, WorkflowPhase.WORKFLOW_CANCELLED);
     }
+
+    /**
+     * Guards against a workflow that runs after its cancellation was acknowledged, because its
+     * submission arrived later, as from a machine that was suspended (review/9).
+     */
+    @Test
+    public void shouldRefuseSubmissionAfterItsCancellation() throws Exception {
+        WorkflowRequest cancel = request().setCancel(CancelWorkflow.getDefaultInstance()).build();
+        assertEquals(changeTogether(List.of(cancel)).get(0).getVerdict(), Verdict.UNKNOWN_WORKFLOW);
+        List<WorkflowReply> replies = changeTogether(List.of(submission(1), cancel));
+        assertEquals(replies.get(0).getVerdict(), Verdict.REFUSED);
+        assertEquals(replies.get(1).getVerdict(), Verdict.UNKNOWN_WORKFLOW);
+        assertNotAccepted();
+    }
+
+    /** Guards against accepting a submission that its cancellation overtakes in the log. */
+    @Test
+    public void shouldRefuseSubmissionWhileItsCancellationIsBeingCommitted() throws Exception {
+        WorkflowRequest cancel = request().setCancel(CancelWorkflow.getDefaultInstance()).build();
+        List<WorkflowReply> replies = changeTogether(List.of(cancel, submission(1)));
+        assertEquals(replies.get(0).getVerdict(), Verdict.UNKNOWN_WORKFLOW);
+        assertEquals(replies.get(1).getVerdict(), Verdict.REFUSED);
+        assertNotAccepted();
+    }
+
+    private void assertNotAccepted() throws Exception {
+        boolean known =
+                replica.call(() -> leader.records().workflow(ID).isPresent())
+                        .toCompletableFuture()
+                        .get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        assertFalse(known);
+    }
 }
--- a/src/test/java/org/yuccabank/state/workflow/WorkflowRecordsTest.java
+++ b/src/test/java/org/yuccabank/state/workflow/WorkflowRecordsTest.java
@@ -27,6 +27,8 @@
 /** Tests the invariants of the replicated workflow records. */
 public final class WorkflowRecordsTest {
 
+    private static final long NOW = 1_000;
+
     private WorkflowRecords records;
 
     @BeforeMethod
@@ -36,7 +38,7 @@
 
     private void apply(WorkflowCommand... commands) {
         for (WorkflowCommand command : commands) {
-            records.apply(command, 1_000);
+            records.apply(command, NOW);
         }
     }
 
@@ -213,7 +215,8 @@
                 WorkflowRecords.of(
                         FleetConfiguration.getDefaultInstance(),
                         records.toRecords(),
-                        records.learned());
+                        records.learned(),
+                        records.toEarlyCancellations());
         crashOn("host-2", 2, false, 0);
         assertEquals(phase("a"), WorkflowPhase.WORKFLOW_FAILED);
     }
@@ -260,6 +263,29 @@
         assertTrue(records.openRuns(WORKER).isEmpty());
     }
 
+    /** Guards against accepting a workflow whose cancellation has overtaken its submission. */
+    @Test
+    public void shouldNotAcceptWorkflowThatWasCancelledEarly() {
+        apply(cancel("a"), accept("a", step(1)));
+        assertTrue(records.workflow("a").isEmpty());
+        assertTrue(records.liveWorkflows().isEmpty());
+    }
+
+    /** Guards against records of unknown workflows that fill the memory of the replicas. */
+    @Test
+    public void shouldBoundEarlyCancellations() {
+        for (int number = 0; number <= EarlyCancellations.MAXIMUM_COUNT; number++) {
+            apply(cancel("unknown " + number));
+        }
+        assertEquals(records.toEarlyCancellations().size(), EarlyCancellations.MAXIMUM_COUNT);
+        assertFalse(records.isCancelledEarly("unknown 0", NOW));
+        assertTrue(records.isCancelledEarly("unknown 1", NOW));
+        long later = NOW + EarlyCancellations.RETENTION_MILLIS + 1;
+        assertFalse(records.isCancelledEarly("unknown 1", later));
+        records.apply(cancel("later"), later);
+        assertEquals(records.toEarlyCancellations().size(), 1);
+    }
+
     /** Guards against two runs of one task at a time. */
     @Test
     public void shouldNotAssignTaskThatRuns() {
@@ -288,13 +314,16 @@
         apply(assign(run("a", 0, 0, 1), run("a", 0, 1, 1)));
         apply(end(run("a", 0, 0, 1), RunEnding.RUN_DONE));
         apply(end(run("a", 0, 1, 1), RunEnding.RUN_WORKER_CRASHED));
-        apply(assign(run("a", 0, 1, 2)));
+        apply(assign(run("a", 0, 1, 2)), cancel("unknown"));
         WorkflowRecords restored =
                 WorkflowRecords.of(
                         records.configuration().orElseThrow(),
                         records.toRecords(),
-                        records.learned());
+                        records.learned(),
+                        records.toEarlyCancellations());
         assertEquals(restored.toRecords(), records.toRecords());
+        assertEquals(restored.toEarlyCancellations(), records.toEarlyCancellations());
+        assertEquals(restored.toEarlyCancellations().size(), 1);
         assertEquals(restored.configuration(), records.configuration());
         assertEquals(restored.openRuns(WORKER).size(), 1);
         assertEquals(restored.openRun(run("a", 0, 1, 2)).orElseThrow().crashes(), 1);
