Acknowledge ends only to the incarnation that listed them

Cause: a list request acknowledges ends by number, numbers start again with each incarnation, and a worker checks only its identifier. Until the new incarnation had announced itself, the agent went on to acknowledge the numbers of the former one. The worker then discarded ends that no agent had seen, their runs were reported as active, and started again once the lease was over.

- A number is sent only while the worker lists ends to discard.
- The fencing token contains the number of the incarnation on its host below the term, so that a worker refuses calls for its former incarnation from the first call of the leader on.
It needs no clock and rises above the terms of earlier releases.

--- a/src/main/java/org/yuccabank/agent/workflow/DirectiveOrder.java
+++ b/src/main/java/org/yuccabank/agent/workflow/DirectiveOrder.java
@@ -14,12 +14,18 @@
 
     private long term;
     private long number;
+    private long fencingToken;
 
     /** Returns the newest term of a leader, 0 if unknown. */
     long term() {
         return term;
     }
 
+    /** Returns the highest fencing token, which the leader raises with each incarnation. */
+    long fencingToken() {
+        return fencingToken;
+    }
+
     /** Returns the newest number of the term, 0 if the leader does not number its directives. */
     long number() {
         return number;
@@ -40,6 +46,8 @@
         }
         number = directives.getTerm() > term ? directives.getNumber() : maximum(directives);
         term = directives.getTerm();
+        // Leaders of earlier releases send no token; theirs is the term.
+        fencingToken = Math.max(fencingToken, Math.max(term, directives.getFencingToken()));
         return true;
     }
 
--- a/src/main/java/org/yuccabank/agent/workflow/RunCalls.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunCalls.java
@@ -24,8 +24,8 @@
         /** Returns the time at which the newest announcement was received. */
         long announcedAtMillis();
 
-        /** Returns the term of the leader, 0 if unknown. */
-        long term();
+        /** Returns the fencing token of the leader, 0 if it is unknown. */
+        long fencingToken();
 
         /** Requests a report to the leader. */
         void requestReport();
@@ -71,7 +71,7 @@
         if (superseded
                 || entry.isCallInProgress()
                 || context.worker().isEmpty()
-                || context.term() == 0) {
+                || context.fencingToken() == 0) {
             return;
         }
         switch (entry.stage()) {
@@ -141,11 +141,11 @@
         entry.setCallInProgress(true);
         entry.beginStart();
         WorkerAnnouncement target = context.worker().orElseThrow();
-        WorkflowAgentLog.startSent(entry, target, context.term(), leaseEnd);
+        WorkflowAgentLog.startSent(entry, target, context.fencingToken(), leaseEnd);
         api.start(
                         target,
                         entry.startRequest().orElseThrow(),
-                        new WorkerApi.FencedLease(context.term(), leaseEnd))
+                        new WorkerApi.FencedLease(context.fencingToken(), leaseEnd))
                 .subscribe(outcome -> loop.execute(() -> onStartOutcome(entry, target, outcome)));
     }
 
@@ -215,8 +215,8 @@
         entry.setCallInProgress(true);
         entry.recordStopSent(WorkflowAgent.nowMillis());
         WorkerAnnouncement target = context.worker().orElseThrow();
-        WorkflowAgentLog.stopSent(entry, target, context.term());
-        api.stop(target, entry.run(), context.term())
+        WorkflowAgentLog.stopSent(entry, target, context.fencingToken());
+        api.stop(target, entry.run(), context.fencingToken())
                 .subscribe(outcome -> loop.execute(() -> onStopOutcome(entry, target, outcome)));
     }
 
--- a/src/main/java/org/yuccabank/agent/workflow/RunTable.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunTable.java
@@ -32,12 +32,14 @@
     private final Map<RunAddress, RunEntry> entries = new LinkedHashMap<>();
     private final Map<PressureEstimates.ImagePair, Double> pressures = new HashMap<>();
     private long acknowledgedNumber;
+    private long listedNumber;
     private long answeredMillis;
 
     void clear() {
         WorkflowAgentLog.dropped(entries.values());
         entries.clear();
         acknowledgedNumber = 0;
+        listedNumber = 0;
     }
 
     Optional<RunEntry> entry(RunAddress run) {
@@ -119,6 +121,7 @@
      */
     boolean applyListing(List<ActiveRun> active, List<EndedRun> ended, long requestedMillis) {
         boolean changed = false;
+        listedNumber = ended.stream().mapToLong(EndedRun::getNumber).max().orElse(0);
         Set<RunAddress> listedRuns = new HashSet<>();
         for (ActiveRun each : active) {
             listedRuns.add(each.getRun());
@@ -198,8 +201,13 @@
         return entries.values().stream().anyMatch(RunEntry::isAbsenceExpected);
     }
 
-    long acknowledgedNumber() {
-        return acknowledgedNumber;
+    /**
+     * Returns the number up to which the worker should discard ends, 0 if its latest list has none.
+     * A number that is not needed any more would only do harm if the call reached the next
+     * incarnation, whose numbers start again.
+     */
+    long numberToDiscard() {
+        return listedNumber == 0 ? 0 : acknowledgedNumber;
     }
 
     List<ActiveRun> active() {
--- a/src/main/java/org/yuccabank/agent/workflow/WorkerApi.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkerApi.java
@@ -71,7 +71,10 @@
     Mono<CallOutcome> setSpeed(WorkerAnnouncement worker, RunAddress run, int percent, long token);
 
     /**
-     * Lists all runs, renews the lease and acknowledges ends.
+     * Lists all runs, renews the lease and acknowledges ends. The lease and the acknowledgement are
+     * sent only over a connection on which this incarnation has answered before, as a worker that
+     * starts again under its identifier would take them for its own; over any other connection the
+     * call only lists.
      *
      * @param worker the addressed incarnation
      * @param fencedLease fencing token and lease
@@ -87,9 +90,9 @@
 
     /**
      * Fencing token and lease of a call. The token orders the call relative to those of other
-     * leaders. Immutable.
+     * leaders, and to those for earlier incarnations of the worker. Immutable.
      *
-     * @param token the leader's term
+     * @param token the token that the leader has sent for this incarnation
      * @param leaseEndMillis end of the lease on the worker's clock, empty to leave it unchanged
      */
     record FencedLease(long token, OptionalLong leaseEndMillis) {}
--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -169,8 +169,8 @@
             }
 
             @Override
-            public long term() {
-                return order.term();
+            public long fencingToken() {
+                return order.fencingToken();
             }
 
             @Override
@@ -234,7 +234,7 @@
         } else if (isCurrentIncarnation(announcement)) {
             record(announcement, sink);
         } else {
-            api.identify(announcement, order.term())
+            api.identify(announcement, order.fencingToken())
                     .subscribe(
                             identification ->
                                     loop.execute(
@@ -445,11 +445,12 @@
     private void applyDirectives(WorkerDirectives directives) {
         boolean current =
                 worker.map(each -> each.identity().equals(directives.getWorker())).orElse(false);
-        long previousTerm = order.term();
+        long previousToken = order.fencingToken();
         if (!current || !order.advance(directives)) {
             return;
         }
-        if (order.term() > previousTerm) {
+        if (order.fencingToken() > previousToken) {
+            // The worker fences calls of former leaders and for former incarnations from then on.
             requestList();
         }
         leader.updateMembers(directives.getControlAddressesList());
@@ -494,8 +495,8 @@
         long requestTerm = order.term();
         WorkerAnnouncement target = worker.orElseThrow();
         WorkerApi.FencedLease fencedLease =
-                new WorkerApi.FencedLease(requestTerm, lease.renew(requestedMillis));
-        api.list(target, fencedLease, runs.acknowledgedNumber(), immediate ? 0 : LIST_WAIT_MILLIS)
+                new WorkerApi.FencedLease(order.fencingToken(), lease.renew(requestedMillis));
+        api.list(target, fencedLease, runs.numberToDiscard(), immediate ? 0 : LIST_WAIT_MILLIS)
                 .subscribe(
                         outcome ->
                                 loop.execute(
@@ -585,7 +586,7 @@
     /** Sends a speed to the worker. An unanswered call is repeated after the next list. */
     private void sendSpeed(WorkerAnnouncement target, RunEntry entry, int percent) {
         entry.beginSpeedChange(percent);
-        api.setSpeed(target, entry.run(), percent, order.term())
+        api.setSpeed(target, entry.run(), percent, order.fencingToken())
                 .subscribe(
                         outcome -> {
                             boolean done = outcome instanceof WorkerApi.CallOutcome.Done;
--- a/src/main/java/org/yuccabank/control/workflow/WorkerView.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkerView.java
@@ -43,7 +43,9 @@
     private static final long PRESSURE_RESEND_MILLIS = 5_000;
 
     private final ReporterOrder reporters;
+    private final long term;
     private WorkerReport report;
+    private long incarnation;
     private Set<WorkerIdentity> earlierIncarnations = Set.of();
     private OptionalLong incarnationReportedAtMillis = OptionalLong.empty();
     private final Map<WorkerIdentity, ReportedCrash> earlierCrashes = new HashMap<>();
@@ -61,6 +63,7 @@
 
     WorkerView(WorkerReport report, long term) {
         this.report = report;
+        this.term = term;
         reporters = new ReporterOrder(term);
     }
 
@@ -83,6 +86,7 @@
             incarnationReportedAtMillis = OptionalLong.of(nowMillis);
         }
         if (!sameIncarnation) {
+            incarnation++;
             previousCheckpoints.clear();
             previousCheckpoints.putAll(checkpoints);
             checkpoints.clear();
@@ -136,6 +140,11 @@
         return report;
     }
 
+    /** Returns the fencing token of the calls for the current incarnation. */
+    long fencingToken() {
+        return FencingToken.of(term, incarnation);
+    }
+
     /** Records the number of directives that are being sent to the agent. */
     void recordSent(long directivesNumber) {
         reporters.recordSent(directivesNumber);
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -375,6 +375,7 @@
                 WorkerDirectives.newBuilder()
                         .setTerm(term)
                         .setNumber(directivesNumber)
+                        .setFencingToken(view.fencingToken())
                         .setWorker(view.worker())
                         .setAnswersSequence(answeredSequence);
         directives.addAllControlAddresses(memberAddresses());
--- /dev/null
+++ b/src/test/java/org/yuccabank/agent/workflow/DirectiveOrderTest.java
@@ -0,0 +1,39 @@
+package org.yuccabank.agent.workflow;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import org.testng.annotations.Test;
+import org.yuccabank.protocol.generated.WorkerDirectives;
+
+/** Tests the order of directives and of the fencing tokens that they carry. */
+public final class DirectiveOrderTest {
+
+    private static WorkerDirectives directives(long term, long number, long fencingToken) {
+        return WorkerDirectives.newBuilder()
+                .setTerm(term)
+                .setNumber(number)
+                .setFencingToken(fencingToken)
+                .build();
+    }
+
+    /**
+     * Guards against a token that falls, so that a worker refuses all calls, and against one of 0
+     * beside a leader of an earlier release.
+     */
+    @Test
+    public void shouldNeverLowerFencingToken() {
+        DirectiveOrder order = new DirectiveOrder();
+        assertTrue(order.advance(directives(3, 0, 0)));
+        assertEquals(order.fencingToken(), 3);
+        assertTrue(order.advance(directives(4, 2, 400)));
+        assertEquals(order.fencingToken(), 400);
+        assertFalse(order.advance(directives(4, 1, 300)));
+        assertEquals(order.fencingToken(), 400);
+        assertTrue(order.advance(directives(5, 1, 0)));
+        assertEquals(order.fencingToken(), 400);
+        assertTrue(order.advance(directives(5, 2, 500)));
+        assertEquals(order.fencingToken(), 500);
+    }
+}
--- a/src/test/java/org/yuccabank/agent/workflow/RunTableTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/RunTableTest.java
@@ -66,6 +66,26 @@
         assertTrue(table.entries().isEmpty());
     }
 
+    /**
+     * Guards against acknowledging numbers that the worker has discarded, which would be those of
+     * unseen ends if the call reached its next incarnation.
+     */
+    @Test
+    public void shouldAcknowledgeOnlyWhileTheWorkerListsEnds() {
+        RunTable table = new RunTable();
+        table.addStart(START_REQUEST, false);
+        table.applyListing(List.of(), List.of(done(7)), 10);
+        assertEquals(table.numberToDiscard(), 0);
+        table.acknowledge(7);
+        assertEquals(table.numberToDiscard(), 7);
+        table.applyListing(List.of(), List.of(), 20);
+        assertEquals(table.numberToDiscard(), 0);
+        table.applyListing(List.of(), List.of(done(8)), 30);
+        assertEquals(table.numberToDiscard(), 7);
+        table.clear();
+        assertEquals(table.numberToDiscard(), 0);
+    }
+
     /**
      * Guards against list requests without a pause while the worker repeats an end that a busy
      * leader has not acknowledged. This caused 10 lists per second from 15 workers.
--- a/src/test/java/org/yuccabank/control/workflow/WorkerViewTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/WorkerViewTest.java
@@ -110,6 +110,28 @@
         assertEquals(view.checkpoint(run), "");
     }
 
+    /**
+     * Guards against calls for a former incarnation that a worker which starts again under its
+     * identifier takes for its own, also after a change of leader or an upgrade from tokens that
+     * were terms.
+     */
+    @Test
+    public void shouldRaiseFencingTokenWithIncarnationsAndTerms() {
+        WorkerView view = new WorkerView(incarnation(1), TERM);
+        view.update(incarnation(1), null, 0, LEASE);
+        long first = view.fencingToken();
+        assertTrue(first > TERM, "higher than the token of an earlier release");
+        view.update(incarnation(1), null, 100, LEASE);
+        assertEquals(view.fencingToken(), first);
+        view.update(incarnation(2), null, 200, LEASE);
+        long second = view.fencingToken();
+        assertTrue(second > first);
+        assertFalse(view.update(incarnation(1), null, 300, LEASE));
+        assertEquals(view.fencingToken(), second);
+        long incarnations = 1L << 40;
+        assertTrue(FencingToken.of(TERM + 1, 0) > FencingToken.of(TERM, incarnations));
+    }
+
     private static WorkerReport incarnation(long bornMillis) {
         return report(bornMillis)
                 .setWorker(WorkerIdentity.newBuilder().setHostId("h").setBornMillis(bornMillis))
--- a/src/test/java/org/yuccabank/platform/PlatformPathTest.java
+++ b/src/test/java/org/yuccabank/platform/PlatformPathTest.java
@@ -413,6 +413,56 @@
         assertFalse(minion.starts().contains("acacacacacacacac.0.0.0#2"), "started again");
     }
 
+    /** Runs tasks one after another, so that the worker has listed a number of ends. */
+    private void acknowledgeEnds(String prefix, int count) throws Exception {
+        for (int number = 0; number < count; number++) {
+            String workflowId = prefix + String.format("%08x", number);
+            submit(workflowId, 500);
+            awaitState(workflowId, "completed");
+        }
+        await(() -> minion.latestAcknowledgement() != null ? 1 : 0, 1);
+    }
+
+    private long startCount(String workflowId) {
+        return minion.starts().stream().filter(each -> each.startsWith(workflowId)).count();
+    }
+
+    /**
+     * Guards against a worker that starts again under its identifier and discards the ends of its
+     * runs unseen, because calls for its former incarnation acknowledge their numbers before it has
+     * announced itself. A task whose end is lost in this way runs twice once its lease is over.
+     */
+    @Test(dependsOnMethods = "shouldKeepWorkerDespiteReportsOfOtherWriters")
+    public void shouldNotAcknowledgeEndsOfNextIncarnationBeforeItsAnnouncement() throws Exception {
+        sendHeartbeat(2_000, 8_000);
+        acknowledgeEnds("b1b1b1b1", 5);
+        minion.restartProcess(3_000);
+        // The announcement of the new incarnation takes up to an interval.
+        Thread.sleep(900);
+        sendHeartbeat(3_000, 8_000);
+        submit("b2b2b2b2b2b2b2b2", 500);
+        awaitState("b2b2b2b2b2b2b2b2", "completed");
+        assertEquals(startCount("b2b2b2b2b2b2b2b2"), 1);
+    }
+
+    /**
+     * Guards against a worker that discards the ends of its runs unseen, because a call for its
+     * former incarnation is delivered after its own first one.
+     */
+    @Test(dependsOnMethods = "shouldNotAcknowledgeEndsOfNextIncarnationBeforeItsAnnouncement")
+    public void shouldFenceCallsForFormerIncarnation() throws Exception {
+        sendHeartbeat(3_000, 8_000);
+        acknowledgeEnds("b3b3b3b3", 5);
+        JsonFields late = minion.latestAcknowledgement();
+        minion.restartProcess(4_000);
+        sendHeartbeat(4_000, 8_000);
+        submit("b4b4b4b4b4b4b4b4", 500);
+        awaitState("b4b4b4b4b4b4b4b4", "completed");
+        minion.deliverAgain(late);
+        acknowledgeEnds("b5b5b5b5", 3);
+        assertEquals(startCount("b5b5b5b500000000"), 1);
+    }
+
     /**
      * Guards against an entry that stays unready, and out of rotation, although there is a leader.
      */
--- a/src/test/java/org/yuccabank/platform/StandInMinion.java
+++ b/src/test/java/org/yuccabank/platform/StandInMinion.java
@@ -18,13 +18,17 @@
 
 /**
  * A stand-in for the platform's minion: ends runs after a short time, numbers the ends and discards
- * them once they are acknowledged. Thread-safe.
+ * them once they are acknowledged. It discards later ends up to an acknowledged number, too, and
+ * does nothing for a lower fencing token than it has seen. A new incarnation has seen neither, and
+ * executes every call for its identifier, also one that was meant for an earlier incarnation.
+ * Thread-safe.
  */
 final class StandInMinion {
 
     static final String ID = "m-1";
 
     private static final long SHORT_RUN_MILLIS = 60;
+    private static final long DOWNTIME_MILLIS = 600;
 
     private volatile long born;
     private final Map<String, Long> running = new LinkedHashMap<>();
@@ -34,8 +38,12 @@
     private final List<String> droppedRuns = new CopyOnWriteArrayList<>();
     private final EventLoopGroup eventLoops = PeerTransport.eventLoopGroup("minion", 1);
     private final Sinks.Empty<Void> stopping = Sinks.empty();
-    private final DisposableServer server;
+    private final InetSocketAddress address;
+    private DisposableServer server;
     private long lastNumber;
+    private long acknowledgedNumber;
+    private long highestToken;
+    private JsonFields latestAcknowledgement;
     private volatile boolean answersStarts = true;
     private volatile boolean dropsNextStart;
     private volatile boolean dropsStarts;
@@ -44,6 +52,7 @@
 
     StandInMinion(InetSocketAddress address, long born) {
         this.born = born;
+        this.address = address;
         server = HttpServers.serve(address, eventLoops, this::handle);
     }
 
@@ -92,10 +101,35 @@
         running.clear();
         finished.clear();
         lastNumber = 0;
+        acknowledgedNumber = 0;
+        highestToken = 0;
         runMillis = SHORT_RUN_MILLIS;
         born = newBorn;
     }
 
+    /** Restarts like a process that is down for a while, which closes all connections. */
+    void restartProcess(long newBorn) throws InterruptedException {
+        HttpServers.stop(server, Duration.ofMillis(200));
+        Thread.sleep(DOWNTIME_MILLIS);
+        restart(newBorn);
+        server = HttpServers.serve(address, eventLoops, this::handle);
+    }
+
+    /** Returns the latest call that acknowledged ends. */
+    synchronized JsonFields latestAcknowledgement() {
+        return latestAcknowledgement;
+    }
+
+    /** Returns the highest fencing token that this incarnation has seen. */
+    synchronized long highestToken() {
+        return highestToken;
+    }
+
+    /** Executes a call again, as if it had been delivered late. */
+    void deliverAgain(JsonFields body) {
+        list(body);
+    }
+
     void stop() {
         stopping.tryEmitEmpty();
         server.disposeNow(Duration.ofSeconds(1));
@@ -113,6 +147,9 @@
             return Mono.just(HttpServers.Response.of(421, statusBody()));
         }
         JsonFields body = JsonFields.parse(request.body());
+        if (isFenced(body)) {
+            return Mono.just(HttpServers.Response.of(409, statusBody().put("reason", "fence")));
+        }
         return switch (request.path()) {
             case "/api/run-start" -> start(body);
             case "/api/run-stop" -> Mono.just(stop(body));
@@ -127,6 +164,13 @@
         return JsonFields.emptyObject().put("clock_ms", clock()).put("born", born);
     }
 
+    private synchronized boolean isFenced(JsonFields body) {
+        long token = body.nonNegativeLong("fencing_token");
+        boolean fenced = token < highestToken;
+        highestToken = Math.max(highestToken, token);
+        return fenced;
+    }
+
     private static String key(JsonFields body) {
         return body.requiredText("task") + "#" + body.nonNegativeLong("attempt");
     }
@@ -161,13 +205,20 @@
     }
 
     private synchronized HttpServers.Response list(JsonFields body) {
-        finished.keySet().removeIf(number -> number <= body.nonNegativeLong("ack_seq"));
+        if (isFenced(body)) {
+            return HttpServers.Response.of(409, statusBody().put("reason", "fence"));
+        }
+        if (body.nonNegativeLong("ack_seq") > 0) {
+            latestAcknowledgement = body;
+        }
+        acknowledgedNumber = Math.max(acknowledgedNumber, body.nonNegativeLong("ack_seq"));
         for (String key : new ArrayList<>(running.keySet())) {
             if (clock() - running.get(key) >= runMillis) {
                 running.remove(key);
                 finished.put(++lastNumber, key + " done");
             }
         }
+        finished.keySet().removeIf(number -> number <= acknowledgedNumber);
         ObjectNode listing = statusBody();
         ArrayNode active = listing.putArray("running");
         for (String key : running.keySet()) {
