Judge free capacity by the service of a workflow

Cause: the last resort for a best-effort step that no worker has headroom for asked whether the capacity of the whole fleet was mostly free. The share of each service was known and used for gangs only; both decisions use it now.

The new planner test fails before the change; it also holds that an idle service is no reason to disturb a busy one.

--- a/src/main/java/org/yuccabank/control/workflow/PlanningRound.java
+++ b/src/main/java/org/yuccabank/control/workflow/PlanningRound.java
@@ -30,8 +30,9 @@
 final class PlanningRound {
 
     /**
-     * Share of the capacity above which no workflow should wait for a worker with less
-     * interference. Less than a half, as runs that have just ended still count as reserved.
+     * Share of the capacity of a service above which none of its workflows should wait for a worker
+     * with less interference. Less than a half, as runs that have just ended still count as
+     * reserved.
      */
     private static final double MOSTLY_FREE_SHARE = 0.4;
 
@@ -47,7 +48,6 @@
     private final Map<String, WorkerIdentity> identities = new HashMap<>();
     private final CrashIsolation isolation;
     private final Set<String> runningWorkflowIds;
-    private final boolean mostlyFree;
     private final Set<String> mostlyFreeServices;
     private final long nowMillis;
     private final List<Assignment> plan = new ArrayList<>();
@@ -74,7 +74,6 @@
         this.isolation = isolation;
         workers.forEach(worker -> identities.put(worker.key(), worker.report().getWorker()));
         runningWorkflowIds = runningWorkflowIds(records);
-        mostlyFree = isMostlyFree(capacities);
         mostlyFreeServices =
                 capacities.stream()
                         .collect(Collectors.groupingBy(WorkerCapacity::service))
@@ -173,12 +172,18 @@
             // gang.
             return List.of();
         }
-        boolean mayInterfere = mostlyFree && !runningWorkflowIds.contains(step.workflowId());
+        boolean mayInterfere =
+                isServiceMostlyFree(step) && !runningWorkflowIds.contains(step.workflowId());
         return selected.isEmpty() && mayInterfere
                 ? lastResortSelector.reserve(step.representative(), 1, candidates)
                 : selected;
     }
 
+    /** Returns whether the service of a step is mostly free, however busy the others are. */
+    private boolean isServiceMostlyFree(StepCandidates step) {
+        return mostlyFreeServices.contains(step.representative().constraints().service());
+    }
+
     private boolean fits(StepCandidates step, int count, List<WorkerCapacity> candidates) {
         List<WorkerCapacity> copies = candidates.stream().map(WorkerCapacity::copy).toList();
         return selector.reserve(step.representative(), count, copies).size() == count;
@@ -190,8 +195,7 @@
      */
     private boolean mayHoldBack(StepCandidates step, int count) {
         WaitingTask task = step.representative();
-        boolean free = mostlyFreeServices.contains(task.constraints().service());
-        if (free && nowMillis % HOLD_PERIOD_MILLIS >= HOLD_PERIOD_MILLIS / 2) {
+        if (isServiceMostlyFree(step) && nowMillis % HOLD_PERIOD_MILLIS >= HOLD_PERIOD_MILLIS / 2) {
             return false;
         }
         int room = 0;
--- a/src/test/java/org/yuccabank/control/workflow/WorkflowPlannerTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/WorkflowPlannerTest.java
@@ -35,6 +35,7 @@
 import org.yuccabank.protocol.generated.WorkflowAddress;
 import org.yuccabank.protocol.generated.WorkflowCommand;
 import org.yuccabank.protocol.generated.WorkflowDefinition;
+import org.yuccabank.state.workflow.WorkflowFixtures;
 import org.yuccabank.state.workflow.WorkflowRecords;
 
 /** Tests the placement of tasks and admission control. */
@@ -113,12 +114,28 @@
         assertEquals(plan(new AvailableWorker(stopping, free.circuitState())).size(), 2);
     }
 
-    /**
-     * Guards against a workflow of which nothing runs although the fleet has ample room, because
-     * its tasks would disturb the serving tasks of every worker (review/3, seed 10).
-     */
-    @Test
-    public void shouldStartInterferingWorkflowWhileCapacityIsMostlyFree() {
+    /** Returns estimates by which each best-effort task disturbs each serving one too much. */
+    private static LearnedEstimates interferingEstimates() {
+        return new LearnedEstimates() {
+            @Override
+            public double runMillis(String queueName, String stepKey, long declared) {
+                return declared;
+            }
+
+            @Override
+            public Pressures pressures() {
+                return (servingImage, bestEffortImage) -> 2;
+            }
+
+            @Override
+            public Map<String, Double> pressureLimits(String workerId) {
+                return Map.of();
+            }
+        };
+    }
+
+    /** Lets eleven serving tasks run on the worker, and a best-effort workflow wait. */
+    private void waitBesideServingTasks() {
         records.apply(accept("web", step(11).setLasting(true).setImage("web")), NOW);
         RunAddress[] serving =
                 IntStream.range(0, 11)
@@ -126,31 +143,53 @@
                         .toArray(RunAddress[]::new);
         records.apply(assign(serving), NOW);
         records.apply(accept("filler", step(3).setImage("i").setOpportunistic(true)), NOW);
-        LearnedEstimates interfering =
-                new LearnedEstimates() {
-                    @Override
-                    public double runMillis(String queueName, String stepKey, long declared) {
-                        return declared;
-                    }
-
-                    @Override
-                    public Pressures pressures() {
-                        return (servingImage, bestEffortImage) -> 2;
-                    }
+    }
 
-                    @Override
-                    public Map<String, Double> pressureLimits(String workerId) {
-                        return Map.of();
-                    }
-                };
+    /**
+     * Guards against a workflow of which nothing runs although the fleet has ample room, because
+     * its tasks would disturb the serving tasks of every worker (review/3, seed 10).
+     */
+    @Test
+    public void shouldStartInterferingWorkflowWhileCapacityIsMostlyFree() {
+        waitBesideServingTasks();
         for (int cores : new int[] {20, 17}) {
             List<AvailableWorker> workers =
                     List.of(worker(cores, WorkerCircuitBreaker.State.CLOSED));
-            int planned = planner.plan(records, workers, interfering, false, NOW).size();
+            int planned = planner.plan(records, workers, interferingEstimates(), false, NOW).size();
             assertEquals(planned, cores == 20 ? 1 : 0, cores + " cores, 11 of them reserved");
         }
     }
 
+    /** Returns a worker of another service without free capacity, or one that is idle. */
+    private static AvailableWorker workerOfOtherService(int number, boolean idle) {
+        WorkerReport report =
+                worker(idle ? 20 : 0, WorkerCircuitBreaker.State.CLOSED).report().toBuilder()
+                        .setWorker(WorkflowFixtures.worker("other-" + number, 1))
+                        .setService("other")
+                        .build();
+        return new AvailableWorker(report, WorkerCircuitBreaker.State.CLOSED);
+    }
+
+    /**
+     * Guards against a workflow that waits beside free capacity of its service because another
+     * service is busy (review/8), and against one that disturbs a busy service because another one
+     * is free.
+     */
+    @Test
+    public void shouldJudgeFreeCapacityByServiceOfWorkflow() {
+        waitBesideServingTasks();
+        for (boolean free : new boolean[] {true, false}) {
+            List<AvailableWorker> workers =
+                    List.of(
+                            worker(free ? 20 : 17, WorkerCircuitBreaker.State.CLOSED),
+                            workerOfOtherService(1, !free),
+                            workerOfOtherService(2, !free),
+                            workerOfOtherService(3, !free));
+            int planned = planner.plan(records, workers, interferingEstimates(), false, NOW).size();
+            assertEquals(planned, free ? 1 : 0);
+        }
+    }
+
     /** Returns steps of which each depends on the three of the stage before. */
     private static StepDefinition.Builder[] stages(int count) {
         return IntStream.range(0, 3 * count)
