Count workflows as pending until a task has started

Cause: a workflow left the phase that was counted with its first assignment, also if the worker refused the start or did not receive it.

Counted is now every live workflow of which no task is known to have started: by the end of a run that had started, which is replicated, or by the list of its worker.

--- a/src/main/java/org/yuccabank/control/workflow/WorkerView.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkerView.java
@@ -241,6 +241,13 @@
         return runs;
     }
 
+    /** Returns whether the worker has listed a run as at work; a start under way is none. */
+    boolean isWorking(RunAddress run) {
+        ActiveRun reported = active.get(run);
+        return reported != null
+                && (reported.getPercent() > 0 || reported.getFigure() > 0 || reported.getStable());
+    }
+
     Set<RunAddress> activeRuns() {
         return active.keySet();
     }
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -135,6 +135,12 @@
         return state.records().workflows();
     }
 
+    /** Returns the view of an incarnation that is the latest to report from its host. */
+    Optional<WorkerView> view(WorkerIdentity worker) {
+        return Optional.ofNullable(workers.get(worker.getHostId()))
+                .filter(view -> view.worker().equals(worker));
+    }
+
     static long monotonicMillis() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
@@ -571,10 +577,8 @@
             return;
         }
         Set<WorkerIdentity> affected = new HashSet<>();
-        for (Assignment assignment : round.getAssignedList()) {
-            affected.add(assignment.getWorker());
-            runMonitor.recordAssignment(assignment);
-        }
+        round.getAssignedList().forEach(runMonitor::recordAssignment);
+        round.getAssignedList().forEach(each -> affected.add(each.getWorker()));
         for (EndedRun ended : round.getEndedList()) {
             pendingEnds.remove(ended.getRun());
             workers.values().forEach(view -> view.removeCheckpoint(ended.getRun()));
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowRequestHandler.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowRequestHandler.java
@@ -19,7 +19,6 @@
 import org.yuccabank.protocol.generated.QueueDefinition;
 import org.yuccabank.protocol.generated.WorkflowCommand;
 import org.yuccabank.protocol.generated.WorkflowDefinition;
-import org.yuccabank.protocol.generated.WorkflowPhase;
 import org.yuccabank.protocol.generated.WorkflowReply;
 import org.yuccabank.protocol.generated.WorkflowReply.Verdict;
 import org.yuccabank.protocol.generated.WorkflowRequest;
@@ -96,7 +95,7 @@
         if (match.get().workflowId().isEmpty()) {
             return reply(Verdict.ACCEPTED, "")
                     .setQueueAnswer(true)
-                    .setPending(queuedWorkflows(match.get().queue().getName()))
+                    .setPending(pendingWorkflows(match.get().queue().getName()))
                     .build();
         }
         return leader.records()
@@ -105,12 +104,8 @@
                 .orElseGet(() -> reply(Verdict.UNKNOWN_WORKFLOW, "no such workflow").build());
     }
 
-    private int queuedWorkflows(String queueName) {
-        return Math.toIntExact(
-                leader.records().liveWorkflows().stream()
-                        .filter(each -> each.queue().getName().equals(queueName))
-                        .filter(each -> each.phase() == WorkflowPhase.WORKFLOW_QUEUED)
-                        .count());
+    private int pendingWorkflows(String queueName) {
+        return PendingWorkflows.count(leader.records().liveWorkflows(), queueName, leader::view);
     }
 
     /**
--- a/src/main/java/org/yuccabank/state/workflow/Workflow.java
+++ b/src/main/java/org/yuccabank/state/workflow/Workflow.java
@@ -34,6 +34,7 @@
     private final long acceptedAtMillis;
     private final List<Occurrence> occurrences = new ArrayList<>();
     private WorkflowPhase phase = WorkflowPhase.WORKFLOW_QUEUED;
+    private boolean started;
     private long endedAtMillis;
 
     /** The tasks of one occurrence, by step and index. */
@@ -290,7 +291,22 @@
         return all;
     }
 
+    /**
+     * Returns whether the end of a run has shown that a task had started.
+     *
+     * @return false if no task has started, or if none that has started has ended
+     */
+    public boolean hasStarted() {
+        return started;
+    }
+
+    /** Records that a run has ended that had started. */
     void markStarted() {
+        started = true;
+    }
+
+    /** Records that a run was assigned. */
+    void markAssigned() {
         if (phase == WorkflowPhase.WORKFLOW_QUEUED) {
             phase = WorkflowPhase.WORKFLOW_ACTIVE;
         }
@@ -323,6 +339,7 @@
                         .setQueue(queue)
                         .setAcceptedAtMillis(acceptedAtMillis)
                         .setPhase(phase)
+                        .setStarted(started)
                         .setEndedAtMillis(endedAtMillis);
         for (WorkflowTask task : allTasks()) {
             if (task.latestAttempt() > 0) {
@@ -344,6 +361,7 @@
             }
         }
         workflow.phase = record.getPhase();
+        workflow.started = record.getStarted();
         workflow.endedAtMillis = record.getEndedAtMillis();
         return workflow;
     }
--- a/src/main/java/org/yuccabank/state/workflow/WorkflowRecords.java
+++ b/src/main/java/org/yuccabank/state/workflow/WorkflowRecords.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.Collections;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -47,6 +48,16 @@
     /** Crashes in log entries of older releases after which a task is given up in any case. */
     private static final int MAXIMUM_CRASHES = 3;
 
+    /** Endings that only a run can have that has started. */
+    private static final Set<RunEnding> STARTED_ENDINGS =
+            EnumSet.of(
+                    RunEnding.RUN_DONE,
+                    RunEnding.RUN_FAILED,
+                    RunEnding.RUN_STOPPED,
+                    RunEnding.RUN_LEASE_EXPIRED,
+                    RunEnding.RUN_MEMBER_ENDED,
+                    RunEnding.RUN_LEFT_ALONE);
+
     private final Map<String, Workflow> workflows = new LinkedHashMap<>();
     private final Map<String, Workflow> liveWorkflows = new LinkedHashMap<>();
     private final Map<String, QueueWork> queueWork = new HashMap<>();
@@ -255,6 +266,9 @@
             task.recordGangFailure();
         }
         Workflow workflow = task.workflow();
+        if (STARTED_ENDINGS.contains(ended.getEnding())) {
+            workflow.markStarted();
+        }
         if (success) {
             markDone(task, nowMillis);
         }
@@ -363,7 +377,7 @@
         found.ifPresent(
                 task -> {
                     task.assign(assignment.getRun().getAttempt(), assignment.getWorker());
-                    task.workflow().markStarted();
+                    task.workflow().markAssigned();
                     addOpenRun(task);
                 });
     }
--- a/src/test/java/org/yuccabank/state/workflow/WorkflowRecordsTest.java
+++ b/src/test/java/org/yuccabank/state/workflow/WorkflowRecordsTest.java
@@ -286,6 +286,24 @@
         assertEquals(records.toEarlyCancellations().size(), 1);
     }
 
+    /** Guards against taking an assignment that did not lead to a start for the start of a task. */
+    @Test
+    public void shouldCountOnlyRunsThatStarted() {
+        apply(accept("a", step(1)), assign(run("a", 0, 0, 1)));
+        apply(end(run("a", 0, 0, 1), RunEnding.RUN_NOT_STARTED), assign(run("a", 0, 0, 2)));
+        apply(end(run("a", 0, 0, 2), RunEnding.RUN_WORKER_LOST), assign(run("a", 0, 0, 3)));
+        assertFalse(records.workflow("a").orElseThrow().hasStarted());
+        apply(end(run("a", 0, 0, 3), RunEnding.RUN_STOPPED));
+        assertTrue(records.workflow("a").orElseThrow().hasStarted());
+        WorkflowRecords restored =
+                WorkflowRecords.of(
+                        FleetConfiguration.getDefaultInstance(),
+                        records.toRecords(),
+                        records.learned(),
+                        records.toEarlyCancellations());
+        assertTrue(restored.workflow("a").orElseThrow().hasStarted());
+    }
+
     /** Guards against two runs of one task at a time. */
     @Test
     public void shouldNotAssignTaskThatRuns() {
