Send no waiting start to a worker that drains

The state of the worker was checked only when a task was assigned.

The agent gives up such starts, so that their tasks are placed elsewhere, and stops runs whose start may have been received.

The new test of WorkflowAgentTest fails without the check.

--- a/src/main/java/org/yuccabank/agent/workflow/RunCalls.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunCalls.java
@@ -9,7 +9,8 @@
 /**
  * Sends the starts and stops of runs to the worker and follows up on their outcomes.
  *
- * <p>Invariants: no start exceeds the capacity that the worker has announced; at most one call of a
+ * <p>Invariants: no start exceeds the capacity that the worker has announced, and none is sent once
+ * the worker has announced that it drains, however long the start has waited; at most one call of a
  * run is in progress; the outcome of an unanswered call follows from the worker's list, never from
  * the answer to a later call. Confined to the agent's event loop.
  */
@@ -94,10 +95,14 @@
         }
     }
 
-    /** Sends the start of a run if it keeps to the capacity of the worker. */
+    /** Sends the start of a run if it keeps to the capacity of the worker, which must not drain. */
     private void tryStart(RunEntry entry) {
         long now = WorkflowAgent.nowMillis();
         WorkerAnnouncement announced = context.worker().orElseThrow();
+        if (announced.draining()) {
+            giveUpStart(entry, "the worker drains");
+            return;
+        }
         switch (StartAdmission.decide(
                 entry, runs.entries(), announced.capacity(), isAnnouncementCurrent(now))) {
             case ADMITTED -> sendStart(entry);
@@ -107,7 +112,7 @@
                             entry, "start waits until the free capacity is known");
                 }
             }
-            default -> onCapacityExceeded(entry);
+            default -> giveUpStart(entry, "the capacity of the worker has shrunk");
         }
     }
 
@@ -122,13 +127,14 @@
         return Math.max(sentAgo, now - context.announcedAtMillis()) <= maximumAnnouncementAgeMillis;
     }
 
-    private void onCapacityExceeded(RunEntry entry) {
-        WorkflowAgentLog.unsettledCall(entry, "start exceeds the capacity of the worker");
+    /** Gives up a start, or stops the run if the worker may have received an earlier start call. */
+    private void giveUpStart(RunEntry entry, String reason) {
+        WorkflowAgentLog.unsettledCall(entry, "start given up: " + reason);
         if (entry.isStartSent()) {
             entry.setStage(RunEntry.Stage.UNCERTAIN);
             sendStop(entry);
         } else {
-            entry.recordWithoutCapacity("the capacity of the worker has shrunk");
+            entry.recordWithoutCapacity(reason);
             context.requestReport();
         }
     }
--- a/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
@@ -241,6 +241,25 @@
         assertEquals(worker.starts, List.of());
     }
 
+    /**
+     * Guards against a start on a worker that drains, because the start had to wait while the
+     * worker did not answer (LateDrainStart of the second review).
+     */
+    @Test
+    public void shouldNotSendWaitingStartToDrainingWorker() {
+        assignWhileWorkerIsUnresponsive();
+        agent.announce(announcement("w", 1, 2, true)).block(TIMEOUT);
+        worker.answersLists = true;
+        await(
+                () ->
+                        leader.latest.getEndedList().stream()
+                                .anyMatch(
+                                        ended ->
+                                                ended.getEnding()
+                                                        == RunEnding.RUN_WITHOUT_CAPACITY));
+        assertEquals(worker.starts, List.of());
+    }
+
     private boolean isReportedAsNotStarted() {
         return leader.latest.getEndedList().stream()
                 .anyMatch(
