--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -504,7 +504,7 @@
                         shouldHoldBestEffort(available, nowMillis),
                         wallMillis);
         List<Assignment> assigned =
-                planned.subList(0, Math.min(planned.size(), MAXIMUM_ROUND_ENTRIES));
+                RoundLimit.firstRound(planned, MAXIMUM_ROUND_ENTRIES, records());
         List<String> expired = expiredWorkflows(wallMillis);
         if (ended.isEmpty() && assigned.isEmpty() && expired.isEmpty()) {
             return;
