--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgentLog.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgentLog.java
@@ -61,7 +61,7 @@
     }
 
     static void startSent(
-            RunEntry entry, WorkerAnnouncement target, long term, OptionalLong leaseEnd) {
+            RunEntry entry, WorkerAnnouncement target, long fencingToken, OptionalLong leaseEnd) {
         EventLog.information(
                 lines(entry),
                 Event.START_SENT,
@@ -69,8 +69,8 @@
                 format(entry.run()),
                 "worker",
                 format(target),
-                "term",
-                term,
+                "token",
+                fencingToken,
                 "leaseEnd",
                 leaseEnd.orElse(0));
     }
@@ -90,7 +90,7 @@
                 entry.stage());
     }
 
-    static void stopSent(RunEntry entry, WorkerAnnouncement target, long term) {
+    static void stopSent(RunEntry entry, WorkerAnnouncement target, long fencingToken) {
         EventLog.information(
                 lines(entry),
                 Event.STOP_SENT,
@@ -98,8 +98,8 @@
                 format(entry.run()),
                 "worker",
                 format(target),
-                "term",
-                term,
+                "token",
+                fencingToken,
                 "requested",
                 entry.isStopRequested(),
                 "stage",
