Log ends that are lost and starts that a later incarnation carries out

A run whose end was discarded unseen looked active at 0 %, a call for a former incarnation looked like a run found after a restart of the agent, and the leader acknowledged an end that it had recorded otherwise without a line.

- 629 END_MISSING: a list contains neither a run that has started nor its end.
- 630 ENDS_DISCARDED: the numbers of listed ends have a gap.
- 631 FORMER_START_EXECUTED: a worker that was born again runs what its agent has not started.
- 632 END_SUPERSEDED: a worker lists a run as done that the leader has ended otherwise.

No decision has changed.

--- a/src/main/java/org/yuccabank/agent/workflow/RunEntry.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunEntry.java
@@ -49,6 +49,7 @@
     private boolean startUncertain;
     private boolean sentByPreviousProcess;
     private OptionalLong confirmedAtMillis = OptionalLong.empty();
+    private boolean missing;
     private boolean startSent;
     private boolean deferred;
     private boolean callInProgress;
@@ -153,6 +154,22 @@
         }
     }
 
+    /**
+     * Records that a list contains neither the run nor its end.
+     *
+     * @param listRequestedMillis time at which the list was requested
+     * @return true if the run had started by then and this was not known to be missing before
+     */
+    boolean recordMissing(long listRequestedMillis) {
+        boolean newlyMissing =
+                !missing
+                        && stage != Stage.ENDED
+                        && confirmedAtMillis.isPresent()
+                        && confirmedAtMillis.getAsLong() < listRequestedMillis;
+        missing |= newlyMissing;
+        return newlyMissing;
+    }
+
     /**
      * Returns whether the run has lasted for longer than tasks that crash their worker do.
      *
--- a/src/main/java/org/yuccabank/agent/workflow/RunTable.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunTable.java
@@ -29,17 +29,28 @@
  */
 final class RunTable {
 
+    private static final String STOP_ORDER = "stop order";
+
     private final Map<RunAddress, RunEntry> entries = new LinkedHashMap<>();
     private final Map<PressureEstimates.ImagePair, Double> pressures = new HashMap<>();
     private long acknowledgedNumber;
     private long listedNumber;
     private long answeredMillis;
+    private final EndNumbers endNumbers = new EndNumbers();
+    private boolean bornAgain;
 
-    void clear() {
+    /**
+     * Begins with a new incarnation of the worker.
+     *
+     * @param newBornAgain whether it has the identifier of the incarnation before
+     */
+    void clear(boolean newBornAgain) {
         WorkflowAgentLog.dropped(entries.values());
         entries.clear();
         acknowledgedNumber = 0;
         listedNumber = 0;
+        endNumbers.reset();
+        bornAgain = newBornAgain;
     }
 
     Optional<RunEntry> entry(RunAddress run) {
@@ -108,7 +119,7 @@
      * still reach the worker.
      */
     RunEntry requestStop(RunAddress run) {
-        RunEntry entry = entryOrDiscovered(run, "stop order");
+        RunEntry entry = entryOrDiscovered(run, STOP_ORDER);
         entry.requestStop();
         return entry;
     }
@@ -122,6 +133,10 @@
     boolean applyListing(List<ActiveRun> active, List<EndedRun> ended, long requestedMillis) {
         boolean changed = false;
         listedNumber = ended.stream().mapToLong(EndedRun::getNumber).max().orElse(0);
+        long discarded = endNumbers.recordListed(ended);
+        if (discarded > 0) {
+            WorkflowAgentLog.endsDiscarded(discarded, ended, acknowledgedNumber);
+        }
         Set<RunAddress> listedRuns = new HashSet<>();
         for (ActiveRun each : active) {
             listedRuns.add(each.getRun());
@@ -145,6 +160,9 @@
             }
         }
         for (RunEntry entry : entries.values()) {
+            if (!listedRuns.contains(entry.run()) && entry.recordMissing(requestedMillis)) {
+                WorkflowAgentLog.endMissing(entry, acknowledgedNumber);
+            }
             if (!listedRuns.contains(entry.run()) && entry.isAbsenceConfirmed(requestedMillis)) {
                 WorkflowAgentLog.absenceConfirmed(entry, requestedMillis);
                 entry.recordNotStarted("absent after a stop");
@@ -159,6 +177,9 @@
         if (known != null) {
             return known;
         }
+        if (bornAgain && !source.equals(STOP_ORDER)) {
+            WorkflowAgentLog.startOfFormerIncarnation(run, source);
+        }
         WorkflowAgentLog.discovered(run, source);
         RunEntry entry = RunEntry.discovered(run);
         entries.put(run, entry);
--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -307,8 +307,11 @@
 
     private void onNewIncarnation(
             WorkerAnnouncement announcement, Optional<WorkerAnnouncement> previous) {
-        runs.clear();
-        lease.reset(nowMillis(), previous.filter(announcement::hasSameIdentifier).isPresent());
+        boolean bornAgain = previous.filter(announcement::hasSameIdentifier).isPresent();
+        if (previous.isPresent()) {
+            runs.clear(bornAgain);
+        }
+        lease.reset(nowMillis(), bornAgain);
         lease.sampleClock(announcement.clockMillis(), nowMillis());
         shutdown.reset();
         listedTerm = 0;
--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgentLog.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgentLog.java
@@ -1,6 +1,7 @@
 package org.yuccabank.agent.workflow;
 
 import java.util.Collection;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.yuccabank.event.Event;
@@ -153,6 +154,51 @@
                 entry.stage());
     }
 
+    /**
+     * Logs that the worker has discarded ends before any list contained them.
+     *
+     * @param count the number of ends
+     * @param listed the ends of the list that has the gap
+     */
+    static void endsDiscarded(long count, List<EndedRun> listed, long acknowledgedNumber) {
+        EventLog.warning(
+                Event.ENDS_DISCARDED,
+                "count",
+                count,
+                "firstNumber",
+                listed.get(0).getNumber(),
+                "lastNumber",
+                listed.get(listed.size() - 1).getNumber(),
+                "acknowledgedNumber",
+                acknowledgedNumber);
+    }
+
+    /** Logs that a list contains neither a run that has started nor its end. */
+    static void endMissing(RunEntry entry, long acknowledgedNumber) {
+        EventLog.warning(
+                lines(entry),
+                Event.END_MISSING,
+                "run",
+                format(entry.run()),
+                "stage",
+                entry.stage(),
+                "percent",
+                entry.listed().getPercent(),
+                "acknowledgedNumber",
+                acknowledgedNumber);
+    }
+
+    /** Logs a run that this agent has not started on an incarnation that was born again. */
+    static void startOfFormerIncarnation(RunAddress run, String source) {
+        EventLog.warning(
+                RequestLines.UNDECIDED,
+                Event.FORMER_START_EXECUTED,
+                "run",
+                format(run),
+                "source",
+                source);
+    }
+
     static void dropped(Collection<RunEntry> entries) {
         for (RunEntry entry : entries) {
             EventLog.information(
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -294,6 +294,7 @@
         if (valid.getListed()) {
             interferenceMonitor.update(valid, records(), nowMillis);
         }
+        log.superseded(valid, records());
         view.endsToRecord(records()).forEach(this::enqueueEnd);
         endEarlierIncarnations(view);
         // Planning examines every workflow, so a report without ends waits for the tick.
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLog.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLog.java
@@ -4,12 +4,14 @@
 import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.yuccabank.event.Event;
 import org.yuccabank.event.EventLog;
 import org.yuccabank.event.RequestLines;
@@ -34,7 +36,7 @@
  */
 final class WorkflowLog {
 
-    /** Tasks whose latest end is kept for the line of the next assignment. */
+    /** Tasks whose latest end is kept, and superseded ends that are not logged again. */
     private static final int MAXIMUM_REMEMBERED_ENDS = 20_000;
 
     /** Source of an end that the worker has listed with a number. */
@@ -50,13 +52,8 @@
 
     private final Map<String, ReceivedReport> latestReports = new HashMap<>();
     private final Map<RunEnding, Counter> ends = new HashMap<>();
-    private final Map<TaskAddress, String> previousEnds =
-            new LinkedHashMap<>() {
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<TaskAddress, String> eldest) {
-                    return size() > MAXIMUM_REMEMBERED_ENDS;
-                }
-            };
+    private final Map<TaskAddress, String> previousEnds = boundedMap();
+    private final Set<RunAddress> supersededEnds = Collections.newSetFromMap(boundedMap());
     private long term;
 
     WorkflowLog() {
@@ -75,6 +72,16 @@
         term = newTerm;
         latestReports.clear();
         previousEnds.clear();
+        supersededEnds.clear();
+    }
+
+    private static <K, V> Map<K, V> boundedMap() {
+        return new LinkedHashMap<>() {
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<K, V> eldest) {
+                return size() > MAXIMUM_REMEMBERED_ENDS;
+            }
+        };
     }
 
     /** Remembers a report that the leader has accepted. */
@@ -190,6 +197,43 @@
         EventLog.information(lines(end.getRun(), records), Event.RUN_ENDED, details.toArray());
     }
 
+    /** Logs the ends of a report that the leader has recorded otherwise, each once. */
+    void superseded(WorkerReport report, WorkflowRecords records) {
+        report.getEndedList().stream()
+                .filter(end -> end.getNumber() > 0 && end.getEnding() == RunEnding.RUN_DONE)
+                .forEach(end -> superseded(end, report.getWorker(), records));
+    }
+
+    private void superseded(EndedRun end, WorkerIdentity worker, WorkflowRecords records) {
+        RunAddress run = end.getRun();
+        Optional<WorkflowTask> task =
+                records.workflow(run.getTask().getWorkflowId())
+                        .flatMap(workflow -> workflow.task(run.getTask()))
+                        .filter(
+                                each ->
+                                        each.latestAttempt() > run.getAttempt()
+                                                || (each.isWaiting()
+                                                        && !each.workflow().isFinal()));
+        if (task.isEmpty() || !supersededEnds.add(run)) {
+            return;
+        }
+        EventLog.warning(
+                lines(run, records),
+                Event.END_SUPERSEDED,
+                "run",
+                format(run),
+                "worker",
+                format(worker),
+                "endNumber",
+                end.getNumber(),
+                "attempt",
+                task.get().latestAttempt(),
+                "previousEnd",
+                previousEnds.getOrDefault(run.getTask(), "of an earlier leader"),
+                "term",
+                term);
+    }
+
     private void assigned(Assignment assignment, WorkflowRecords records, long nowMillis) {
         RunAddress run = assignment.getRun();
         List<Object> details =
--- a/src/main/java/org/yuccabank/event/Event.java
+++ b/src/main/java/org/yuccabank/event/Event.java
@@ -108,6 +108,14 @@
     LEASE_END_PROMISED(627),
     /** A grant of the leader has ended the promise of a lease end. */
     LEASE_GRANT_RESUMED(628),
+    /** A list contains neither a run that has started nor its end. */
+    END_MISSING(629),
+    /** A worker has discarded ends before any list contained them. */
+    ENDS_DISCARDED(630),
+    /** An incarnation has started a run on a call that was meant for a former one. */
+    FORMER_START_EXECUTED(631),
+    /** A worker has listed the end of a run that the leader has ended otherwise. */
+    END_SUPERSEDED(632),
     /** A host announced itself. */
     HOST_JOINED(700),
     /** A host has not reported for the suspicion timeout. */
--- a/src/test/java/org/yuccabank/agent/workflow/CrashEvidenceTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/CrashEvidenceTest.java
@@ -70,7 +70,7 @@
         assertFalse(evidence.recordResponsive(false));
         assertEquals(evidence.latest(FIRST).orElseThrow().getSuspectsList(), List.of(run("a")));
         evidence.recordReplaced(FIRST, false);
-        table.clear();
+        table.clear(false);
         evidence.recordResponsive(true);
         assertEquals(evidence.latest(SECOND).orElseThrow().getWorker(), FIRST);
         assertEquals(evidence.latest(SECOND).orElseThrow().getSuspectsList(), List.of(run("a")));
--- a/src/test/java/org/yuccabank/agent/workflow/RunTableTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/RunTableTest.java
@@ -82,7 +82,7 @@
         assertEquals(table.numberToDiscard(), 0);
         table.applyListing(List.of(), List.of(done(8)), 30);
         assertEquals(table.numberToDiscard(), 7);
-        table.clear();
+        table.clear(false);
         assertEquals(table.numberToDiscard(), 0);
     }
 
