Show three ways in which a worker that is born again repeats tasks

- shouldNotAcknowledgeEndsOverConnectionThatOutlivesIncarnation: six starts of one task.
- shouldFenceStartsForFormerIncarnationWithoutLeader: a task that is done starts again.
- shouldStopRunOfFormerIncarnationWithoutLeader: a run that no agent has ordered on this incarnation is not stopped for 20 s, as only the leader orders it.

The stand-in answers a start of a run that was stopped or has ended there with a conflict, starts a run again in its next incarnation, keeps a start that it did not answer, so that a test can deliver it late, and can restart in place, so that connections live on.

--- a/src/test/java/org/yuccabank/platform/StandInMinion.java
+++ b/src/test/java/org/yuccabank/platform/StandInMinion.java
@@ -6,9 +6,12 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.yuccabank.protocol.PeerTransport;
@@ -36,6 +39,10 @@
     private final List<String> starts = new CopyOnWriteArrayList<>();
     private final List<Long> droppedAtMillis = new CopyOnWriteArrayList<>();
     private final List<String> droppedRuns = new CopyOnWriteArrayList<>();
+    private final Set<String> known = new HashSet<>();
+    private volatile JsonFields droppedStart;
+    private OptionalLong bornAfterNextEnds = OptionalLong.empty();
+    private volatile long listCount;
     private final EventLoopGroup eventLoops = PeerTransport.eventLoopGroup("minion", 1);
     private final Sinks.Empty<Void> stopping = Sinks.empty();
     private final InetSocketAddress address;
@@ -100,6 +107,8 @@
     synchronized void restart(long newBorn) {
         running.clear();
         finished.clear();
+        known.clear();
+        listCount = 0;
         lastNumber = 0;
         acknowledgedNumber = 0;
         highestToken = 0;
@@ -115,6 +124,36 @@
         server = HttpServers.serve(address, eventLoops, this::handle);
     }
 
+    /**
+     * Restarts in place, so that open connections live on, right after the answer to the next list
+     * with ends.
+     */
+    synchronized void restartAfterNextEnds(long newBorn) {
+        bornAfterNextEnds = OptionalLong.of(newBorn);
+    }
+
+    /** Returns whether a run is active. */
+    synchronized boolean isRunning(String run) {
+        return running.containsKey(run);
+    }
+
+    /** Returns the number of lists that this incarnation has answered. */
+    long listCount() {
+        return listCount;
+    }
+
+    /** Returns the latest start that was neither executed nor answered. */
+    JsonFields droppedStart() {
+        return droppedStart;
+    }
+
+    /** Carries out a start late. */
+    void deliverStart(JsonFields body) {
+        if (!isFenced(body)) {
+            start(body).subscribe();
+        }
+    }
+
     /** Returns the latest call that acknowledged ends. */
     synchronized JsonFields latestAcknowledgement() {
         return latestAcknowledgement;
@@ -180,13 +219,16 @@
             dropsNextStart = false;
             droppedAtMillis.add(clock());
             droppedRuns.add(key(body));
+            droppedStart = body;
             return unanswered();
         }
         lastStartMillis = clock();
         String key = key(body);
-        if (!starts.contains(key)) {
+        if (known.add(key)) {
             starts.add(key);
             running.put(key, clock());
+        } else if (!running.containsKey(key) && answersStarts) {
+            return Mono.just(HttpServers.Response.of(409, statusBody().put("reason", "old")));
         }
         return answersStarts ? Mono.just(HttpServers.Response.of(200, statusBody())) : unanswered();
     }
@@ -198,6 +240,7 @@
 
     private synchronized HttpServers.Response stop(JsonFields body) {
         String key = key(body);
+        known.add(key);
         if (running.remove(key) != null) {
             finished.put(++lastNumber, key + " stopped");
         }
@@ -219,6 +262,7 @@
             }
         }
         finished.keySet().removeIf(number -> number <= acknowledgedNumber);
+        listCount++;
         ObjectNode listing = statusBody();
         ArrayNode active = listing.putArray("running");
         for (String key : running.keySet()) {
@@ -236,6 +280,10 @@
                             .add(parts[2])
                             .add("");
                 });
+        if (!finished.isEmpty() && bornAfterNextEnds.isPresent()) {
+            restart(bornAfterNextEnds.getAsLong());
+            bornAfterNextEnds = OptionalLong.empty();
+        }
         return HttpServers.Response.of(200, listing);
     }
 }
