--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -281,7 +281,7 @@
             interferenceMonitor.remove(previous.getWorkerId());
         }
         WorkerIdentity current = view.worker();
-        log.reported(valid, nowMillis);
+        log.reported(valid, records(), nowMillis);
         for (ActiveRun active : valid.getActiveList()) {
             records()
                     .openRun(active.getRun())
@@ -294,7 +294,6 @@
         if (valid.getListed()) {
             interferenceMonitor.update(valid, records(), nowMillis);
         }
-        log.superseded(valid, records());
         view.endsToRecord(records()).forEach(this::enqueueEnd);
         endEarlierIncarnations(view);
         // Planning examines every workflow, so a report without ends waits for the tick.
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLog.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLog.java
@@ -84,9 +84,15 @@
         };
     }
 
-    /** Remembers a report that the leader has accepted. */
-    void reported(WorkerReport report, long nowMillis) {
+    /**
+     * Remembers a report that the leader has accepted, and logs the ends in it that the leader has
+     * recorded otherwise, each once.
+     */
+    void reported(WorkerReport report, WorkflowRecords records, long nowMillis) {
         latestReports.put(report.getHostId(), new ReceivedReport(report, nowMillis));
+        report.getEndedList().stream()
+                .filter(end -> end.getNumber() > 0 && end.getEnding() == RunEnding.RUN_DONE)
+                .forEach(end -> superseded(end, report.getWorker(), records));
     }
 
     /** Returns what happens to the lines of a workflow. */
@@ -197,13 +203,6 @@
         EventLog.information(lines(end.getRun(), records), Event.RUN_ENDED, details.toArray());
     }
 
-    /** Logs the ends of a report that the leader has recorded otherwise, each once. */
-    void superseded(WorkerReport report, WorkflowRecords records) {
-        report.getEndedList().stream()
-                .filter(end -> end.getNumber() > 0 && end.getEnding() == RunEnding.RUN_DONE)
-                .forEach(end -> superseded(end, report.getWorker(), records));
-    }
-
     private void superseded(EndedRun end, WorkerIdentity worker, WorkflowRecords records) {
         RunAddress run = end.getRun();
         Optional<WorkflowTask> task =
