Let the agent raise the fencing token when its worker is interrupted

Cause: only the leader raised the token with an incarnation, so that the next incarnation accepted calls for the former one until the leader had learned of it. An agent that is cut off from the leader soon after the rebirth learns the new token only when the cut is over.

The agent is the only one to call its worker, so it can raise the token itself: when a list is not answered or answered by another incarnation, and when it accepts a new incarnation. An agent whose killed process had raised the token is fenced and raises it until the worker accepts it. A start that was refused for a token that has been raised since is repeated.

--- a/src/main/java/org/yuccabank/agent/workflow/DirectiveOrder.java
+++ b/src/main/java/org/yuccabank/agent/workflow/DirectiveOrder.java
@@ -1,5 +1,6 @@
 package org.yuccabank.agent.workflow;
 
+import org.yuccabank.model.FencingToken;
 import org.yuccabank.protocol.generated.WorkerDirectives;
 import org.yuccabank.protocol.generated.WorkerReport;
 
@@ -21,11 +22,16 @@
         return term;
     }
 
-    /** Returns the highest fencing token, which the leader raises with each incarnation. */
+    /** Returns the highest fencing token of the leader, as raised by this process since. */
     long fencingToken() {
         return fencingToken;
     }
 
+    /** Raises the fencing token after an interruption; without effect before the first one. */
+    void raiseFencingToken() {
+        fencingToken = fencingToken == 0 ? 0 : FencingToken.raise(fencingToken);
+    }
+
     /** Returns the newest number of the term, 0 if the leader does not number its directives. */
     long number() {
         return number;
--- a/src/main/java/org/yuccabank/agent/workflow/RunCalls.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunCalls.java
@@ -147,16 +147,19 @@
         entry.setCallInProgress(true);
         entry.beginStart();
         WorkerAnnouncement target = context.worker().orElseThrow();
-        WorkflowAgentLog.startSent(entry, target, context.fencingToken(), leaseEnd);
+        long token = context.fencingToken();
+        WorkflowAgentLog.startSent(entry, target, token, leaseEnd);
         api.start(
                         target,
                         entry.startRequest().orElseThrow(),
-                        new WorkerApi.FencedLease(context.fencingToken(), leaseEnd))
-                .subscribe(outcome -> loop.execute(() -> onStartOutcome(entry, target, outcome)));
+                        new WorkerApi.FencedLease(token, leaseEnd))
+                .subscribe(
+                        outcome ->
+                                loop.execute(() -> onStartOutcome(entry, target, token, outcome)));
     }
 
     private void onStartOutcome(
-            RunEntry entry, WorkerAnnouncement target, WorkerApi.CallOutcome outcome) {
+            RunEntry entry, WorkerAnnouncement target, long token, WorkerApi.CallOutcome outcome) {
         entry.setCallInProgress(false);
         entry.endStart(outcome instanceof WorkerApi.CallOutcome.Unanswered);
         WorkflowAgentLog.startAnswered(entry, target, outcome);
@@ -166,9 +169,12 @@
         if (outcome instanceof WorkerApi.CallOutcome.Done) {
             entry.setStage(RunEntry.Stage.STARTED);
             runs.recordAnswer(List.of(entry.run()), WorkflowAgent.nowMillis());
-        } else if (outcome instanceof WorkerApi.CallOutcome.Refused refused) {
+        } else if (outcome instanceof WorkerApi.CallOutcome.Refused refused
+                && !(refused.refusal() == WorkerApi.Refusal.FENCED
+                        && token < context.fencingToken())) {
             onStartRefused(entry, refused.refusal());
         } else {
+            // A refusal of a token that has been raised since is repeated with the new one.
             onStartUnanswered(entry, outcome.toString());
         }
         advance(entry);
--- a/src/main/java/org/yuccabank/agent/workflow/WorkerApi.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkerApi.java
@@ -167,6 +167,16 @@
          */
         record Unavailable(String detail) implements ListOutcome {}
 
+        /**
+         * Another incarnation with the same identifier has answered.
+         *
+         * @param bornMillis its time of birth
+         */
+        record OtherIncarnation(long bornMillis) implements ListOutcome {}
+
+        /** The worker has received a call with a higher fencing token. */
+        record Fenced() implements ListOutcome {}
+
         /**
          * The host of the worker has refused the connection, as no process listens at its address.
          *
--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -309,6 +309,7 @@
             WorkerAnnouncement announcement, Optional<WorkerAnnouncement> previous) {
         boolean bornAgain = previous.filter(announcement::hasSameIdentifier).isPresent();
         if (previous.isPresent()) {
+            order.raiseFencingToken();
             runs.clear(bornAgain);
         }
         lease.reset(nowMillis(), bornAgain);
@@ -534,6 +535,16 @@
             onListUnavailable(identity, notListening.detail());
             return;
         }
+        if (outcome instanceof WorkerApi.ListOutcome.OtherIncarnation other) {
+            onListUnavailable(identity, "another incarnation answered, born " + other.bornMillis());
+            return;
+        }
+        if (outcome instanceof WorkerApi.ListOutcome.Fenced) {
+            // Only a former process of this agent may have used a higher token of this term.
+            order.raiseFencingToken();
+            onListUnavailable(identity, "fenced");
+            return;
+        }
         WorkerApi.ListOutcome.Listing listing = (WorkerApi.ListOutcome.Listing) outcome;
         long now = nowMillis();
         boolean firstOfTerm = listedTerm != requestTerm;
@@ -557,7 +568,11 @@
 
     private void onListUnavailable(WorkerIdentity identity, String detail) {
         lease.markUnresponsive();
-        if (crashEvidence.recordResponsive(false) || shutdown.isRequested()) {
+        boolean interrupted = crashEvidence.recordResponsive(false);
+        if (interrupted) {
+            order.raiseFencingToken();
+        }
+        if (interrupted || shutdown.isRequested()) {
             requestReport();
         }
         WorkflowAgentLog.unreachable(identity, detail);
--- a/src/main/java/org/yuccabank/control/workflow/WorkerView.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkerView.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.yuccabank.model.FencingToken;
 import org.yuccabank.policy.workflow.PressureEstimates;
 import org.yuccabank.protocol.PeerConnection;
 import org.yuccabank.protocol.generated.ActiveRun;
--- a/src/test/java/org/yuccabank/agent/workflow/DirectiveOrderTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/DirectiveOrderTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import org.testng.annotations.Test;
+import org.yuccabank.model.FencingToken;
 import org.yuccabank.protocol.generated.WorkerDirectives;
 
 /** Tests the order of directives and of the fencing tokens that they carry. */
@@ -18,6 +19,25 @@
                 .build();
     }
 
+    /**
+     * Guards against calls for a former incarnation that the worker accepts while the leader cannot
+     * be reached, and against a raised token that is lost with the next directives.
+     */
+    @Test
+    public void shouldKeepRaisedFencingToken() {
+        DirectiveOrder order = new DirectiveOrder();
+        order.raiseFencingToken();
+        assertEquals(order.fencingToken(), 0, "no leader is known");
+        long token = FencingToken.of(3, 1);
+        assertTrue(order.advance(directives(3, 1, token)));
+        order.raiseFencingToken();
+        assertEquals(order.fencingToken(), token + 1);
+        assertTrue(order.advance(directives(3, 2, token)));
+        assertEquals(order.fencingToken(), token + 1);
+        assertTrue(order.advance(directives(3, 3, FencingToken.of(3, 2))));
+        assertEquals(order.fencingToken(), FencingToken.of(3, 2));
+    }
+
     /**
      * Guards against a token that falls, so that a worker refuses all calls, and against one of 0
      * beside a leader of an earlier release.
--- a/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
@@ -99,6 +99,7 @@
         private final Set<Long> startedIncarnations = ConcurrentHashMap.newKeySet();
         private final List<RunAddress> stops = new CopyOnWriteArrayList<>();
         private volatile boolean answersLists = true;
+        private volatile long highestToken;
 
         private volatile Identification identification = Identification.CONFIRMED;
 
@@ -134,6 +135,9 @@
         @Override
         public Mono<ListOutcome> list(
                 WorkerAnnouncement target, FencedLease lease, long acknowledged, long waitMillis) {
+            if (lease.token() < highestToken) {
+                return Mono.just(new ListOutcome.Fenced());
+            }
             ListOutcome outcome =
                     answersLists
                             ? new ListOutcome.Listing(clockMillis(), listed, endedRuns)
@@ -223,6 +227,19 @@
         assertEquals(worker.starts, List.of(), "no lease can be sent");
     }
 
+    /**
+     * Guards against a worker that refuses all calls of a restarted agent, whose former process had
+     * raised the fencing token.
+     */
+    @Test
+    public void shouldRaiseFencingTokenUpToThatOfFormerProcess() {
+        agent.stop();
+        worker.highestToken = 3;
+        leader.latest = WorkerReport.getDefaultInstance();
+        agent = startAgent();
+        await(() -> leader.latest.getListed());
+    }
+
     private boolean isReportedActive() {
         return leader.latest.getActiveList().stream().map(ActiveRun::getRun).anyMatch(RUN::equals);
     }
--- a/src/test/java/org/yuccabank/control/workflow/WorkerViewTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/WorkerViewTest.java
@@ -6,6 +6,7 @@
 
 import java.util.List;
 import org.testng.annotations.Test;
+import org.yuccabank.model.FencingToken;
 import org.yuccabank.protocol.generated.ActiveRun;
 import org.yuccabank.protocol.generated.ImagePressure;
 import org.yuccabank.protocol.generated.RunAddress;
@@ -128,6 +129,11 @@
         assertTrue(second > first);
         assertFalse(view.update(incarnation(1), null, 300, LEASE));
         assertEquals(view.fencingToken(), second);
+        long interrupted = first;
+        for (int interruption = 0; interruption < 5_000; interruption++) {
+            interrupted = FencingToken.raise(interrupted);
+        }
+        assertTrue(interrupted > first && interrupted < second, "raised by the agent");
         long incarnations = 1L << 40;
         assertTrue(FencingToken.of(TERM + 1, 0) > FencingToken.of(TERM, incarnations));
     }
