Stop runs of a former incarnation without waiting for the leader

Cause: a start for the former incarnation can be carried out before the agent has reached the next one. The agent found the run in the list and only reported it; the leader orders the stop, and cannot while the agent is cut off.

An agent that has seen the former incarnation under the same identifier knows all runs that it has started on this one, so that any other can only come from a former call and is stopped at once. A restarted agent, which may find runs of its own former process, still asks the leader.

--- a/src/main/java/org/yuccabank/agent/workflow/RunTable.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunTable.java
@@ -140,8 +140,13 @@
         Set<RunAddress> listedRuns = new HashSet<>();
         for (ActiveRun each : active) {
             listedRuns.add(each.getRun());
+            boolean unknown = !entries.containsKey(each.getRun());
             RunEntry entry = entryOrDiscovered(each.getRun(), "active on the worker");
             entry.setListed(each);
+            if (unknown && bornAgain) {
+                // Only a call for a former incarnation can have started it.
+                entry.requestStop();
+            }
             if (entry.stage() == RunEntry.Stage.STARTING
                     || entry.stage() == RunEntry.Stage.UNCERTAIN) {
                 entry.setStage(RunEntry.Stage.STARTED);
--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -554,6 +554,7 @@
         lease.markResponsive();
         boolean changed = runs.applyListing(listing.active(), listing.ended(), requestedMillis);
         runs.recordAnswer(listing.active().stream().map(ActiveRun::getRun).toList(), now);
+        runs.entries().stream().filter(RunEntry::isStopRequested).forEach(calls::advance);
         boolean recovered = crashEvidence.recordResponsive(true);
         adjustSpeeds(target, now);
         if (changed || firstOfTerm || recovered) {
