Acknowledge ends only right after a list of the same incarnation

Cause: a list request waits for up to 450 ms, so that one is under way nearly always, also when the worker dies. It carried the lease and the number up to which the worker discards ends, over a connection on which the incarnation had answered once. Connections can outlive a process: a listener that is handed on, a proxy, requests that wait while a server starts. The next incarnation then discarded its own ends up to that number, and no agent saw them.

A list now changes nothing at the worker. Lease and acknowledgement go in a call of its own, which is answered at once and follows a list of the same incarnation directly, over a connection whose latest answer came from it. Numbers that the worker has discarded already are not sent again. An acknowledgement without an answer is logged (event 633).

--- a/src/main/java/org/yuccabank/agent/workflow/RunTable.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunTable.java
@@ -34,7 +34,7 @@
     private final Map<RunAddress, RunEntry> entries = new LinkedHashMap<>();
     private final Map<PressureEstimates.ImagePair, Double> pressures = new HashMap<>();
     private long acknowledgedNumber;
-    private long listedNumber;
+    private long lowestListedNumber;
     private long answeredMillis;
     private final EndNumbers endNumbers = new EndNumbers();
     private boolean bornAgain;
@@ -48,7 +48,7 @@
         WorkflowAgentLog.dropped(entries.values());
         entries.clear();
         acknowledgedNumber = 0;
-        listedNumber = 0;
+        lowestListedNumber = 0;
         endNumbers.reset();
         bornAgain = newBornAgain;
     }
@@ -132,7 +132,7 @@
      */
     boolean applyListing(List<ActiveRun> active, List<EndedRun> ended, long requestedMillis) {
         boolean changed = false;
-        listedNumber = ended.stream().mapToLong(EndedRun::getNumber).max().orElse(0);
+        lowestListedNumber = ended.stream().mapToLong(EndedRun::getNumber).min().orElse(0);
         long discarded = endNumbers.recordListed(ended);
         if (discarded > 0) {
             WorkflowAgentLog.endsDiscarded(discarded, ended, acknowledgedNumber);
@@ -228,12 +228,14 @@
     }
 
     /**
-     * Returns the number up to which the worker should discard ends, 0 if its latest list has none.
-     * A number that is not needed any more would only do harm if the call reached the next
-     * incarnation, whose numbers start again.
+     * Returns the number up to which the worker should discard ends, 0 if its latest list has none
+     * that the leader has acknowledged. A number that is not needed any more would only do harm if
+     * the call reached the next incarnation, whose numbers start again.
      */
     long numberToDiscard() {
-        return listedNumber == 0 ? 0 : acknowledgedNumber;
+        return lowestListedNumber > 0 && lowestListedNumber <= acknowledgedNumber
+                ? acknowledgedNumber
+                : 0;
     }
 
     List<ActiveRun> active() {
--- a/src/main/java/org/yuccabank/agent/workflow/WorkerApi.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkerApi.java
@@ -71,22 +71,29 @@
     Mono<CallOutcome> setSpeed(WorkerAnnouncement worker, RunAddress run, int percent, long token);
 
     /**
-     * Lists all runs, renews the lease and acknowledges ends. The lease and the acknowledgement are
-     * sent only over a connection on which this incarnation has answered before, as a worker that
-     * starts again under its identifier would take them for its own; over any other connection the
-     * call only lists.
+     * Lists all runs. Changes nothing at the worker, as the answer may take long and the worker may
+     * start again under its identifier meanwhile.
      *
      * @param worker the addressed incarnation
+     * @param token fencing token
+     * @param waitMillis maximum time for which the worker may delay the answer until a run ends
+     * @return the list, or the reason why it is unavailable
+     */
+    Mono<ListOutcome> list(WorkerAnnouncement worker, long token, long waitMillis);
+
+    /**
+     * Renews the lease, acknowledges ends and lists all runs, without delay. Lease and
+     * acknowledgement are sent only over a connection whose latest answer came from this
+     * incarnation, as the next one would take them for its own; over any other connection the call
+     * only lists.
+     *
+     * @param worker the addressed incarnation, which should just have answered a list
      * @param fencedLease fencing token and lease
      * @param acknowledgedNumber number up to which the worker may discard ends
-     * @param waitMillis maximum time for which the worker may delay the answer until a run ends
      * @return the list, or the reason why it is unavailable
      */
-    Mono<ListOutcome> list(
-            WorkerAnnouncement worker,
-            FencedLease fencedLease,
-            long acknowledgedNumber,
-            long waitMillis);
+    Mono<ListOutcome> renew(
+            WorkerAnnouncement worker, FencedLease fencedLease, long acknowledgedNumber);
 
     /**
      * Fencing token and lease of a call. The token orders the call relative to those of other
--- a/src/main/java/org/yuccabank/agent/workflow/WorkerLease.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkerLease.java
@@ -18,6 +18,9 @@
  */
 final class WorkerLease {
 
+    /** Renewals that extend the lease by less are left out; a list takes about as long. */
+    private static final long RENEWAL_INTERVAL_MILLIS = 400;
+
     private final LeaseDurations durations;
     private long clockMillis;
     private long sampledAtMillis;
@@ -106,23 +109,37 @@
         horizonEnd = OptionalLong.of(Math.max(end, horizonEnd.orElse(end)));
     }
 
+    /** Returns whether a renewal would extend the lease of the worker noticeably. */
+    boolean isRenewalDue(long nowMillis) {
+        OptionalLong end = renewableEnd(nowMillis);
+        return end.isPresent()
+                && (latestSentEnd.isEmpty()
+                        || end.getAsLong() - latestSentEnd.getAsLong() >= RENEWAL_INTERVAL_MILLIS);
+    }
+
+    /** Returns the lease end that can be sent, on the worker's clock, empty if there is none. */
+    private OptionalLong renewableEnd(long nowMillis) {
+        OptionalLong clock = workerClock(nowMillis);
+        if (!responsive || timeLeftPromised || clock.isEmpty() || horizonEnd.isEmpty()) {
+            return OptionalLong.empty();
+        }
+        long end = Math.min(clock.getAsLong() + durations.renewalMillis(), horizonEnd.getAsLong());
+        return end > clock.getAsLong() ? OptionalLong.of(end) : OptionalLong.empty();
+    }
+
     /**
      * Returns the lease end to send with the next call, on the worker's clock, and records it as
      * sent. Empty if no lease may be sent.
      */
     OptionalLong renew(long nowMillis) {
-        OptionalLong clock = workerClock(nowMillis);
-        if (!responsive || timeLeftPromised || clock.isEmpty() || horizonEnd.isEmpty()) {
-            return OptionalLong.empty();
-        }
-        long fullEnd = clock.getAsLong() + durations.renewalMillis();
-        long end = Math.min(fullEnd, horizonEnd.getAsLong());
-        if (end <= clock.getAsLong()) {
-            return OptionalLong.empty();
+        OptionalLong renewable = renewableEnd(nowMillis);
+        if (renewable.isPresent()) {
+            long end = renewable.getAsLong();
+            long fullEnd = workerClock(nowMillis).orElseThrow() + durations.renewalMillis();
+            coversPreviousLeases |= listReceived && end == fullEnd;
+            latestSentEnd = OptionalLong.of(Math.max(end, latestSentEnd.orElse(end)));
         }
-        coversPreviousLeases |= listReceived && end == fullEnd;
-        latestSentEnd = OptionalLong.of(Math.max(end, latestSentEnd.orElse(end)));
-        return OptionalLong.of(end);
+        return renewable;
     }
 
     /**
--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -41,21 +41,6 @@
     private static final long REPORT_INTERVAL_MILLIS = 600;
     private static final Duration REPORT_TIMEOUT = Duration.ofMillis(1_000);
 
-    /** Maximum time for which a worker with active runs delays a list until a run ends. */
-    private static final long LIST_WAIT_MILLIS = 450;
-
-    /**
-     * Pause after a list with ends that the leader has not acknowledged, as the worker answers each
-     * further list immediately with the same ends. The acknowledgement ends the pause.
-     */
-    private static final long UNACKNOWLEDGED_PAUSE_MILLIS = 100;
-
-    /** Delay before a failed list request is repeated. */
-    private static final long LIST_RETRY_MILLIS = 200;
-
-    /** Maximum age of a list that is reported as the current state of the worker. */
-    private static final long LIST_VALID_MILLIS = 1_500;
-
     private static final long REPORT_RETRY_MILLIS = 150;
 
     private final WorkflowAgentConfiguration configuration;
@@ -67,18 +52,14 @@
     private final RunTable runs = new RunTable();
     private final CrashEvidence crashEvidence = new CrashEvidence(runs::crash);
     private final RunCalls calls;
+    private final WorkerLists lists;
     private final BestEffortThrottle throttle = new BestEffortThrottle();
     private final List<MonoSink<Boolean>> waitingForLeader = new ArrayList<>();
     private final WorkerShutdown shutdown = new WorkerShutdown();
     private Optional<WorkerAnnouncement> worker = Optional.empty();
     private long announcedAtMillis;
     private final DirectiveOrder order = new DirectiveOrder();
-    private long listedTerm;
     private long reportedTerm;
-    private long listedAtMillis = Long.MIN_VALUE / 2;
-    private boolean listInProgress;
-    private boolean listRequested;
-    private boolean listsPaused;
     private final long reporterId = ThreadLocalRandom.current().nextLong();
     private long reportSequence;
     private boolean reportInProgress;
@@ -106,6 +87,7 @@
         loop = transport.eventLoop();
         leader = LeaderClient.of(transport, configuration.controlAddresses(), this::onMessage);
         lease = new WorkerLease(configuration.lease());
+        lists = new WorkerLists(api, loop, order, runs, lease, listContext());
         calls =
                 new RunCalls(
                         api,
@@ -147,6 +129,7 @@
     /** Stops the agent. The worker's lease expires unless another agent process takes over. */
     public void stop() {
         stopped = true;
+        lists.stop();
         leader.stop();
         transport.stop();
         EventLog.information(Event.ROLE_STOPPED, "role", "agent");
@@ -180,7 +163,7 @@
 
             @Override
             public void requestList() {
-                WorkflowAgent.this.requestList();
+                lists.request();
             }
         };
     }
@@ -315,16 +298,15 @@
         lease.reset(nowMillis(), bornAgain);
         lease.sampleClock(announcement.clockMillis(), nowMillis());
         shutdown.reset();
-        listedTerm = 0;
-        listedAtMillis = Long.MIN_VALUE / 2;
+        lists.reset();
         WorkflowAgentLog.joined(announcement.identity());
         requestReport();
-        requestList();
+        lists.request();
     }
 
     private void tick() {
         requestReport();
-        requestList();
+        lists.request();
         runs.entries().stream()
                 .filter(
                         entry ->
@@ -412,14 +394,14 @@
 
     private WorkerReport report(long now) {
         WorkerAnnouncement announced = worker.orElseThrow();
-        boolean listed = listedTerm > 0 && now - listedAtMillis < LIST_VALID_MILLIS;
+        boolean listed = lists.isCurrent(now);
         WorkerReport.Builder report =
                 announced
                         .toReport(configuration.hostId())
                         .setLeaving(shutdown.isRequested())
                         .setWorkerPresent(listed)
                         .setListed(listed)
-                        .setTerm(listedTerm)
+                        .setTerm(lists.listedTerm())
                         .setSequence(++reportSequence)
                         .setReporterId(reporterId)
                         .setKnownTerm(order.term())
@@ -428,9 +410,9 @@
         if (listed) {
             report.addAllActive(runs.active());
         }
-        if (listedTerm != reportedTerm) {
+        if (lists.listedTerm() != reportedTerm) {
             report.addAllPressures(runs.knownPressures());
-            reportedTerm = listedTerm;
+            reportedTerm = lists.listedTerm();
         }
         crashEvidence.latest(announced.identity()).ifPresent(report::setCrash);
         lease.promiseTimeLeft(now).ifPresent(report::setLeaseLeftMillis);
@@ -455,14 +437,12 @@
         }
         if (order.fencingToken() > previousToken) {
             // The worker fences calls of former leaders and for former incarnations from then on.
-            requestList();
+            lists.request();
         }
         leader.updateMembers(directives.getControlAddressesList());
         runs.acknowledge(directives.getAcknowledgedNumber());
         runs.removeSettled(directives.getSettledList());
-        if (listsPaused && !runs.hasUnacknowledgedEnds()) {
-            resumeLists();
-        }
+        lists.resumeIfAcknowledged();
         runs.updatePressures(directives.getPressuresList());
         // The size of every run has to be known before the first start is checked against the
         // capacity.
@@ -482,74 +462,35 @@
 
     // Lists
 
-    private void requestList() {
-        listRequested = true;
-        if (!listInProgress && worker.isPresent() && order.term() > 0 && !stopped) {
-            sendList();
-        }
-    }
+    private WorkerLists.Context listContext() {
+        return new WorkerLists.Context() {
+            @Override
+            public Optional<WorkerAnnouncement> worker() {
+                return worker;
+            }
 
-    private void sendList() {
-        listInProgress = true;
-        listsPaused = false;
-        boolean immediate =
-                (listRequested && listedTerm != order.term()) || runs.isAbsenceExpected();
-        listRequested = false;
-        long requestedMillis = nowMillis();
-        long requestTerm = order.term();
-        WorkerAnnouncement target = worker.orElseThrow();
-        WorkerApi.FencedLease fencedLease =
-                new WorkerApi.FencedLease(order.fencingToken(), lease.renew(requestedMillis));
-        api.list(target, fencedLease, runs.numberToDiscard(), immediate ? 0 : LIST_WAIT_MILLIS)
-                .subscribe(
-                        outcome ->
-                                loop.execute(
-                                        () ->
-                                                onListOutcome(
-                                                        outcome,
-                                                        target,
-                                                        requestTerm,
-                                                        requestedMillis)));
+            @Override
+            public void onListing(
+                    WorkerAnnouncement target,
+                    WorkerApi.ListOutcome.Listing listing,
+                    long requestedMillis,
+                    boolean firstOfTerm) {
+                applyListing(target, listing, requestedMillis, firstOfTerm);
+            }
+
+            @Override
+            public void onUnavailable(WorkerIdentity identity, WorkerApi.ListOutcome outcome) {
+                recordUnavailable(identity, outcome);
+            }
+        };
     }
 
-    private void onListOutcome(
-            WorkerApi.ListOutcome outcome,
+    private void applyListing(
             WorkerAnnouncement target,
-            long requestTerm,
-            long requestedMillis) {
-        listInProgress = false;
-        WorkerIdentity identity = target.identity();
-        boolean current = worker.map(each -> each.identity().equals(identity)).orElse(false);
-        if (!current || requestTerm != order.term()) {
-            requestList();
-            return;
-        }
-        if (outcome instanceof WorkerApi.ListOutcome.Unavailable unavailable) {
-            onListUnavailable(identity, unavailable.detail());
-            return;
-        }
-        if (outcome instanceof WorkerApi.ListOutcome.NotListening notListening) {
-            if (shutdown.isRequested()) {
-                lease.markEnded();
-            }
-            onListUnavailable(identity, notListening.detail());
-            return;
-        }
-        if (outcome instanceof WorkerApi.ListOutcome.OtherIncarnation other) {
-            onListUnavailable(identity, "another incarnation answered, born " + other.bornMillis());
-            return;
-        }
-        if (outcome instanceof WorkerApi.ListOutcome.Fenced) {
-            // Only a former process of this agent may have used a higher token of this term.
-            order.raiseFencingToken();
-            onListUnavailable(identity, "fenced");
-            return;
-        }
-        WorkerApi.ListOutcome.Listing listing = (WorkerApi.ListOutcome.Listing) outcome;
+            WorkerApi.ListOutcome.Listing listing,
+            long requestedMillis,
+            boolean firstOfTerm) {
         long now = nowMillis();
-        boolean firstOfTerm = listedTerm != requestTerm;
-        listedTerm = requestTerm;
-        listedAtMillis = now;
         lease.sampleClock(listing.clockMillis(), now);
         lease.markResponsive();
         boolean changed = runs.applyListing(listing.active(), listing.ended(), requestedMillis);
@@ -560,38 +501,22 @@
         if (changed || firstOfTerm || recovered) {
             requestReport();
         }
-        if (runs.hasUnacknowledgedEnds()) {
-            pauseLists();
-        } else {
-            requestList();
-        }
     }
 
-    private void onListUnavailable(WorkerIdentity identity, String detail) {
+    private void recordUnavailable(WorkerIdentity identity, WorkerApi.ListOutcome outcome) {
+        if (outcome instanceof WorkerApi.ListOutcome.NotListening && shutdown.isRequested()) {
+            lease.markEnded();
+        }
         lease.markUnresponsive();
         boolean interrupted = crashEvidence.recordResponsive(false);
-        if (interrupted) {
+        // Only a former process of this agent can have used a higher token of this term.
+        if (interrupted || outcome instanceof WorkerApi.ListOutcome.Fenced) {
             order.raiseFencingToken();
         }
         if (interrupted || shutdown.isRequested()) {
             requestReport();
         }
-        WorkflowAgentLog.unreachable(identity, detail);
-        var unused = loop.schedule(this::requestList, LIST_RETRY_MILLIS, TimeUnit.MILLISECONDS);
-    }
-
-    private void pauseLists() {
-        listsPaused = true;
-        var unused =
-                loop.schedule(
-                        this::resumeLists, UNACKNOWLEDGED_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
-    }
-
-    private void resumeLists() {
-        if (listsPaused) {
-            listsPaused = false;
-            requestList();
-        }
+        WorkflowAgentLog.unreachable(identity, outcome);
     }
 
     private void adjustSpeeds(WorkerAnnouncement target, long now) {
--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgentLog.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgentLog.java
@@ -38,9 +38,22 @@
                 identification);
     }
 
-    static void unreachable(WorkerIdentity worker, String detail) {
+    static void unreachable(WorkerIdentity worker, WorkerApi.ListOutcome outcome) {
         EventLog.warning(
-                Event.WORKER_UNREACHABLE, "worker", worker.getWorkerId(), "detail", detail);
+                Event.WORKER_UNREACHABLE, "worker", worker.getWorkerId(), "detail", outcome);
+    }
+
+    /** Logs that it is unknown which incarnation, if any, has discarded acknowledged ends. */
+    static void acknowledgementUnsettled(
+            WorkerAnnouncement target, long number, WorkerApi.ListOutcome outcome) {
+        EventLog.warning(
+                Event.ACKNOWLEDGEMENT_UNSETTLED,
+                "worker",
+                format(target),
+                "number",
+                number,
+                "detail",
+                outcome);
     }
 
     static void unsettledCall(RunEntry entry, String detail) {
--- a/src/main/java/org/yuccabank/event/Event.java
+++ b/src/main/java/org/yuccabank/event/Event.java
@@ -116,6 +116,8 @@
     FORMER_START_EXECUTED(631),
     /** A worker has listed the end of a run that the leader has ended otherwise. */
     END_SUPERSEDED(632),
+    /** An acknowledgement of ends was not answered by the incarnation that it was meant for. */
+    ACKNOWLEDGEMENT_UNSETTLED(633),
     /** A host announced itself. */
     HOST_JOINED(700),
     /** A host has not reported for the suspicion timeout. */
--- a/src/test/java/org/yuccabank/platform/StandInMinion.java
+++ b/src/test/java/org/yuccabank/platform/StandInMinion.java
@@ -137,6 +137,11 @@
         return running.containsKey(run);
     }
 
+    /** Returns whether there are ends that have not been acknowledged. */
+    synchronized boolean hasEnds() {
+        return !finished.isEmpty();
+    }
+
     /** Returns the number of lists that this incarnation has answered. */
     long listCount() {
         return listCount;
--- a/src/test/java/org/yuccabank/platform/WorkerRebirthTest.java
+++ b/src/test/java/org/yuccabank/platform/WorkerRebirthTest.java
@@ -49,6 +49,7 @@
     @Test
     public void shouldNotAcknowledgeEndsOverConnectionThatOutlivesIncarnation() throws Exception {
         acknowledgeEnds("c1c1c1c1", 3);
+        await(() -> minion.hasEnds() ? 1 : 0, 0);
         announcement = "";
         minion.restartAfterNextEnds(++born);
         submit("c2c2c2c2c2c2c2c2", 500);
