Repeat an unanswered start only once the worker has confirmed its incarnation

What callers could see: a task starts on a worker that was born again, on a call that was meant for its former incarnation, up to an announcement interval before the agent learns of the rebirth.

Cause: a start without an answer was repeated at once, at whichever incarnation listens, and an answer of another incarnation counted as the start of the run.

The worker is asked for its identity first, and the start waits until it confirms it.

--- a/src/main/java/org/yuccabank/agent/workflow/RunCalls.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunCalls.java
@@ -79,6 +79,8 @@
             case STARTING -> {
                 if (entry.isStopRequested()) {
                     sendStop(entry);
+                } else if (entry.isIdentificationRequired()) {
+                    identify(entry);
                 } else {
                     tryStart(entry);
                 }
@@ -174,12 +176,43 @@
                         && token < context.fencingToken())) {
             onStartRefused(entry, refused.refusal());
         } else {
-            // A refusal of a token that has been raised since is repeated with the new one.
+            // A call whose token has been raised since is repeated with the new one.
             onStartUnanswered(entry, outcome.toString());
         }
         advance(entry);
     }
 
+    /**
+     * Repeats a start once the worker has confirmed that it is still the same incarnation. The next
+     * one would carry it out as if it were meant for it.
+     */
+    private void identify(RunEntry entry) {
+        WorkerAnnouncement target = context.worker().orElseThrow();
+        entry.setCallInProgress(true);
+        api.identify(target, context.fencingToken())
+                .subscribe(
+                        identification ->
+                                loop.execute(() -> onIdentified(entry, target, identification)));
+    }
+
+    private void onIdentified(
+            RunEntry entry, WorkerAnnouncement target, WorkerApi.Identification identification) {
+        entry.setCallInProgress(false);
+        if (!isCurrent(entry, target)) {
+            return;
+        }
+        if (identification == WorkerApi.Identification.CONFIRMED) {
+            entry.requireIdentification(false);
+            advance(entry);
+        } else {
+            scheduleAdvance(entry);
+        }
+    }
+
+    private void scheduleAdvance(RunEntry entry) {
+        var unused = loop.schedule(() -> advance(entry), CALL_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     private boolean isCurrent(RunEntry entry, WorkerAnnouncement target) {
         boolean sameWorker =
                 context.worker()
@@ -191,11 +224,7 @@
     private void onStartRefused(RunEntry entry, WorkerApi.Refusal refusal) {
         WorkflowAgentLog.unsettledCall(entry, "start refused: " + refusal);
         switch (refusal) {
-            case LATE -> {
-                var unused =
-                        loop.schedule(
-                                () -> advance(entry), CALL_RETRY_MILLIS, TimeUnit.MILLISECONDS);
-            }
+            case LATE -> scheduleAdvance(entry);
             case OUTDATED -> entry.awaitAbsence(WorkflowAgent.nowMillis());
             case OTHER_INCARNATION -> recordRefused(entry, refusal);
             default -> {
@@ -215,6 +244,7 @@
 
     private void onStartUnanswered(RunEntry entry, String detail) {
         WorkflowAgentLog.unsettledCall(entry, "start not answered: " + detail);
+        entry.requireIdentification(true);
         if (entry.countStartAttempt() >= MAXIMUM_START_ATTEMPTS) {
             entry.setStage(RunEntry.Stage.UNCERTAIN);
         }
--- a/src/main/java/org/yuccabank/agent/workflow/RunEntry.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunEntry.java
@@ -47,6 +47,7 @@
     private int startAttempts;
     private boolean startInProgress;
     private boolean startUncertain;
+    private boolean identificationRequired;
     private boolean sentByPreviousProcess;
     private OptionalLong confirmedAtMillis = OptionalLong.empty();
     private boolean missing;
@@ -200,6 +201,15 @@
         return startUncertain || sentByPreviousProcess;
     }
 
+    /** Sets whether the worker has to confirm its incarnation before the next start call. */
+    void requireIdentification(boolean required) {
+        identificationRequired = required;
+    }
+
+    boolean isIdentificationRequired() {
+        return identificationRequired;
+    }
+
     int countStartAttempt() {
         return ++startAttempts;
     }
--- a/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
@@ -245,6 +245,22 @@
         await(() -> leader.latest.getListed());
     }
 
+    /**
+     * Guards against a start that is repeated at the next incarnation, before it has announced
+     * itself, because the former one has not answered it.
+     */
+    @Test
+    public void shouldNotRepeatStartBeforeWorkerHasConfirmedItsIncarnation() {
+        worker.identification = Identification.DENIED;
+        leader.assigned = true;
+        await(() -> worker.starts.size() == 1);
+        long sequence = leader.latest.getSequence();
+        await(() -> leader.latest.getSequence() > sequence + 1);
+        assertEquals(worker.starts.size(), 1);
+        worker.identification = Identification.CONFIRMED;
+        await(() -> worker.starts.size() > 1);
+    }
+
     private boolean isReportedActive() {
         return leader.latest.getActiveList().stream().map(ActiveRun::getRun).anyMatch(RUN::equals);
     }
