Report a run that has started and is missing as ended, not as not started

Callers saw a task that was done start again, in the worst case several times, each time with "absent after a stop" as the reason in the log.

A list that is requested after a confirmed stop and does not contain a run proves that it does not run. The agent took it for proof that it had never started, also if the worker had confirmed the start or listed the run before. A run whose end was lost looked active without progress for 2 to 3 s, was stopped, and its worker got the blame.

The agent now reports RUN_OUTCOME_UNKNOWN as soon as a list that was requested after the worker had confirmed a run contains neither it nor its end. No stop is needed: the worker refuses a run that has ended on it. A repeated start that is refused as outdated confirms that the unanswered one was carried out.

The leader starts the task again from the latest checkpoint that the agent has seen, as after the loss of a worker: it counts as no failed attempt and as no failure of the worker, and as a start of the workflow. To leave the task would lose the job for certain; to start it again repeats it only if the lost end was a success. So losing ends has to be prevented elsewhere.

--- a/src/main/java/org/yuccabank/agent/workflow/RunCalls.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunCalls.java
@@ -190,7 +190,7 @@
                         loop.schedule(
                                 () -> advance(entry), CALL_RETRY_MILLIS, TimeUnit.MILLISECONDS);
             }
-            case OUTDATED -> entry.awaitAbsence(WorkflowAgent.nowMillis());
+            case OUTDATED -> entry.recordOutdated(WorkflowAgent.nowMillis());
             case OTHER_INCARNATION -> recordRefused(entry, refusal);
             default -> {
                 if (entry.isStartUncertain()) {
--- a/src/main/java/org/yuccabank/agent/workflow/RunEntry.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunEntry.java
@@ -49,7 +49,6 @@
     private boolean startUncertain;
     private boolean sentByPreviousProcess;
     private OptionalLong confirmedAtMillis = OptionalLong.empty();
-    private boolean missing;
     private boolean startSent;
     private boolean deferred;
     private boolean callInProgress;
@@ -111,7 +110,8 @@
 
     /**
      * Enters {@link Stage#AWAITING_ABSENCE}. If a list requested after the given time does not
-     * contain the run, it has not started and never will.
+     * contain the run, it will never start; it has not started before unless the worker has
+     * confirmed it.
      */
     void awaitAbsence(long nowMillis) {
         stage = Stage.AWAITING_ABSENCE;
@@ -123,8 +123,25 @@
         return absenceCheckedFromMillis;
     }
 
+    /**
+     * Records that the worker has refused the start because the run, or a later one of its task,
+     * existed before or was stopped. If an earlier start call was not answered, it was carried out.
+     */
+    void recordOutdated(long nowMillis) {
+        if (startUncertain) {
+            recordConfirmed(nowMillis);
+        }
+        awaitAbsence(nowMillis);
+    }
+
+    /**
+     * Returns whether a list that does not contain the run proves that it has not started. The
+     * absence of a run that the worker has confirmed proves only that it has ended.
+     */
     boolean isAbsenceConfirmed(long listRequestedMillis) {
-        return stage == Stage.AWAITING_ABSENCE && listRequestedMillis > absenceCheckedFromMillis;
+        return stage == Stage.AWAITING_ABSENCE
+                && confirmedAtMillis.isEmpty()
+                && listRequestedMillis > absenceCheckedFromMillis;
     }
 
     /**
@@ -155,19 +172,15 @@
     }
 
     /**
-     * Records that a list contains neither the run nor its end.
+     * Returns whether a list that contains neither the run nor its end proves that it has ended in
+     * a way that is no longer known.
      *
      * @param listRequestedMillis time at which the list was requested
-     * @return true if the run had started by then and this was not known to be missing before
      */
-    boolean recordMissing(long listRequestedMillis) {
-        boolean newlyMissing =
-                !missing
-                        && stage != Stage.ENDED
-                        && confirmedAtMillis.isPresent()
-                        && confirmedAtMillis.getAsLong() < listRequestedMillis;
-        missing |= newlyMissing;
-        return newlyMissing;
+    boolean isEndMissing(long listRequestedMillis) {
+        return stage != Stage.ENDED
+                && confirmedAtMillis.isPresent()
+                && confirmedAtMillis.getAsLong() < listRequestedMillis;
     }
 
     /**
@@ -307,8 +320,19 @@
         recordUnnumberedEnd(RunEnding.RUN_WITHOUT_CAPACITY, reason);
     }
 
+    void recordOutcomeUnknown(String reason) {
+        recordUnnumberedEnd(RunEnding.RUN_OUTCOME_UNKNOWN, reason);
+    }
+
+    /** Records an end that the agent concludes, with the latest checkpoint that was listed. */
     private void recordUnnumberedEnd(RunEnding ending, String reason) {
-        recordEnd(EndedRun.newBuilder().setRun(run).setEnding(ending).setReason(reason).build());
+        recordEnd(
+                EndedRun.newBuilder()
+                        .setRun(run)
+                        .setEnding(ending)
+                        .setCheckpoint(listed.getCheckpoint())
+                        .setReason(reason)
+                        .build());
     }
 
     Optional<EndedRun> end() {
--- a/src/main/java/org/yuccabank/agent/workflow/RunTable.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunTable.java
@@ -23,9 +23,10 @@
 /**
  * The runs of one incarnation of a worker.
  *
- * <p>Invariants: an end is kept until the leader acknowledges or settles it; a run is reported as
- * not started only if the worker refused its only start call, or if it was absent from a list that
- * was requested after the worker had confirmed its stop. Confined to the agent's event loop.
+ * <p>Invariants: an end is kept until the leader acknowledges or settles it; a run that the worker
+ * has confirmed is never reported as not started, only as ended; any other one is reported as not
+ * started only if the worker refused its only start call, or if it was absent from a list that was
+ * requested after the worker had confirmed its stop. Confined to the agent's event loop.
  */
 final class RunTable {
 
@@ -128,7 +129,7 @@
      * Applies a list of the worker's runs.
      *
      * @param requestedMillis time at which the list was requested
-     * @return true if a run has ended or is now known not to have started
+     * @return true if a run has ended, in whatever way, or is now known not to have started
      */
     boolean applyListing(List<ActiveRun> active, List<EndedRun> ended, long requestedMillis) {
         boolean changed = false;
@@ -160,18 +161,30 @@
             }
         }
         for (RunEntry entry : entries.values()) {
-            if (!listedRuns.contains(entry.run()) && entry.recordMissing(requestedMillis)) {
-                WorkflowAgentLog.endMissing(entry, acknowledgedNumber);
-            }
-            if (!listedRuns.contains(entry.run()) && entry.isAbsenceConfirmed(requestedMillis)) {
-                WorkflowAgentLog.absenceConfirmed(entry, requestedMillis);
-                entry.recordNotStarted("absent after a stop");
-                changed = true;
+            if (!listedRuns.contains(entry.run())) {
+                changed |= concludeFromAbsence(entry, requestedMillis);
             }
         }
         return changed;
     }
 
+    /**
+     * Records what the absence of a run from a list proves, and returns whether that is its end.
+     */
+    private boolean concludeFromAbsence(RunEntry entry, long requestedMillis) {
+        if (entry.isEndMissing(requestedMillis)) {
+            WorkflowAgentLog.endMissing(entry, acknowledgedNumber);
+            entry.recordOutcomeUnknown("neither active nor ended in a list");
+            return true;
+        }
+        if (entry.isAbsenceConfirmed(requestedMillis)) {
+            WorkflowAgentLog.absenceConfirmed(entry, requestedMillis);
+            entry.recordNotStarted("absent after a stop");
+            return true;
+        }
+        return false;
+    }
+
     private RunEntry entryOrDiscovered(RunAddress run, String source) {
         RunEntry known = entries.get(run);
         if (known != null) {
@@ -197,7 +210,7 @@
                                         .isPresent());
     }
 
-    /** Removes the runs that the leader has recorded as not started. */
+    /** Removes the runs whose ends the worker has not listed and that the leader has recorded. */
     void removeSettled(List<RunAddress> runs) {
         for (RunAddress run : runs) {
             entry(run)
--- a/src/main/java/org/yuccabank/control/workflow/EarlierIncarnations.java
+++ b/src/main/java/org/yuccabank/control/workflow/EarlierIncarnations.java
@@ -16,7 +16,8 @@
  * identifier may carry out a start that was sent to its predecessor, even later.
  *
  * <p>Invariant: a run of an earlier incarnation with the same identifier ends only after the
- * current one has listed its end, or has confirmed its stop and does not list it. Stateless.
+ * current one has listed its end, has confirmed its stop and does not list it, or has run it and
+ * lists neither it nor its end. It refuses to start a run that it has run or stopped. Stateless.
  */
 final class EarlierIncarnations {
 
--- a/src/main/java/org/yuccabank/control/workflow/RunMonitor.java
+++ b/src/main/java/org/yuccabank/control/workflow/RunMonitor.java
@@ -143,6 +143,7 @@
                                             step.getTaskCount()));
         }
         String workerId = task.worker().orElseThrow().getWorkerId();
+        // An unknown outcome may be a success, so it counts neither for nor against the worker.
         if (ended.getEnding() == RunEnding.RUN_DONE) {
             circuitBreaker.recordSuccess(workerId);
         } else if (ended.getEnding() == RunEnding.RUN_NOT_STARTED
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLog.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLog.java
@@ -42,7 +42,7 @@
     /** Source of an end that the worker has listed with a number. */
     private static final String WORKER_LIST = "worker list";
 
-    /** Source of an end that the agent has concluded from refusals or from an absence. */
+    /** Source of an end that the agent has concluded from a refusal or from an absence. */
     private static final String AGENT = "agent";
 
     /** Source of an end that the leader has concluded from the lease or another incarnation. */
--- a/src/main/java/org/yuccabank/state/workflow/WorkflowRecords.java
+++ b/src/main/java/org/yuccabank/state/workflow/WorkflowRecords.java
@@ -56,7 +56,8 @@
                     RunEnding.RUN_STOPPED,
                     RunEnding.RUN_LEASE_EXPIRED,
                     RunEnding.RUN_MEMBER_ENDED,
-                    RunEnding.RUN_LEFT_ALONE);
+                    RunEnding.RUN_LEFT_ALONE,
+                    RunEnding.RUN_OUTCOME_UNKNOWN);
 
     private final Map<String, Workflow> workflows = new LinkedHashMap<>();
     private final Map<String, Workflow> liveWorkflows = new LinkedHashMap<>();
--- a/src/test/java/org/yuccabank/agent/workflow/RunTableTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/RunTableTest.java
@@ -46,6 +46,81 @@
         assertEquals(table.ended().get(0).getEnding(), RunEnding.RUN_NOT_STARTED);
     }
 
+    /**
+     * Guards against a task that is done and starts again as "not started", because the worker has
+     * discarded the end of its run unseen.
+     */
+    @Test
+    public void shouldNotReportRunNotStartedThatHasStarted() {
+        RunTable table = new RunTable();
+        RunEntry entry = table.addStart(START_REQUEST, false).orElseThrow();
+        entry.setStage(RunEntry.Stage.STARTED);
+        table.recordAnswer(List.of(RUN), 100);
+        entry.awaitAbsence(200);
+        assertTrue(table.applyListing(List.of(), List.of(), 201));
+        assertEquals(table.ended().get(0).getEnding(), RunEnding.RUN_OUTCOME_UNKNOWN);
+    }
+
+    /**
+     * Guards against a lost end that looks like a run without progress for seconds, and against the
+     * loss of its checkpoint.
+     */
+    @Test
+    public void shouldReportMissingRunAtOnceWithItsCheckpoint() {
+        RunTable table = new RunTable();
+        table.addStart(START_REQUEST, false);
+        ActiveRun active = ActiveRun.newBuilder().setRun(RUN).setCheckpoint("saved").build();
+        table.applyListing(List.of(active), List.of(), 90);
+        table.recordAnswer(List.of(RUN), 100);
+        assertFalse(
+                table.applyListing(List.of(), List.of(), 100),
+                "requested before the worker confirmed the run");
+        assertTrue(table.applyListing(List.of(), List.of(), 101));
+        EndedRun ended = table.ended().get(0);
+        assertEquals(ended.getEnding(), RunEnding.RUN_OUTCOME_UNKNOWN);
+        assertEquals(ended.getCheckpoint(), "saved");
+        assertEquals(ended.getNumber(), 0);
+        assertEquals(table.active(), List.of());
+        assertFalse(table.applyListing(List.of(), List.of(), 102), "reported once");
+    }
+
+    /** Guards against a confirmation in the same millisecond that makes a run "not started". */
+    @Test
+    public void shouldNotReportRunNotStartedThatIsConfirmedWhileItsStopIs() {
+        RunTable table = new RunTable();
+        table.requestStop(RUN).awaitAbsence(100);
+        table.recordAnswer(List.of(RUN), 110);
+        assertFalse(table.applyListing(List.of(), List.of(), 110));
+        assertTrue(table.applyListing(List.of(), List.of(), 111));
+        assertEquals(table.ended().get(0).getEnding(), RunEnding.RUN_OUTCOME_UNKNOWN);
+    }
+
+    /**
+     * Guards against "not started" for a run whose unanswered start was carried out, as the refusal
+     * of its repetition shows.
+     */
+    @Test
+    public void shouldNotReportRunNotStartedWhoseRepetitionIsOutdated() {
+        RunTable table = new RunTable();
+        RunEntry entry = table.addStart(START_REQUEST, false).orElseThrow();
+        entry.beginStart();
+        entry.endStart(true);
+        entry.recordOutdated(100);
+        assertTrue(table.applyListing(List.of(), List.of(), 101));
+        assertEquals(table.ended().get(0).getEnding(), RunEnding.RUN_OUTCOME_UNKNOWN);
+    }
+
+    /** Guards against a conclusion that hides the end which a later list contains. */
+    @Test
+    public void shouldReplaceUnknownOutcomeByListedEnd() {
+        RunTable table = new RunTable();
+        table.addStart(START_REQUEST, false);
+        table.recordAnswer(List.of(RUN), 100);
+        table.applyListing(List.of(), List.of(), 101);
+        assertTrue(table.applyListing(List.of(), List.of(done(7)), 102));
+        assertEquals(table.ended(), List.of(done(7)));
+    }
+
     /** Guards against losing an end because the outcome of the start was unknown. */
     @Test
     public void shouldReportEndOfRunWithUnansweredStart() {
--- a/src/test/java/org/yuccabank/control/workflow/EarlierIncarnationsTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/EarlierIncarnationsTest.java
@@ -85,6 +85,21 @@
         assertEquals(endedRuns(), Set.of(RUN), "the run was stopped and is absent");
     }
 
+    /** Guards against a run that never ends because the next incarnation has lost its end. */
+    @Test
+    public void shouldEndRunWhoseOutcomeNextIncarnationHasLost() {
+        update(report(REBORN).setListed(true).addActive(ActiveRun.newBuilder().setRun(RUN)));
+        assertEquals(endedRuns(), Set.of());
+        update(
+                report(REBORN)
+                        .setListed(true)
+                        .addEnded(
+                                EndedRun.newBuilder()
+                                        .setRun(RUN)
+                                        .setEnding(RunEnding.RUN_OUTCOME_UNKNOWN)));
+        assertEquals(endedRuns(), Set.of(RUN));
+    }
+
     /** Guards against a run that goes on because no one stops it at the next incarnation. */
     @Test
     public void shouldStopRunAtNextIncarnation() {
--- a/src/test/java/org/yuccabank/control/workflow/RunMonitorTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/RunMonitorTest.java
@@ -77,4 +77,11 @@
                 stateAfterEnds(RunEnding.RUN_WITHOUT_CAPACITY), WorkerCircuitBreaker.State.CLOSED);
         assertEquals(stateAfterEnds(RunEnding.RUN_NOT_STARTED), WorkerCircuitBreaker.State.OPEN);
     }
+
+    /** Guards against excluding a worker on which runs may have been done. */
+    @Test
+    public void shouldNotExcludeWorkerOnWhichOutcomesAreUnknown() {
+        assertEquals(
+                stateAfterEnds(RunEnding.RUN_OUTCOME_UNKNOWN), WorkerCircuitBreaker.State.CLOSED);
+    }
 }
--- a/src/test/java/org/yuccabank/state/workflow/WorkflowRecordsTest.java
+++ b/src/test/java/org/yuccabank/state/workflow/WorkflowRecordsTest.java
@@ -107,6 +107,30 @@
         assertEquals(phase("a"), WorkflowPhase.WORKFLOW_ACTIVE);
     }
 
+    /**
+     * Guards against a job that never ends, or fails, because the worker has lost how a run ended:
+     * the task waits again with its checkpoint, and its attempts are left.
+     */
+    @Test
+    public void shouldStartTaskAgainWhoseOutcomeIsUnknown() {
+        apply(accept("a", step(1)));
+        for (int attempt = 1; attempt <= 5; attempt++) {
+            apply(assign(run("a", 0, 0, attempt)));
+            EndedRun.Builder unknown =
+                    EndedRun.newBuilder()
+                            .setRun(run("a", 0, 0, attempt))
+                            .setEnding(RunEnding.RUN_OUTCOME_UNKNOWN)
+                            .setCheckpoint("saved " + attempt);
+            apply(round(SchedulingRound.newBuilder().addEnded(unknown)));
+        }
+        assertEquals(phase("a"), WorkflowPhase.WORKFLOW_ACTIVE);
+        Workflow workflow = records.workflow("a").orElseThrow();
+        WorkflowTask task = workflow.task(run("a", 0, 0, 1).getTask()).orElseThrow();
+        assertTrue(task.isWaiting());
+        assertEquals(task.checkpoint(), "saved 5");
+        assertTrue(workflow.hasStarted(), "a run whose outcome is unknown has started");
+    }
+
     private static WorkflowCommand crash(int attempt, boolean soleSuspect) {
         return round(
                 SchedulingRound.newBuilder()
