Conclude nothing from the absence of a run from a truncated list

Callers could see a task that was done start again after a burst of ends on one worker.

A worker returns at most 500 ends at a time. A run that has ended after them is in neither list, and the agent took it for missing, or for not started if its stop was confirmed. The same held for an answer that lacks a list, or that has a row which cannot be decoded.

A listing now says whether it is complete, and nothing follows from the absence of a run from one that is not. Its ends and active runs count as before, so the next list shows the rest once they are acknowledged.

--- a/src/main/java/org/yuccabank/agent/workflow/RunTable.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunTable.java
@@ -26,7 +26,8 @@
  * <p>Invariants: an end is kept until the leader acknowledges or settles it; a run that the worker
  * has confirmed is never reported as not started, only as ended; any other one is reported as not
  * started only if the worker refused its only start call, or if it was absent from a list that was
- * requested after the worker had confirmed its stop. Confined to the agent's event loop.
+ * requested after the worker had confirmed its stop; nothing follows from the absence from a list
+ * that is not complete. Confined to the agent's event loop.
  */
 final class RunTable {
 
@@ -131,7 +132,8 @@
      * @param requestedMillis time at which the list was requested
      * @return true if a run has ended, in whatever way, or is now known not to have started
      */
-    boolean applyListing(List<ActiveRun> active, List<EndedRun> ended, long requestedMillis) {
+    boolean applyListing(WorkerApi.ListOutcome.Listing listing, long requestedMillis) {
+        List<EndedRun> ended = listing.ended();
         boolean changed = false;
         listedNumber = ended.stream().mapToLong(EndedRun::getNumber).max().orElse(0);
         long discarded = endNumbers.recordListed(ended);
@@ -139,7 +141,7 @@
             WorkflowAgentLog.endsDiscarded(discarded, ended, acknowledgedNumber);
         }
         Set<RunAddress> listedRuns = new HashSet<>();
-        for (ActiveRun each : active) {
+        for (ActiveRun each : listing.active()) {
             listedRuns.add(each.getRun());
             RunEntry entry = entryOrDiscovered(each.getRun(), "active on the worker");
             entry.setListed(each);
@@ -161,7 +163,7 @@
             }
         }
         for (RunEntry entry : entries.values()) {
-            if (!listedRuns.contains(entry.run())) {
+            if (listing.complete() && !listedRuns.contains(entry.run())) {
                 changed |= concludeFromAbsence(entry, requestedMillis);
             }
         }
--- a/src/main/java/org/yuccabank/agent/workflow/WorkerApi.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkerApi.java
@@ -156,8 +156,11 @@
          * @param clockMillis the worker's clock when it answered
          * @param active all active runs
          * @param ended the unacknowledged ends, ordered by number
+         * @param complete whether these are all runs and ends; if not, the absence of one proves
+         *     nothing
          */
-        record Listing(long clockMillis, List<ActiveRun> active, List<EndedRun> ended)
+        record Listing(
+                long clockMillis, List<ActiveRun> active, List<EndedRun> ended, boolean complete)
                 implements ListOutcome {}
 
         /**
--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -541,7 +541,7 @@
         listedAtMillis = now;
         lease.sampleClock(listing.clockMillis(), now);
         lease.markResponsive();
-        boolean changed = runs.applyListing(listing.active(), listing.ended(), requestedMillis);
+        boolean changed = runs.applyListing(listing, requestedMillis);
         runs.recordAnswer(listing.active().stream().map(ActiveRun::getRun).toList(), now);
         boolean recovered = crashEvidence.recordResponsive(true);
         adjustSpeeds(target, now);
--- a/src/test/java/org/yuccabank/agent/workflow/AgentLinesProcess.java
+++ b/src/test/java/org/yuccabank/agent/workflow/AgentLinesProcess.java
@@ -35,7 +35,9 @@
                                 .setEnding(RunEnding.RUN_DONE)
                                 .setNumber(number)
                                 .build();
-                runs.applyListing(List.of(), List.of(end), number);
+                runs.applyListing(
+                        new WorkerApi.ListOutcome.Listing(number, List.of(), List.of(end), true),
+                        number);
                 runs.acknowledge(number);
             }
         }
--- a/src/test/java/org/yuccabank/agent/workflow/RunTableTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/RunTableTest.java
@@ -31,18 +31,62 @@
                 .build();
     }
 
+    private static boolean applyListing(
+            RunTable table, List<ActiveRun> active, List<EndedRun> ended, long requestedMillis) {
+        return table.applyListing(
+                new WorkerApi.ListOutcome.Listing(0, active, ended, true), requestedMillis);
+    }
+
+    private static boolean applyIncompleteListing(
+            RunTable table, List<EndedRun> ended, long requestedMillis) {
+        return table.applyListing(
+                new WorkerApi.ListOutcome.Listing(0, List.of(), ended, false), requestedMillis);
+    }
+
+    private static EndedRun endOfOtherRun(long number) {
+        RunAddress other =
+                RUN.toBuilder().setTask(TaskAddress.newBuilder().setWorkflowId("b")).build();
+        return done(number).toBuilder().setRun(other).build();
+    }
+
+    /**
+     * Guards against a run that is done and starts again, because its end is not among the first
+     * ends that the worker returns.
+     */
+    @Test
+    public void shouldNotTakeEndBeyondTruncatedListForMissing() {
+        RunTable table = new RunTable();
+        table.addStart(START_REQUEST, false);
+        table.recordAnswer(List.of(RUN), 100);
+        assertTrue(applyIncompleteListing(table, List.of(endOfOtherRun(1)), 200), "another end");
+        assertEquals(table.ended(), List.of(endOfOtherRun(1)), "the run may be active");
+        table.acknowledge(1);
+        applyListing(table, List.of(), List.of(done(2)), 202);
+        assertEquals(table.ended(), List.of(done(2)));
+    }
+
+    /** Guards against a run that counts as not started because its end is beyond the list. */
+    @Test
+    public void shouldNotTakeEndBeyondTruncatedListForAbsenceAfterStop() {
+        RunTable table = new RunTable();
+        table.addStart(START_REQUEST, false).orElseThrow().awaitAbsence(100);
+        assertFalse(applyIncompleteListing(table, List.of(), 200));
+        assertTrue(applyListing(table, List.of(), List.of(), 201));
+        assertEquals(table.ended().get(0).getEnding(), RunEnding.RUN_NOT_STARTED);
+    }
+
     /** Guards against reporting a run as not started if its start is executed late. */
     @Test
     public void shouldReportRunNotStartedOnlyIfAbsentFromListAfterStop() {
         RunTable table = new RunTable();
         RunEntry entry = table.addStart(START_REQUEST, false).orElseThrow();
         entry.setStage(RunEntry.Stage.UNCERTAIN);
-        assertFalse(table.applyListing(List.of(), List.of(), 50));
+        assertFalse(applyListing(table, List.of(), List.of(), 50));
         entry.awaitAbsence(100);
         assertFalse(
-                table.applyListing(List.of(), List.of(), 100),
+                applyListing(table, List.of(), List.of(), 100),
                 "requested before the stop was confirmed");
-        assertTrue(table.applyListing(List.of(), List.of(), 101));
+        assertTrue(applyListing(table, List.of(), List.of(), 101));
         assertEquals(table.ended().get(0).getEnding(), RunEnding.RUN_NOT_STARTED);
     }
 
@@ -57,7 +101,7 @@
         entry.setStage(RunEntry.Stage.STARTED);
         table.recordAnswer(List.of(RUN), 100);
         entry.awaitAbsence(200);
-        assertTrue(table.applyListing(List.of(), List.of(), 201));
+        assertTrue(applyListing(table, List.of(), List.of(), 201));
         assertEquals(table.ended().get(0).getEnding(), RunEnding.RUN_OUTCOME_UNKNOWN);
     }
 
@@ -70,18 +114,18 @@
         RunTable table = new RunTable();
         table.addStart(START_REQUEST, false);
         ActiveRun active = ActiveRun.newBuilder().setRun(RUN).setCheckpoint("saved").build();
-        table.applyListing(List.of(active), List.of(), 90);
+        applyListing(table, List.of(active), List.of(), 90);
         table.recordAnswer(List.of(RUN), 100);
         assertFalse(
-                table.applyListing(List.of(), List.of(), 100),
+                applyListing(table, List.of(), List.of(), 100),
                 "requested before the worker confirmed the run");
-        assertTrue(table.applyListing(List.of(), List.of(), 101));
+        assertTrue(applyListing(table, List.of(), List.of(), 101));
         EndedRun ended = table.ended().get(0);
         assertEquals(ended.getEnding(), RunEnding.RUN_OUTCOME_UNKNOWN);
         assertEquals(ended.getCheckpoint(), "saved");
         assertEquals(ended.getNumber(), 0);
         assertEquals(table.active(), List.of());
-        assertFalse(table.applyListing(List.of(), List.of(), 102), "reported once");
+        assertFalse(applyListing(table, List.of(), List.of(), 102), "reported once");
     }
 
     /** Guards against a confirmation in the same millisecond that makes a run "not started". */
@@ -90,8 +134,8 @@
         RunTable table = new RunTable();
         table.requestStop(RUN).awaitAbsence(100);
         table.recordAnswer(List.of(RUN), 110);
-        assertFalse(table.applyListing(List.of(), List.of(), 110));
-        assertTrue(table.applyListing(List.of(), List.of(), 111));
+        assertFalse(applyListing(table, List.of(), List.of(), 110));
+        assertTrue(applyListing(table, List.of(), List.of(), 111));
         assertEquals(table.ended().get(0).getEnding(), RunEnding.RUN_OUTCOME_UNKNOWN);
     }
 
@@ -106,7 +150,7 @@
         entry.beginStart();
         entry.endStart(true);
         entry.recordOutdated(100);
-        assertTrue(table.applyListing(List.of(), List.of(), 101));
+        assertTrue(applyListing(table, List.of(), List.of(), 101));
         assertEquals(table.ended().get(0).getEnding(), RunEnding.RUN_OUTCOME_UNKNOWN);
     }
 
@@ -116,8 +160,8 @@
         RunTable table = new RunTable();
         table.addStart(START_REQUEST, false);
         table.recordAnswer(List.of(RUN), 100);
-        table.applyListing(List.of(), List.of(), 101);
-        assertTrue(table.applyListing(List.of(), List.of(done(7)), 102));
+        applyListing(table, List.of(), List.of(), 101);
+        assertTrue(applyListing(table, List.of(), List.of(done(7)), 102));
         assertEquals(table.ended(), List.of(done(7)));
     }
 
@@ -126,7 +170,7 @@
     public void shouldReportEndOfRunWithUnansweredStart() {
         RunTable table = new RunTable();
         table.addStart(START_REQUEST, false).orElseThrow().awaitAbsence(100);
-        assertTrue(table.applyListing(List.of(), List.of(done(7)), 200));
+        assertTrue(applyListing(table, List.of(), List.of(done(7)), 200));
         assertEquals(table.ended(), List.of(done(7)));
     }
 
@@ -135,9 +179,9 @@
     public void shouldNotRestoreRunWithAcknowledgedEnd() {
         RunTable table = new RunTable();
         table.addStart(START_REQUEST, false);
-        table.applyListing(List.of(), List.of(done(7)), 10);
+        applyListing(table, List.of(), List.of(done(7)), 10);
         table.acknowledge(7);
-        table.applyListing(List.of(), List.of(done(7)), 20);
+        applyListing(table, List.of(), List.of(done(7)), 20);
         assertTrue(table.entries().isEmpty());
     }
 
@@ -149,13 +193,13 @@
     public void shouldAcknowledgeOnlyWhileTheWorkerListsEnds() {
         RunTable table = new RunTable();
         table.addStart(START_REQUEST, false);
-        table.applyListing(List.of(), List.of(done(7)), 10);
+        applyListing(table, List.of(), List.of(done(7)), 10);
         assertEquals(table.numberToDiscard(), 0);
         table.acknowledge(7);
         assertEquals(table.numberToDiscard(), 7);
-        table.applyListing(List.of(), List.of(), 20);
+        applyListing(table, List.of(), List.of(), 20);
         assertEquals(table.numberToDiscard(), 0);
-        table.applyListing(List.of(), List.of(done(8)), 30);
+        applyListing(table, List.of(), List.of(done(8)), 30);
         assertEquals(table.numberToDiscard(), 7);
         table.clear(false);
         assertEquals(table.numberToDiscard(), 0);
@@ -170,7 +214,7 @@
         RunTable table = new RunTable();
         table.addStart(START_REQUEST, false);
         assertFalse(table.hasUnacknowledgedEnds());
-        table.applyListing(List.of(), List.of(done(7)), 10);
+        applyListing(table, List.of(), List.of(done(7)), 10);
         assertTrue(table.hasUnacknowledgedEnds());
         table.acknowledge(7);
         assertFalse(table.hasUnacknowledgedEnds());
@@ -201,7 +245,7 @@
     public void shouldReportRunsItDidNotStart() {
         RunTable table = new RunTable();
         ActiveRun active = ActiveRun.newBuilder().setRun(RUN).setPercent(40).build();
-        table.applyListing(List.of(active), List.of(), 10);
+        applyListing(table, List.of(active), List.of(), 10);
         assertEquals(table.active(), List.of(active.toBuilder().setUnknown(true).build()));
         table.addStart(START_REQUEST.toBuilder().setLatencyTargetMillis(20).build(), false);
         assertEquals(table.servingRuns().size(), 1, "the target is known again");
--- a/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
@@ -136,7 +136,7 @@
                 WorkerAnnouncement target, FencedLease lease, long acknowledged, long waitMillis) {
             ListOutcome outcome =
                     answersLists
-                            ? new ListOutcome.Listing(clockMillis(), listed, endedRuns)
+                            ? new ListOutcome.Listing(clockMillis(), listed, endedRuns, true)
                             : new ListOutcome.Unavailable("no answer");
             return Mono.delay(Duration.ofMillis(50)).thenReturn(outcome);
         }
