Complete a task whose run was done although it was ended otherwise

Callers saw a task that was done start again, after its worker had been cut off for longer than its lease, or its agent had been away.

An end counted only for an open run. A worker that listed a run as done after the leader had ended it otherwise (lease over, worker lost, outcome unknown) got an acknowledgement, and the task, which still waited for a worker, started again.

The leader now records such an end instead of the next start, if it is of the latest run of a task that waits, from the host that this run was assigned to. It withholds the acknowledgement until the end is committed, and a round with such ends assigns nothing, as its plan would rest on tasks that it completes. Tasks that last and workflows that are final are not affected; the late end of one member completes a gang, as a regular one does.

The decision is in the log entry (EndedRun.late), so that entries of earlier releases keep their result.

Not covered: a late end that arrives once the next run is assigned, also if its round is only proposed.

--- a/src/main/java/org/yuccabank/control/workflow/ReportedEnds.java
+++ b/src/main/java/org/yuccabank/control/workflow/ReportedEnds.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.yuccabank.protocol.generated.EndedRun;
+import org.yuccabank.protocol.generated.RunEnding;
 import org.yuccabank.protocol.generated.WorkerIdentity;
 import org.yuccabank.protocol.generated.WorkerReport;
 import org.yuccabank.state.workflow.WorkflowRecords;
@@ -45,6 +46,32 @@
                 : givingUpReliable && assigned.get().equals(reporting);
     }
 
+    /**
+     * Returns the ends of a report that show that a task is done whose latest run was ended
+     * otherwise. They are recorded instead of the next run.
+     */
+    static List<EndedRun> late(WorkerReport report, WorkflowRecords records) {
+        return report.getEndedList().stream()
+                .filter(ended -> isLate(ended, report.getWorker(), records))
+                .map(
+                        ended ->
+                                ended.toBuilder()
+                                        .setLate(true)
+                                        .setReason("done, although ended otherwise before")
+                                        .build())
+                .toList();
+    }
+
+    /** Returns whether an end shows that a task is done whose latest run was ended otherwise. */
+    static boolean isLate(EndedRun ended, WorkerIdentity reporting, WorkflowRecords records) {
+        return isListed(ended)
+                && ended.getEnding() == RunEnding.RUN_DONE
+                && !reporting.getHostId().isEmpty()
+                && records.taskWaitingAfter(ended.getRun())
+                        .filter(task -> task.latestHostId().equals(reporting.getHostId()))
+                        .isPresent();
+    }
+
     /** Returns whether the worker itself has listed an end. */
     static boolean isListed(EndedRun ended) {
         return ended.getNumber() > 0;
--- a/src/main/java/org/yuccabank/control/workflow/WorkerView.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkerView.java
@@ -241,6 +241,12 @@
         return runs;
     }
 
+    /** Returns whether the latest report contains one of the given runs. */
+    boolean reportsAny(List<EndedRun> ended) {
+        Set<RunAddress> reportedRuns = reportedRuns();
+        return ended.stream().anyMatch(each -> reportedRuns.contains(each.getRun()));
+    }
+
     /** Returns whether the worker has listed a run as at work; a start under way is none. */
     boolean isWorking(RunAddress run) {
         ActiveRun reported = active.get(run);
--- a/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
+++ b/src/main/java/org/yuccabank/control/workflow/WorkflowLeader.java
@@ -2,7 +2,6 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -14,6 +13,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.yuccabank.control.Proposer;
 import org.yuccabank.policy.workflow.FeasibleFirstOrder;
 import org.yuccabank.policy.workflow.InterferenceAwareSelector;
@@ -49,7 +49,8 @@
  *
  * <p>Invariants: a start directive is sent only after its assignment is committed; an end is
  * acknowledged to a worker only after it is committed; a run of an unresponsive worker is ended
- * only after every lease that the worker may hold has expired. Confined to the replica thread.
+ * only after every lease that the worker may hold has expired; a task is not assigned in the round
+ * that completes it by a late end. Confined to the replica thread.
  */
 public final class WorkflowLeader {
 
@@ -62,9 +63,6 @@
     /** Time within which agents find a new leader and report to it, including a margin. */
     private static final long WORKER_DISCOVERY_MILLIS = 3_000;
 
-    /** Time for which final workflows are kept, so that clients can query their state. */
-    private static final long RETENTION_MILLIS = 15 * 60_000;
-
     /** Age after which the migration capacity is computed again, about one report interval. */
     private static final long MAXIMUM_MIGRATION_CAPACITY_AGE_MILLIS = 300;
 
@@ -297,7 +295,7 @@
         view.endsToRecord(records()).forEach(this::enqueueEnd);
         endEarlierIncarnations(view);
         // Planning examines every workflow, so a report without ends waits for the tick.
-        if (!pendingEnds.isEmpty()) {
+        if (!pendingEnds.isEmpty() || !ReportedEnds.late(valid, records()).isEmpty()) {
             startRoundIfIdle();
         }
         return directives(view, report.getSequence()).build();
@@ -386,7 +384,8 @@
                         .setAnswersSequence(answeredSequence);
         directives.addAllControlAddresses(memberAddresses());
         for (EndedRun ended : view.numberedEnds()) {
-            if (records().openRun(ended.getRun()).isPresent()) {
+            if (records().openRun(ended.getRun()).isPresent()
+                    || ReportedEnds.isLate(ended, view.worker(), records())) {
                 break;
             }
             directives.setAcknowledgedNumber(ended.getNumber());
@@ -493,19 +492,16 @@
 
     private void startRound() {
         long nowMillis = monotonicMillis();
-        List<EndedRun> ended = pendingEnds.values().stream().limit(MAXIMUM_ROUND_ENTRIES).toList();
+        List<EndedRun> late = lateEnds();
+        List<EndedRun> ended =
+                Stream.concat(late.stream(), pendingEnds.values().stream())
+                        .limit(MAXIMUM_ROUND_ENTRIES)
+                        .toList();
         long wallMillis = System.currentTimeMillis();
-        List<AvailableWorker> available = availableWorkers(nowMillis);
-        List<Assignment> planned =
-                planner.plan(
-                        records(),
-                        available,
-                        estimates(),
-                        shouldHoldBestEffort(available, nowMillis),
-                        wallMillis);
-        List<Assignment> assigned =
-                RoundLimit.firstRound(planned, MAXIMUM_ROUND_ENTRIES, records());
-        List<String> expired = expiredWorkflows(wallMillis);
+        // The tasks that these ends complete still wait, so the next round assigns.
+        List<Assignment> assigned = late.isEmpty() ? plan(nowMillis, wallMillis) : List.of();
+        List<String> expired =
+                WorkflowRetention.expired(records(), wallMillis, MAXIMUM_ROUND_ENTRIES);
         if (ended.isEmpty() && assigned.isEmpty() && expired.isEmpty()) {
             return;
         }
@@ -522,6 +518,24 @@
                 .whenComplete((result, error) -> finishRound(round, roundTerm, result));
     }
 
+    private List<Assignment> plan(long nowMillis, long wallMillis) {
+        List<AvailableWorker> available = availableWorkers(nowMillis);
+        List<Assignment> planned =
+                planner.plan(
+                        records(),
+                        available,
+                        estimates(),
+                        shouldHoldBestEffort(available, nowMillis),
+                        wallMillis);
+        return RoundLimit.firstRound(planned, MAXIMUM_ROUND_ENTRIES, records());
+    }
+
+    private List<EndedRun> lateEnds() {
+        return workers.values().stream()
+                .flatMap(view -> ReportedEnds.late(view.report(), records()).stream())
+                .toList();
+    }
+
     private boolean shouldHoldBestEffort(List<AvailableWorker> available, long nowMillis) {
         ServingCensus serving = ServingCensus.of(records(), available);
         boolean held =
@@ -554,19 +568,6 @@
                 .toList();
     }
 
-    private List<String> expiredWorkflows(long nowMillis) {
-        List<String> expired = new ArrayList<>();
-        for (Workflow workflow : records().workflows()) {
-            if (workflow.isFinal() && nowMillis - workflow.endedAtMillis() > RETENTION_MILLIS) {
-                expired.add(workflow.id());
-            }
-            if (expired.size() >= MAXIMUM_ROUND_ENTRIES) {
-                break;
-            }
-        }
-        return expired;
-    }
-
     private void finishRound(SchedulingRound round, long roundTerm, CommandResult result) {
         if (roundTerm != term) {
             return;
@@ -586,15 +587,10 @@
         crashes.recordCommitted(round.getEndedList(), records());
         if (!round.getEndedList().isEmpty()) {
             workers.values().stream()
-                    .filter(view -> reportsAny(view, round.getEndedList()))
+                    .filter(view -> view.reportsAny(round.getEndedList()))
                     .forEach(view -> affected.add(view.worker()));
         }
         sendDirectives(affected);
         startRoundIfIdle();
     }
-
-    private static boolean reportsAny(WorkerView view, List<EndedRun> ended) {
-        Set<RunAddress> reportedRuns = view.reportedRuns();
-        return ended.stream().anyMatch(each -> reportedRuns.contains(each.getRun()));
-    }
 }
--- a/src/main/java/org/yuccabank/state/workflow/WorkflowRecords.java
+++ b/src/main/java/org/yuccabank/state/workflow/WorkflowRecords.java
@@ -33,9 +33,10 @@
  *
  * <p>Invariants: the version of the configuration never decreases, and other content under the same
  * version changes nothing; an identifier refers to a single workflow even if it is submitted
- * repeatedly; a workflow is not accepted after its cancellation; the end of a run is counted once;
- * a run of a final workflow is never opened; the workflow of a task that crashes its workers ends
- * with the round that records the crash. Confined to the replica thread.
+ * repeatedly; a workflow is not accepted after its cancellation; the end of a run is counted once,
+ * except that a run may turn out to have been done before the next one is opened; a run of a final
+ * workflow is never opened; the workflow of a task that crashes its workers ends with the round
+ * that records the crash. Confined to the replica thread.
  */
 public final class WorkflowRecords {
 
@@ -183,6 +184,22 @@
                 .filter(task -> task.latestAttempt() == run.getAttempt());
     }
 
+    /**
+     * Returns the task whose latest run has ended otherwise than done, if it may be completed by a
+     * late report that this run was done after all. A lasting task is never done.
+     *
+     * @param run address of the run
+     * @return the task, empty if it does not wait for the run after this one
+     */
+    public Optional<WorkflowTask> taskWaitingAfter(RunAddress run) {
+        return workflow(run.getTask().getWorkflowId())
+                .filter(workflow -> !workflow.isFinal())
+                .flatMap(workflow -> workflow.task(run.getTask()))
+                .filter(WorkflowTask::isWaiting)
+                .filter(task -> task.latestAttempt() == run.getAttempt())
+                .filter(task -> !task.workflow().step(task.address().getStep()).getLasting());
+    }
+
     /**
      * Applies a committed command.
      *
@@ -255,6 +272,7 @@
     private void end(EndedRun ended, long nowMillis) {
         Optional<WorkflowTask> open = openRun(ended.getRun());
         if (open.isEmpty()) {
+            endLate(ended, nowMillis);
             return;
         }
         WorkflowTask task = open.get();
@@ -280,6 +298,20 @@
         removeFromLiveIfFinal(workflow);
     }
 
+    /** Completes a task whose run was done although it has been ended otherwise before. */
+    private void endLate(EndedRun ended, long nowMillis) {
+        if (!ended.getLate() || ended.getEnding() != RunEnding.RUN_DONE) {
+            return;
+        }
+        taskWaitingAfter(ended.getRun())
+                .ifPresent(
+                        task -> {
+                            task.workflow().markStarted();
+                            markDone(task, nowMillis);
+                            removeFromLiveIfFinal(task.workflow());
+                        });
+    }
+
     /**
      * Marks a task as done, or all members of its gang, as they work only together: the end of one
      * represents those of the others, which may be lost with their workers.
--- a/src/main/java/org/yuccabank/state/workflow/WorkflowTask.java
+++ b/src/main/java/org/yuccabank/state/workflow/WorkflowTask.java
@@ -31,6 +31,7 @@
     private final List<CountedCrash> countedCrashes = new ArrayList<>();
     private String checkpoint = "";
     private WorkerIdentity worker;
+    private String latestHostId = "";
 
     WorkflowTask(Workflow workflow, TaskAddress address, String stepKey) {
         this.workflow = workflow;
@@ -136,6 +137,16 @@
         return Optional.ofNullable(worker);
     }
 
+    /**
+     * Returns the host that the latest run was assigned to.
+     *
+     * @return the identifier of the host, empty if there was no run or an earlier release has
+     *     recorded it
+     */
+    public String latestHostId() {
+        return latestHostId;
+    }
+
     /**
      * Returns the address of the latest run.
      *
@@ -166,6 +177,7 @@
     void assign(int attempt, WorkerIdentity assignedWorker) {
         latestAttempt = attempt;
         worker = assignedWorker;
+        latestHostId = assignedWorker.getHostId();
     }
 
     /** Marks the task as done and returns whether it was not done before. */
@@ -221,7 +233,8 @@
                         .setConfirmedCrashes(confirmedCrashes)
                         .setSoleSuspect(soleSuspect)
                         .addAllCountedCrashes(countedCrashes)
-                        .setLatestFailedGangRun(latestFailedGangRun);
+                        .setLatestFailedGangRun(latestFailedGangRun)
+                        .setLatestHostId(latestHostId);
         worker().ifPresent(record::setWorker);
         return record.build();
     }
@@ -235,6 +248,7 @@
         confirmedCrashes = record.getConfirmedCrashes();
         soleSuspect = record.getSoleSuspect();
         latestFailedGangRun = record.getLatestFailedGangRun();
+        latestHostId = record.getLatestHostId();
         countedCrashes.clear();
         countedCrashes.addAll(record.getCountedCrashesList());
         worker = record.hasWorker() ? record.getWorker() : null;
--- a/src/test/java/org/yuccabank/control/workflow/ReportedEndsTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/ReportedEndsTest.java
@@ -1,7 +1,10 @@
 package org.yuccabank.control.workflow;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 import static org.yuccabank.state.workflow.WorkflowFixtures.accept;
+import static org.yuccabank.state.workflow.WorkflowFixtures.end;
+import static org.yuccabank.state.workflow.WorkflowFixtures.round;
 import static org.yuccabank.state.workflow.WorkflowFixtures.run;
 import static org.yuccabank.state.workflow.WorkflowFixtures.step;
 
@@ -10,6 +13,7 @@
 import org.testng.annotations.Test;
 import org.yuccabank.protocol.generated.Assignment;
 import org.yuccabank.protocol.generated.EndedRun;
+import org.yuccabank.protocol.generated.FleetConfiguration;
 import org.yuccabank.protocol.generated.RunAddress;
 import org.yuccabank.protocol.generated.RunEnding;
 import org.yuccabank.protocol.generated.SchedulingRound;
@@ -118,4 +122,34 @@
             assertEquals(endsAfter(foreign, foreign), List.of());
         }
     }
+
+    private List<EndedRun> lateEnds(EndedRun ended, WorkerIdentity reporting) {
+        return ReportedEnds.late(
+                report(7, 0).setWorker(reporting).addEnded(ended).build(), records);
+    }
+
+    /** Guards against a run that was done, is ended otherwise and is started again. */
+    @Test
+    public void shouldFindDoneRunThatWasEndedOtherwise() {
+        assertEquals(lateEnds(DONE, WORKER), List.of(), "the run is open");
+        records.apply(end(RUN, RunEnding.RUN_WORKER_LOST), 0);
+        assertEquals(lateEnds(DONE, WORKER).size(), 1);
+        assertTrue(lateEnds(DONE, WORKER).get(0).getLate());
+        restoreFromSnapshot();
+        assertEquals(lateEnds(DONE, WORKER).size(), 1);
+        assertEquals(lateEnds(DONE, identity("other")), List.of(), "the run was not there");
+        assertEquals(lateEnds(NOT_STARTED, WORKER), List.of());
+        records.apply(
+                round(SchedulingRound.newBuilder().addEnded(lateEnds(DONE, WORKER).get(0))), 0);
+        assertEquals(lateEnds(DONE, WORKER), List.of(), "it is recorded");
+    }
+
+    private void restoreFromSnapshot() {
+        records =
+                WorkflowRecords.of(
+                        FleetConfiguration.getDefaultInstance(),
+                        records.toRecords(),
+                        records.learned(),
+                        records.toEarlyCancellations());
+    }
 }
--- a/src/test/java/org/yuccabank/state/workflow/WorkflowRecordsTest.java
+++ b/src/test/java/org/yuccabank/state/workflow/WorkflowRecordsTest.java
@@ -131,6 +131,65 @@
         assertTrue(workflow.hasStarted(), "a run whose outcome is unknown has started");
     }
 
+    private static WorkflowCommand doneLate(int attempt, boolean late) {
+        return round(
+                SchedulingRound.newBuilder()
+                        .addEnded(
+                                EndedRun.newBuilder()
+                                        .setRun(run("a", 0, 0, attempt))
+                                        .setNumber(1)
+                                        .setEnding(RunEnding.RUN_DONE)
+                                        .setLate(late)));
+    }
+
+    /** Guards against starting a task again whose run was done, as its worker lists later. */
+    @Test
+    public void shouldCompleteTaskWhoseRunWasDoneAfterAll() {
+        apply(accept("a", step(1)), assign(run("a", 0, 0, 1)));
+        apply(end(run("a", 0, 0, 1), RunEnding.RUN_WORKER_LOST), doneLate(1, true));
+        assertEquals(phase("a"), WorkflowPhase.WORKFLOW_COMPLETED);
+        assertTrue(records.liveWorkflows().isEmpty());
+        apply(assign(run("a", 0, 0, 2)));
+        assertTrue(records.openRuns(WORKER).isEmpty());
+    }
+
+    /** Guards against another result of a log entry that an earlier release has written. */
+    @Test
+    public void shouldIgnoreLateEndInEntryOfEarlierRelease() {
+        apply(accept("a", step(1)), assign(run("a", 0, 0, 1)));
+        apply(end(run("a", 0, 0, 1), RunEnding.RUN_WORKER_LOST), doneLate(1, false));
+        assertEquals(phase("a"), WorkflowPhase.WORKFLOW_ACTIVE);
+    }
+
+    /** Guards against completing a task whose next run is under way, or a final workflow. */
+    @Test
+    public void shouldIgnoreLateEndOfTaskThatDoesNotWait() {
+        apply(accept("a", step(1)), assign(run("a", 0, 0, 1)));
+        apply(end(run("a", 0, 0, 1), RunEnding.RUN_WORKER_LOST), assign(run("a", 0, 0, 2)));
+        apply(doneLate(1, true));
+        assertEquals(records.openRuns(WORKER).size(), 1);
+        assertEquals(phase("a"), WorkflowPhase.WORKFLOW_ACTIVE);
+        apply(end(run("a", 0, 0, 2), RunEnding.RUN_WORKER_LOST), doneLate(1, true));
+        assertEquals(phase("a"), WorkflowPhase.WORKFLOW_ACTIVE, "not the latest run");
+        apply(cancel("a"), doneLate(2, true));
+        assertEquals(phase("a"), WorkflowPhase.WORKFLOW_CANCELLED);
+    }
+
+    /** Guards against a lasting task that a late end completes, and against half of a gang. */
+    @Test
+    public void shouldCompleteWholeGangAndNoLastingTaskByLateEnd() {
+        apply(accept("a", step(1).setLasting(true)), assign(run("a", 0, 0, 1)));
+        apply(end(run("a", 0, 0, 1), RunEnding.RUN_WORKER_LOST), doneLate(1, true));
+        assertEquals(phase("a"), WorkflowPhase.WORKFLOW_ACTIVE);
+        records = new WorkflowRecords();
+        apply(accept("a", step(2).setGang(true)), assign(run("a", 0, 0, 1), run("a", 0, 1, 1)));
+        apply(end(run("a", 0, 0, 1), RunEnding.RUN_WORKER_LOST), doneLate(1, true));
+        assertEquals(phase("a"), WorkflowPhase.WORKFLOW_COMPLETED);
+        apply(end(run("a", 0, 1, 1), RunEnding.RUN_MEMBER_ENDED));
+        assertEquals(phase("a"), WorkflowPhase.WORKFLOW_COMPLETED);
+        assertTrue(records.openRuns(WORKER).isEmpty());
+    }
+
     private static WorkflowCommand crash(int attempt, boolean soleSuspect) {
         return round(
                 SchedulingRound.newBuilder()
