Report no run as not started that a previous agent process may have started

Operators saw "not started" for a run that had started before a restart of its agent and whose end was lost, and its worker got the blame.

A start of a previous process is sent again if the worker lists neither the run nor its end. If the worker refuses it as outdated, the run existed there or was stopped, and its absence from the next list was taken for "not started". It is now an unknown outcome, as with an unanswered start of the same process. The only start of a run that is refused as outdated still counts as not started.

--- a/src/main/java/org/yuccabank/agent/workflow/RunEntry.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunEntry.java
@@ -125,10 +125,12 @@
 
     /**
      * Records that the worker has refused the start because the run, or a later one of its task,
-     * existed before or was stopped. If an earlier start call was not answered, it was carried out.
+     * existed before or was stopped. An earlier start call without a known outcome was thus carried
+     * out, or a previous agent process has stopped the run, so that it is not known to be
+     * unstarted.
      */
     void recordOutdated(long nowMillis) {
-        if (startUncertain) {
+        if (isStartUncertain()) {
             recordConfirmed(nowMillis);
         }
         awaitAbsence(nowMillis);
--- a/src/test/java/org/yuccabank/agent/workflow/RunTableTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/RunTableTest.java
@@ -154,6 +154,25 @@
         assertEquals(table.ended().get(0).getEnding(), RunEnding.RUN_OUTCOME_UNKNOWN);
     }
 
+    /** Guards against "not started" for a run that a previous agent process has started. */
+    @Test
+    public void shouldNotReportRunNotStartedThatPreviousProcessMayHaveStarted() {
+        RunTable table = new RunTable();
+        RunEntry entry = table.addStart(START_REQUEST, true).orElseThrow();
+        entry.recordOutdated(100);
+        assertTrue(applyListing(table, List.of(), List.of(), 101));
+        assertEquals(table.ended().get(0).getEnding(), RunEnding.RUN_OUTCOME_UNKNOWN);
+    }
+
+    /** Guards against an unknown outcome of a run whose only start was refused as outdated. */
+    @Test
+    public void shouldReportRunNotStartedWhoseOnlyStartIsOutdated() {
+        RunTable table = new RunTable();
+        table.addStart(START_REQUEST, false).orElseThrow().recordOutdated(100);
+        assertTrue(applyListing(table, List.of(), List.of(), 101));
+        assertEquals(table.ended().get(0).getEnding(), RunEnding.RUN_NOT_STARTED);
+    }
+
     /** Guards against a conclusion that hides the end which a later list contains. */
     @Test
     public void shouldReplaceUnknownOutcomeByListedEnd() {
