--- a/src/main/java/org/yuccabank/agent/workflow/RunCalls.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunCalls.java
@@ -225,7 +225,7 @@
         WorkflowAgentLog.unsettledCall(entry, "start refused: " + refusal);
         switch (refusal) {
             case LATE -> scheduleAdvance(entry);
-            case OUTDATED -> entry.awaitAbsence(WorkflowAgent.nowMillis());
+            case OUTDATED -> entry.recordOutdated(WorkflowAgent.nowMillis());
             case OTHER_INCARNATION -> recordRefused(entry, refusal);
             default -> {
                 if (entry.isStartUncertain()) {
--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -493,7 +493,7 @@
         long now = nowMillis();
         lease.sampleClock(listing.clockMillis(), now);
         lease.markResponsive();
-        boolean changed = runs.applyListing(listing.active(), listing.ended(), requestedMillis);
+        boolean changed = runs.applyListing(listing, requestedMillis);
         runs.recordAnswer(listing.active().stream().map(ActiveRun::getRun).toList(), now);
         runs.entries().stream().filter(RunEntry::isStopRequested).forEach(calls::advance);
         boolean recovered = crashEvidence.recordResponsive(true);
--- a/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
@@ -145,7 +145,7 @@
             }
             ListOutcome outcome =
                     answersLists
-                            ? new ListOutcome.Listing(clockMillis(), listed, endedRuns)
+                            ? new ListOutcome.Listing(clockMillis(), listed, endedRuns, true)
                             : new ListOutcome.Unavailable("no answer");
             return Mono.delay(Duration.ofMillis(50)).thenReturn(outcome);
         }
