--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -285,7 +285,7 @@
 
     private void onReplaced(WorkerAnnouncement previous) {
         crashEvidence.recordReplaced(
-                previous.identity(), shutdown.isRequested() || previous.draining());
+                previous.identity(), shutdown.isRequested() || previous.draining(), nowMillis());
     }
 
     private void onNewIncarnation(
@@ -414,7 +414,7 @@
             report.addAllPressures(runs.knownPressures());
             reportedTerm = lists.listedTerm();
         }
-        crashEvidence.latest(announced.identity()).ifPresent(report::setCrash);
+        crashEvidence.latest(announced.identity(), now).ifPresent(report::setCrash);
         lease.promiseTimeLeft(now).ifPresent(report::setLeaseLeftMillis);
         return report.build();
     }
@@ -496,7 +496,7 @@
         boolean changed = runs.applyListing(listing, requestedMillis);
         runs.recordAnswer(listing.active().stream().map(ActiveRun::getRun).toList(), now);
         runs.entries().stream().filter(RunEntry::isStopRequested).forEach(calls::advance);
-        boolean recovered = crashEvidence.recordResponsive(true);
+        boolean recovered = crashEvidence.recordResponsive(true, now);
         adjustSpeeds(target, now);
         if (changed || firstOfTerm || recovered) {
             requestReport();
@@ -508,7 +508,7 @@
             lease.markEnded();
         }
         lease.markUnresponsive();
-        boolean interrupted = crashEvidence.recordResponsive(false);
+        boolean interrupted = crashEvidence.recordResponsive(false, nowMillis());
         // Only a former process of this agent can have used a higher token of this term.
         if (interrupted || outcome instanceof WorkerApi.ListOutcome.Fenced) {
             order.raiseFencingToken();
