--- a/src/test/java/org/yuccabank/platform/PlatformPath.java
+++ b/src/test/java/org/yuccabank/platform/PlatformPath.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.URI;
@@ -52,6 +53,7 @@
         for (int index = 0; index < ports.length; index++) {
             ports[index] = freePort();
         }
+        ports[0] = firstOfTwoFreePorts();
         directory = Files.createTempDirectory("platform");
         minion = new StandInMinion(new InetSocketAddress("127.0.0.1", ports[5]), 1_000);
         startControl();
@@ -73,6 +75,18 @@
         }
     }
 
+    /** Returns a free port before another one, which the metrics of the control process take. */
+    private static int firstOfTwoFreePorts() throws IOException {
+        while (true) {
+            try (ServerSocket first = new ServerSocket(0);
+                    ServerSocket second = new ServerSocket(first.getLocalPort() + 1)) {
+                return second.getLocalPort() - 1;
+            } catch (BindException exception) {
+                // The next port is taken; try another pair.
+            }
+        }
+    }
+
     private PlatformSettings settings(Path directory, int ownPort) throws IOException {
         String text =
                 String.join(
