Count a lost end as a failure of its worker

A worker that discards ends repeats each task that it receives, at once since such runs end when a list shows that they are missing: six starts in 0.9 s in the test of connections that outlive an incarnation, with its prevention switched off. The circuit breaker now excludes it after three such ends of two workflows and probes it every 1.5 to 3 s.

--- a/src/main/java/org/yuccabank/control/workflow/RunMonitor.java
+++ b/src/main/java/org/yuccabank/control/workflow/RunMonitor.java
@@ -147,6 +147,7 @@
         if (ended.getEnding() == RunEnding.RUN_DONE) {
             circuitBreaker.recordSuccess(workerId);
         } else if (ended.getEnding() == RunEnding.RUN_NOT_STARTED
+                || ended.getEnding() == RunEnding.RUN_OUTCOME_UNKNOWN
                 || (ended.getEnding() == RunEnding.RUN_FAILED && !lasting)) {
             circuitBreaker.recordFailure(workerId, task.address().getWorkflowId(), nowMillis);
         }
