--- a/src/test/java/org/yuccabank/protocol/Forwarder.java
+++ b/src/test/java/org/yuccabank/protocol/Forwarder.java
@@ -26,6 +26,7 @@
     private final List<ForwardedConnection> connections = new CopyOnWriteArrayList<>();
     private final AtomicLong bytesToTarget = new AtomicLong();
     private final AtomicLong bytesFromTarget = new AtomicLong();
+    private boolean holding;
 
     private Forwarder(ServerSocket server, InetSocketAddress target) {
         this.server = server;
@@ -45,8 +46,13 @@
     }
 
     public static Forwarder start(int port, InetSocketAddress target) {
+        return start(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), target);
+    }
+
+    /** Starts a forwarder that listens on one of the loopback addresses. */
+    public static Forwarder start(InetSocketAddress address, InetSocketAddress target) {
         try {
-            ServerSocket server = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
+            ServerSocket server = new ServerSocket(address.getPort(), 50, address.getAddress());
             Forwarder forwarder = new Forwarder(server, target);
             startDaemonThread(forwarder::accept);
             return forwarder;
@@ -64,6 +70,23 @@
         connections.forEach(connection -> connection.discarding = true);
     }
 
+    /** Sets whether bytes are held back, as on a link that is cut, and forwarded later. */
+    public synchronized void setHolding(boolean newValue) {
+        holding = newValue;
+        notifyAll();
+    }
+
+    private synchronized void awaitRelease() throws IOException {
+        try {
+            while (holding) {
+                wait();
+            }
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            throw new IOException(exception);
+        }
+    }
+
     public int connectionCount() {
         return connections.size();
     }
@@ -79,24 +102,30 @@
     private void accept() {
         try {
             while (true) {
-                Socket clientSocket = server.accept();
-                Socket targetSocket = new Socket(target.getAddress(), target.getPort());
-                clientSocket.setTcpNoDelay(true);
-                targetSocket.setTcpNoDelay(true);
-                ForwardedConnection connection =
-                        new ForwardedConnection(clientSocket, targetSocket);
-                connections.add(connection);
-                startDaemonThread(
-                        () -> copyBytes(connection, clientSocket, targetSocket, bytesToTarget));
-                startDaemonThread(
-                        () -> copyBytes(connection, targetSocket, clientSocket, bytesFromTarget));
+                forward(server.accept());
             }
         } catch (IOException exception) {
             // The forwarder was closed.
         }
     }
 
-    private static void copyBytes(
+    private void forward(Socket clientSocket) {
+        try {
+            Socket targetSocket = new Socket(target.getAddress(), target.getPort());
+            clientSocket.setTcpNoDelay(true);
+            targetSocket.setTcpNoDelay(true);
+            ForwardedConnection connection = new ForwardedConnection(clientSocket, targetSocket);
+            connections.add(connection);
+            startDaemonThread(
+                    () -> copyBytes(connection, clientSocket, targetSocket, bytesToTarget));
+            startDaemonThread(
+                    () -> copyBytes(connection, targetSocket, clientSocket, bytesFromTarget));
+        } catch (IOException exception) {
+            closeQuietly(clientSocket);
+        }
+    }
+
+    private void copyBytes(
             ForwardedConnection connection, Socket from, Socket to, AtomicLong counter) {
         byte[] buffer = new byte[BUFFER_BYTES];
         try {
@@ -104,12 +133,14 @@
             OutputStream output = to.getOutputStream();
             int count = input.read(buffer);
             while (count >= 0) {
+                awaitRelease();
                 if (!connection.discarding) {
                     counter.addAndGet(count);
                     output.write(buffer, 0, count);
                 }
                 count = input.read(buffer);
             }
+            awaitRelease();
             if (!connection.discarding) {
                 to.close();
             }
