--- a/src/test/java/org/yuccabank/platform/RebirthSoak.java
+++ b/src/test/java/org/yuccabank/platform/RebirthSoak.java
@@ -17,6 +17,10 @@
  * agents are killed and agents are cut off from the leader, and looks for tasks that run twice or
  * never complete. The seed decides the faults and their times; what runs meanwhile differs between
  * plays. Confined to one thread, except for the status reports.
+ *
+ * <p>Seeds 1 to 50 with 22 s of faults, after {@code mvn test-compile dependency:build-classpath
+ * -Dmdep.outputFile=target/classpath}: {@code java -cp target/test-classes:target/classes:$(cat
+ * target/classpath) org.yuccabank.platform.RebirthSoak 1 50 22 target/soak}
  */
 final class RebirthSoak {
 
