--- a/src/main/java/org/yuccabank/agent/workflow/WorkerLists.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkerLists.java
@@ -75,6 +75,7 @@
     private int failures;
     private boolean requested;
     private boolean paused;
+    private boolean retryScheduled;
     private boolean stopped;
 
     WorkerLists(
@@ -223,11 +224,24 @@
         } else {
             inProgress = false;
             context.onUnavailable(identity, outcome);
-            schedule(
-                    this::request, ++failures <= SHORT_RETRIES ? SHORT_RETRY_MILLIS : RETRY_MILLIS);
+            scheduleRetry();
         }
     }
 
+    /** Schedules a retry unless there is one already, as others may request lists meanwhile. */
+    private void scheduleRetry() {
+        if (retryScheduled) {
+            return;
+        }
+        retryScheduled = true;
+        schedule(
+                () -> {
+                    retryScheduled = false;
+                    request();
+                },
+                ++failures <= SHORT_RETRIES ? SHORT_RETRY_MILLIS : RETRY_MILLIS);
+    }
+
     private void schedule(Runnable action, long delayMillis) {
         var unused = loop.schedule(action, delayMillis, TimeUnit.MILLISECONDS);
     }
--- a/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
@@ -100,6 +100,8 @@
         private final List<RunAddress> stops = new CopyOnWriteArrayList<>();
         private volatile boolean answersLists = true;
         private volatile long highestToken;
+        private volatile boolean refuses;
+        private final List<Long> listCalls = new CopyOnWriteArrayList<>();
 
         private volatile Identification identification = Identification.CONFIRMED;
 
@@ -140,6 +142,10 @@
 
         @Override
         public Mono<ListOutcome> list(WorkerAnnouncement target, long token, long waitMillis) {
+            if (refuses) {
+                listCalls.add(clockMillis());
+                return Mono.just(new ListOutcome.NotListening("refused"));
+            }
             if (token < highestToken) {
                 return Mono.just(new ListOutcome.Fenced());
             }
@@ -261,6 +267,16 @@
         await(() -> worker.starts.size() > 1);
     }
 
+    /** Guards against retries that multiply, as each one opens a connection. */
+    @Test
+    public void shouldKeepOneRetryOfListsAtATime() throws InterruptedException {
+        worker.refuses = true;
+        Thread.sleep(4_000);
+        worker.listCalls.clear();
+        Thread.sleep(2_000);
+        assertTrue(worker.listCalls.size() <= 16, worker.listCalls.size() + " in 2 s");
+    }
+
     private boolean isReportedActive() {
         return leader.latest.getActiveList().stream().map(ActiveRun::getRun).anyMatch(RUN::equals);
     }
