Recover from a delayed announcement of a former incarnation

- A restarted agent accepts an announcement although the worker fences its question, as it knows no leader yet.
If that was a delayed one of the former incarnation, the leader answered for the living one, the agent dropped the answer with its token, and the worker fenced the agent until the next leader: 15 s of refused announcements.
Term and token now count whichever incarnation the directives are for.
- Under a new leader the same agent took the living incarnation for one that was born again before its eyes, and stopped the runs that its former process had started.
It now does so only if the former incarnation has listed its runs to this process.

--- a/src/main/java/org/yuccabank/agent/workflow/RunTable.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunTable.java
@@ -45,7 +45,8 @@
     /**
      * Begins with a new incarnation of the worker.
      *
-     * @param newBornAgain whether it has the identifier of the incarnation before
+     * @param newBornAgain whether it has the identifier of the incarnation before, which has listed
+     *     its runs to this process, so that no other process has started runs on the new one
      * @param unsettledNumber number up to which it may discard ends unseen
      */
     void clear(boolean newBornAgain, long unsettledNumber) {
--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -299,7 +299,7 @@
         boolean bornAgain = previous.filter(announcement::hasSameIdentifier).isPresent();
         if (previous.isPresent()) {
             order.raiseFencingToken();
-            runs.clear(bornAgain, lists.unsettledNumber());
+            runs.clear(bornAgain && lists.listedTerm() > 0, lists.unsettledNumber());
         }
         lease.reset(nowMillis(), bornAgain);
         lease.sampleClock(announcement.clockMillis(), nowMillis());
@@ -439,7 +439,8 @@
         boolean current =
                 worker.map(each -> each.identity().equals(directives.getWorker())).orElse(false);
         long previousToken = order.fencingToken();
-        if (!current || !order.advance(directives)) {
+        // Those for another incarnation tell the newest term and token, too.
+        if (!order.advance(directives)) {
             return;
         }
         if (order.fencingToken() > previousToken) {
@@ -447,6 +448,9 @@
             lists.request();
         }
         leader.updateMembers(directives.getControlAddressesList());
+        if (!current) {
+            return;
+        }
         runs.acknowledge(directives.getAcknowledgedNumber());
         runs.removeSettled(directives.getSettledList());
         lists.resumeIfAcknowledged();
--- a/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
@@ -23,6 +23,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.yuccabank.agent.workflow.WorkerApi.Identification;
+import org.yuccabank.model.FencingToken;
 import org.yuccabank.model.Resources;
 import org.yuccabank.protocol.PeerServer;
 import org.yuccabank.protocol.PeerTransport;
@@ -65,14 +66,31 @@
         private volatile boolean stopsRun;
         private volatile long directivesNumber;
         private volatile WorkerReport latest = WorkerReport.getDefaultInstance();
+        private volatile long knownBorn;
+        private volatile long token;
+
+        /** Answers an outdated report, which the leader ignores, for the worker that it knows. */
+        private Envelope answerFor(WorkerIdentity.Builder known) {
+            return Envelope.newBuilder()
+                    .setWorkerDirectives(
+                            WorkerDirectives.newBuilder()
+                                    .setTerm(1)
+                                    .setFencingToken(token)
+                                    .setWorker(known))
+                    .build();
+        }
 
         private Mono<Envelope> reply(Envelope request) {
             WorkerReport report = request.getWorkerReport();
+            if (report.getWorker().getBornMillis() < knownBorn) {
+                return Mono.just(answerFor(report.getWorker().toBuilder().setBornMillis(knownBorn)));
+            }
             latest = report;
             WorkerDirectives.Builder directives =
                     WorkerDirectives.newBuilder()
                             .setTerm(1)
                             .setNumber(directivesNumber)
+                            .setFencingToken(token)
                             .setWorker(report.getWorker());
             if (stopsRun) {
                 directives.addStops(RUN);
@@ -101,13 +119,23 @@
         private volatile boolean answersLists = true;
         private volatile long highestToken;
         private volatile boolean refuses;
+        private volatile long born;
         private final List<Long> listCalls = new CopyOnWriteArrayList<>();
 
         private volatile Identification identification = Identification.CONFIRMED;
 
         @Override
         public Mono<Identification> identify(WorkerAnnouncement target, long token) {
-            return Mono.just(identification);
+            if (born == 0) {
+                return Mono.just(identification);
+            }
+            if (token < highestToken) {
+                return Mono.just(Identification.FENCED);
+            }
+            return Mono.just(
+                    target.identity().getBornMillis() == born
+                            ? Identification.CONFIRMED
+                            : Identification.DENIED);
         }
 
         private static long clockMillis() {
@@ -149,6 +177,10 @@
             if (token < highestToken) {
                 return Mono.just(new ListOutcome.Fenced());
             }
+            if (born > 0 && target.identity().getBornMillis() != born) {
+                return Mono.delay(Duration.ofMillis(5))
+                        .thenReturn(new ListOutcome.OtherIncarnation(born));
+            }
             ListOutcome outcome =
                     answersLists
                             ? new ListOutcome.Listing(clockMillis(), listed, endedRuns, true)
@@ -267,6 +299,49 @@
         await(() -> worker.starts.size() > 1);
     }
 
+    /** Restarts the agent, which hears a delayed announcement of the former incarnation first. */
+    private void restartWithDelayedAnnouncement(long leaderToken) throws InterruptedException {
+        agent.stop();
+        leader.token = leaderToken;
+        worker.born = 2;
+        worker.highestToken = FencingToken.of(1, 0);
+        leader.latest = WorkerReport.getDefaultInstance();
+        agent = startAgent();
+        for (int sequence = 10; sequence < 40 && !isIncarnationReported(2); sequence++) {
+            agent.announce(announcement("w", 2, sequence, false)).block(TIMEOUT);
+            Thread.sleep(100);
+        }
+        assertTrue(isIncarnationReported(2));
+    }
+
+    private boolean isIncarnationReported(long born) {
+        return leader.latest.getWorker().getBornMillis() == born;
+    }
+
+    /**
+     * Guards against a worker that stays locked out, because a restarted agent has taken a delayed
+     * announcement of its former incarnation and ignores all answers of the leader.
+     */
+    @Test
+    public void shouldTakeTokenFromDirectivesForOtherIncarnation() throws InterruptedException {
+        leader.knownBorn = 2;
+        restartWithDelayedAnnouncement(FencingToken.of(1, 0));
+    }
+
+    /**
+     * Guards against runs that a former process of the agent has started and that are stopped,
+     * because the restarted one has taken a delayed announcement of the former incarnation.
+     */
+    @Test
+    public void shouldNotStopRunsAfterDelayedAnnouncement() throws InterruptedException {
+        worker.listed = List.of(ActiveRun.newBuilder().setRun(RUN).setPercent(1).build());
+        restartWithDelayedAnnouncement(FencingToken.of(2, 0));
+        await(this::isReportedActive);
+        long sequence = leader.latest.getSequence();
+        await(() -> leader.latest.getSequence() > sequence + 1);
+        assertEquals(worker.stops, List.of());
+    }
+
     /** Guards against retries that multiply, as each one opens a connection. */
     @Test
     public void shouldKeepOneRetryOfListsAtATime() throws InterruptedException {
