--- a/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
@@ -83,7 +83,8 @@
         private Mono<Envelope> reply(Envelope request) {
             WorkerReport report = request.getWorkerReport();
             if (report.getWorker().getBornMillis() < knownBorn) {
-                return Mono.just(answerFor(report.getWorker().toBuilder().setBornMillis(knownBorn)));
+                return Mono.just(
+                        answerFor(report.getWorker().toBuilder().setBornMillis(knownBorn)));
             }
             latest = report;
             WorkerDirectives.Builder directives =
