Distrust a worker that has discarded an end until it lists one

Found by the review: an acknowledgement of an agent that was killed since can reach the next incarnation before the new agent knows a leader, and thus a token (four starts instead of one with a worker that stores the number). The new agent does not know of it, but the first run that is missing shows it: from then on the worker is tried with one run at a time, as after an acknowledgement without an answer. Runs that were active then may lose their ends as well.

--- a/src/main/java/org/yuccabank/agent/workflow/RunTable.java
+++ b/src/main/java/org/yuccabank/agent/workflow/RunTable.java
@@ -201,6 +201,7 @@
         if (entry.isEndMissing(requestedMillis)) {
             WorkflowAgentLog.endMissing(entry, acknowledgedNumber);
             entry.recordOutcomeUnknown("neither active nor ended in a list");
+            endsProven = false;
             return true;
         }
         if (entry.isAbsenceConfirmed(requestedMillis)) {
--- a/src/test/java/org/yuccabank/agent/workflow/RunTableTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/RunTableTest.java
@@ -204,6 +204,20 @@
         assertTrue(table.entries().isEmpty());
     }
 
+    /** Guards against further lost ends of a worker that has discarded one. */
+    @Test
+    public void shouldDistrustWorkerThatHasDiscardedEndUntilItListsOne() {
+        RunTable table = new RunTable();
+        RunEntry entry = table.addStart(START_REQUEST, false).orElseThrow();
+        entry.setStage(RunEntry.Stage.STARTED);
+        entry.recordConfirmed(10);
+        assertFalse(table.mayDiscardEnds());
+        applyListing(table, List.of(), List.of(), 20);
+        assertTrue(table.mayDiscardEnds());
+        applyListing(table, List.of(), List.of(done(7)), 30);
+        assertFalse(table.mayDiscardEnds());
+    }
+
     /**
      * Guards against acknowledging numbers that the worker has discarded, which would be those of
      * unseen ends if the call reached its next incarnation.
