Pass a raised token in growing steps and take a list for a confirmation

- A restarted agent needed 3.3 s to pass a token that its killed process had raised 60 times, one step each list.
The steps double now while the worker refuses.
- A new incarnation that had answered a list joined up to 3 s later, as the separate question for its identity was not answered.
An answer that names its birth is its confirmation.
- shouldStopRunOfFormerIncarnationWithoutLeader could pass without the late start; the next incarnation now carries it out before it accepts connections, and the test checks that.
- acknowledgeEnds waits until the stand-in has discarded the ends.

--- a/src/main/java/org/yuccabank/agent/workflow/DirectiveOrder.java
+++ b/src/main/java/org/yuccabank/agent/workflow/DirectiveOrder.java
@@ -27,9 +27,9 @@
         return fencingToken;
     }
 
-    /** Raises the fencing token after an interruption; without effect before the first one. */
-    void raiseFencingToken() {
-        fencingToken = fencingToken == 0 ? 0 : FencingToken.raise(fencingToken);
+    /** Raises the fencing token after interruptions; without effect before the first one. */
+    void raiseFencingToken(long interruptions) {
+        fencingToken = fencingToken == 0 ? 0 : FencingToken.raise(fencingToken, interruptions);
     }
 
     /** Returns the newest number of the term, 0 if the leader does not number its directives. */
--- a/src/main/java/org/yuccabank/agent/workflow/WorkerApi.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkerApi.java
@@ -28,8 +28,8 @@
         /** The worker is this incarnation. */
         CONFIRMED,
         /**
-         * The worker has the identifier that the announcement names and has received a call from a
-         * leader of a later term, so its incarnation is unknown.
+         * The worker has the identifier that the announcement names and has received a call with a
+         * higher token, so its incarnation is unknown.
          */
         FENCED,
         /** The worker is another one, so the announcement is not its own. */
@@ -99,7 +99,7 @@
      * Fencing token and lease of a call. The token orders the call relative to those of other
      * leaders, and to those for earlier incarnations of the worker. Immutable.
      *
-     * @param token the token that the leader has sent for this incarnation
+     * @param token the token that the leader has sent for this incarnation, or a raised one
      * @param leaseEndMillis end of the lease on the worker's clock, empty to leave it unchanged
      */
     record FencedLease(long token, OptionalLong leaseEndMillis) {}
@@ -138,7 +138,7 @@
 
     /** The reason for a refusal. */
     enum Refusal {
-        /** The worker has received a call from a leader of a later term. */
+        /** The worker has received a call with a higher token. */
         FENCED,
         /** The run, or a later run of the same task, existed before or was stopped. */
         OUTDATED,
--- a/src/main/java/org/yuccabank/agent/workflow/WorkerLists.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkerLists.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.yuccabank.protocol.generated.WorkerIdentity;
@@ -71,6 +72,7 @@
     private long listedTerm;
     private long listedAtMillis = Long.MIN_VALUE / 2;
     private long unsettledNumber;
+    private OptionalLong answeredBorn = OptionalLong.empty();
     private boolean inProgress;
     private int failures;
     private boolean requested;
@@ -106,8 +108,14 @@
         return unsettledNumber;
     }
 
+    /** Returns whether the incarnation of an announcement has answered the latest request. */
+    boolean hasAnswered(WorkerAnnouncement announcement) {
+        return answeredBorn.equals(OptionalLong.of(announcement.identity().getBornMillis()));
+    }
+
     /** Begins with a new incarnation, of which there is no list yet. */
     void reset() {
+        answeredBorn = OptionalLong.empty();
         unsettledNumber = 0;
         listedTerm = 0;
         listedAtMillis = Long.MIN_VALUE / 2;
@@ -216,6 +224,7 @@
         } else if (outcome instanceof WorkerApi.ListOutcome.Listing listing) {
             boolean firstOfTerm = listedTerm != term;
             failures = 0;
+            answeredBorn = OptionalLong.empty();
             unsettledNumber = 0;
             listedTerm = term;
             listedAtMillis = WorkflowAgent.nowMillis();
@@ -223,6 +232,10 @@
             next.accept(target);
         } else {
             inProgress = false;
+            answeredBorn =
+                    outcome instanceof WorkerApi.ListOutcome.OtherIncarnation other
+                            ? OptionalLong.of(other.bornMillis())
+                            : OptionalLong.empty();
             context.onUnavailable(identity, outcome);
             scheduleRetry();
         }
--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -59,6 +59,7 @@
     private Optional<WorkerAnnouncement> worker = Optional.empty();
     private long announcedAtMillis;
     private long joinedAtMillis;
+    private long fencedSteps = 1;
     private final DirectiveOrder order = new DirectiveOrder();
     private long reportedTerm;
     private final long reporterId = ThreadLocalRandom.current().nextLong();
@@ -220,7 +221,7 @@
     private void accept(WorkerAnnouncement announcement, MonoSink<Boolean> sink) {
         if (isOutdated(announcement)) {
             sink.success(true);
-        } else if (isCurrentIncarnation(announcement)) {
+        } else if (isCurrentIncarnation(announcement) || lists.hasAnswered(announcement)) {
             record(announcement, sink);
         } else {
             api.identify(announcement, order.fencingToken())
@@ -298,7 +299,7 @@
             WorkerAnnouncement announcement, Optional<WorkerAnnouncement> previous) {
         boolean bornAgain = previous.filter(announcement::hasSameIdentifier).isPresent();
         if (previous.isPresent()) {
-            order.raiseFencingToken();
+            order.raiseFencingToken(1);
             runs.clear(bornAgain && lists.listedTerm() > 0, lists.unsettledNumber());
         }
         lease.reset(nowMillis(), bornAgain);
@@ -502,6 +503,7 @@
             long requestedMillis,
             boolean firstOfTerm) {
         long now = nowMillis();
+        fencedSteps = 1;
         lease.sampleClock(listing.clockMillis(), now);
         lease.markResponsive();
         boolean changed = runs.applyListing(listing, requestedMillis);
@@ -520,9 +522,12 @@
         }
         lease.markUnresponsive();
         boolean interrupted = crashEvidence.recordResponsive(false, nowMillis());
-        // Only a former process of this agent can have used a higher token of this term.
-        if (interrupted || outcome instanceof WorkerApi.ListOutcome.Fenced) {
-            order.raiseFencingToken();
+        if (outcome instanceof WorkerApi.ListOutcome.Fenced) {
+            // Only a former process of this agent can have used a higher token of this term.
+            order.raiseFencingToken(fencedSteps);
+            fencedSteps = 2 * fencedSteps;
+        } else if (interrupted) {
+            order.raiseFencingToken(1);
         }
         if (interrupted || shutdown.isRequested()) {
             requestReport();
--- a/src/main/java/org/yuccabank/model/FencingToken.java
+++ b/src/main/java/org/yuccabank/model/FencingToken.java
@@ -12,9 +12,9 @@
  * to call the worker.
  *
  * <p>Invariants: the token rises with the term of the leader, within a term with each incarnation
- * on a host, and within an incarnation with each interruption. It depends on no clock and on no
- * state that is lost with the agent. It is higher than the tokens of earlier releases. It is exact
- * as a floating-point number for terms up to 2^29. Stateless.
+ * on a host, and within an incarnation with each of the first 1,023 interruptions. It depends on no
+ * clock and on no state that is lost with the agent. It is higher than the tokens of earlier
+ * releases. It is exact as a floating-point number for terms up to 2^29. Stateless.
  */
 public final class FencingToken {
 
@@ -42,13 +42,14 @@
     }
 
     /**
-     * Returns the token after an interruption, which is lower than the leader's for the next
+     * Returns the token after interruptions, which is lower than the leader's for the next
      * incarnation.
      *
      * @param token a token
-     * @return the next token, or the same one after the maximum number of interruptions
+     * @param interruptions number of interruptions, positive
+     * @return the raised token, at most that of the maximum number of interruptions
      */
-    public static long raise(long token) {
-        return (token & MAXIMUM_INTERRUPTION) == MAXIMUM_INTERRUPTION ? token : token + 1;
+    public static long raise(long token, long interruptions) {
+        return Math.min(token | MAXIMUM_INTERRUPTION, token + interruptions);
     }
 }
--- a/src/test/java/org/yuccabank/agent/workflow/DirectiveOrderTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/DirectiveOrderTest.java
@@ -26,11 +26,11 @@
     @Test
     public void shouldKeepRaisedFencingToken() {
         DirectiveOrder order = new DirectiveOrder();
-        order.raiseFencingToken();
+        order.raiseFencingToken(1);
         assertEquals(order.fencingToken(), 0, "no leader is known");
         long token = FencingToken.of(3, 1);
         assertTrue(order.advance(directives(3, 1, token)));
-        order.raiseFencingToken();
+        order.raiseFencingToken(1);
         assertEquals(order.fencingToken(), token + 1);
         assertTrue(order.advance(directives(3, 2, token)));
         assertEquals(order.fencingToken(), token + 1);
--- a/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/WorkflowAgentTest.java
@@ -120,6 +120,7 @@
         private volatile boolean answersLists = true;
         private volatile long highestToken;
         private volatile boolean refuses;
+        private volatile boolean identified = true;
         private volatile long born;
         private final List<Long> listCalls = new CopyOnWriteArrayList<>();
 
@@ -127,6 +128,9 @@
 
         @Override
         public Mono<Identification> identify(WorkerAnnouncement target, long token) {
+            if (!identified) {
+                return Mono.just(Identification.UNKNOWN);
+            }
             if (born == 0) {
                 return Mono.just(identification);
             }
@@ -278,7 +282,7 @@
     @Test
     public void shouldRaiseFencingTokenUpToThatOfFormerProcess() {
         agent.stop();
-        worker.highestToken = 3;
+        worker.highestToken = 60;
         leader.latest = WorkerReport.getDefaultInstance();
         agent = startAgent();
         await(() -> leader.latest.getListed());
@@ -343,6 +347,19 @@
         assertEquals(worker.stops, List.of());
     }
 
+    /**
+     * Guards against a worker that joins late, because the question for its identity is not
+     * answered although it has answered a list.
+     */
+    @Test
+    public void shouldTakeListOfNextIncarnationForItsConfirmation() {
+        worker.born = 2;
+        worker.identified = false;
+        await(() -> leader.latest.hasCrash());
+        agent.announce(announcement("w", 2)).block(TIMEOUT);
+        await(() -> isIncarnationReported(2));
+    }
+
     /** Guards against retries that multiply, as each one opens a connection. */
     @Test
     public void shouldKeepOneRetryOfListsAtATime() throws InterruptedException {
--- a/src/test/java/org/yuccabank/control/workflow/WorkerViewTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/WorkerViewTest.java
@@ -131,7 +131,7 @@
         assertEquals(view.fencingToken(), second);
         long interrupted = first;
         for (int interruption = 0; interruption < 5_000; interruption++) {
-            interrupted = FencingToken.raise(interrupted);
+            interrupted = FencingToken.raise(interrupted, 1);
         }
         assertTrue(interrupted > first && interrupted < second, "raised by the agent");
         long incarnations = 1L << 40;
--- a/src/test/java/org/yuccabank/platform/PlatformPath.java
+++ b/src/test/java/org/yuccabank/platform/PlatformPath.java
@@ -219,6 +219,7 @@
             awaitState(workflowId, "completed");
         }
         await(() -> minion.latestAcknowledgement() != null ? 1 : 0, 1);
+        await(() -> minion.hasEnds() ? 1 : 0, 0);
     }
 
     final long startCount(String workflowId) {
--- a/src/test/java/org/yuccabank/platform/StandInMinion.java
+++ b/src/test/java/org/yuccabank/platform/StandInMinion.java
@@ -120,9 +120,15 @@
 
     /** Restarts like a process that is down for a while, which closes all connections. */
     void restartProcess(long newBorn) throws InterruptedException {
+        restartProcess(newBorn, () -> {});
+    }
+
+    /** The same with calls that the new process carries out first. */
+    void restartProcess(long newBorn, Runnable firstCalls) throws InterruptedException {
         HttpServers.stop(server, Duration.ofMillis(200));
         Thread.sleep(DOWNTIME_MILLIS);
         restart(newBorn);
+        firstCalls.run();
         server = HttpServers.serve(address, eventLoops, this::handle);
     }
 
--- a/src/test/java/org/yuccabank/platform/WorkerRebirthTest.java
+++ b/src/test/java/org/yuccabank/platform/WorkerRebirthTest.java
@@ -49,7 +49,6 @@
     @Test
     public void shouldNotAcknowledgeEndsOverConnectionThatOutlivesIncarnation() throws Exception {
         acknowledgeEnds("c1c1c1c1", 3);
-        await(() -> minion.hasEnds() ? 1 : 0, 0);
         announcement = "";
         minion.restartAfterNextEnds(++born);
         submit("c2c2c2c2c2c2c2c2", 500);
@@ -68,7 +67,6 @@
     @Test
     public void shouldNotRepeatTasksOfWorkerThatMayDiscardEnds() throws Exception {
         acknowledgeEnds("c6c6c6c6", 3);
-        await(() -> minion.hasEnds() ? 1 : 0, 0);
         announcement = "";
         minion.restartAfterLists(++born, 2);
         submit("c7c7c7c7c7c7c7c7", 500);
@@ -104,9 +102,13 @@
     public void shouldStopRunOfFormerIncarnationWithoutLeader() throws Exception {
         JsonFields late = runAfterDroppedStart("c5c5c5c5c5c5c5c5");
         stopLeader();
-        minion.restartProcess(++born);
-        minion.disableCompletion();
-        minion.deliverStart(late);
+        minion.restartProcess(
+                ++born,
+                () -> {
+                    minion.disableCompletion();
+                    minion.deliverStart(late);
+                });
+        assertEquals(startCount("c5c5c5c5c5c5c5c5"), 2, "carried out by the next incarnation");
         sendHeartbeat(born);
         await(() -> minion.isRunning("c5c5c5c5c5c5c5c5.0.0.0#1") ? 1 : 0, 0);
     }
