Tell new leaders of the earlier crashes of a worker

Cause: a task is given up after crashes of two workers, of which one has no other suspect and has not crashed without it.

Agents report up to four recent crashes of their host's workers before the latest one, with their age, and a leader records those that it has not seen. An agent that was killed has forgotten them.

--- a/src/main/java/org/yuccabank/agent/workflow/CrashEvidence.java
+++ b/src/main/java/org/yuccabank/agent/workflow/CrashEvidence.java
@@ -1,7 +1,11 @@
 package org.yuccabank.agent.workflow;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.stream.Stream;
 import org.yuccabank.protocol.generated.WorkerCrash;
 import org.yuccabank.protocol.generated.WorkerIdentity;
 
@@ -16,8 +20,21 @@
 final class CrashEvidence {
 
     private final Function<WorkerIdentity, WorkerCrash> currentCrash;
-    private Optional<WorkerCrash> previousCrash = Optional.empty();
-    private long previousNoticedAtMillis;
+
+    /** Time for which earlier crashes are reported, that for which leaders weigh them. */
+    private static final long EARLIER_RETENTION_MILLIS = 60_000;
+
+    private static final int MAXIMUM_EARLIER = 4;
+
+    private record NoticedCrash(WorkerCrash crash, long atMillis) {
+
+        private WorkerCrash withAge(long nowMillis) {
+            return crash.toBuilder().setAgeMillis(nowMillis - atMillis).build();
+        }
+    }
+
+    private final Deque<NoticedCrash> earlierCrashes = new ArrayDeque<>();
+    private Optional<NoticedCrash> previousCrash = Optional.empty();
     private boolean unresponsive;
     private long noticedAtMillis;
 
@@ -39,12 +56,24 @@
      */
     Optional<WorkerCrash> latest(WorkerIdentity current, long nowMillis) {
         return unresponsive
-                ? Optional.of(withAge(currentCrash.apply(current), nowMillis - noticedAtMillis))
-                : previousCrash.map(crash -> withAge(crash, nowMillis - previousNoticedAtMillis));
+                ? Optional.of(
+                        new NoticedCrash(currentCrash.apply(current), noticedAtMillis)
+                                .withAge(nowMillis))
+                : previousCrash.map(crash -> crash.withAge(nowMillis));
     }
 
-    private static WorkerCrash withAge(WorkerCrash crash, long ageMillis) {
-        return crash.toBuilder().setAgeMillis(ageMillis).build();
+    /**
+     * Returns the recent crashes before the one of {@link #latest}, the newest first, at most four.
+     *
+     * @param nowMillis current time
+     */
+    List<WorkerCrash> earlier(long nowMillis) {
+        Stream<NoticedCrash> previous = unresponsive ? previousCrash.stream() : Stream.empty();
+        return Stream.concat(previous, earlierCrashes.stream())
+                .filter(each -> nowMillis - each.atMillis() <= EARLIER_RETENTION_MILLIS)
+                .limit(MAXIMUM_EARLIER)
+                .map(each -> each.withAge(nowMillis))
+                .toList();
     }
 
     /**
@@ -71,8 +100,15 @@
      * @param nowMillis current time
      */
     void recordReplaced(WorkerIdentity previous, boolean announcedEnd, long nowMillis) {
-        previousCrash = announcedEnd ? Optional.empty() : Optional.of(currentCrash.apply(previous));
-        previousNoticedAtMillis = unresponsive ? noticedAtMillis : nowMillis;
+        previousCrash.ifPresent(earlierCrashes::addFirst);
+        if (earlierCrashes.size() > MAXIMUM_EARLIER) {
+            earlierCrashes.removeLast();
+        }
+        long atMillis = unresponsive ? noticedAtMillis : nowMillis;
+        previousCrash =
+                announcedEnd
+                        ? Optional.empty()
+                        : Optional.of(new NoticedCrash(currentCrash.apply(previous), atMillis));
         unresponsive = false;
     }
 }
--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -423,6 +423,7 @@
             reportedTerm = lists.listedTerm();
         }
         crashEvidence.latest(announced.identity(), now).ifPresent(report::setCrash);
+        report.addAllEarlierCrashes(crashEvidence.earlier(now));
         lease.promiseTimeLeft(now).ifPresent(report::setLeaseLeftMillis);
         return report.build();
     }
--- a/src/main/java/org/yuccabank/control/workflow/CrashCounters.java
+++ b/src/main/java/org/yuccabank/control/workflow/CrashCounters.java
@@ -47,6 +47,8 @@
         if (!report.hasCrash() || !report.getCrash().getWorker().equals(report.getWorker())) {
             history.groups().withdraw(report.getWorker());
         }
+        report.getEarlierCrashesList()
+                .forEach(each -> history.record(each, nowMillis - each.getAgeMillis()));
         if (report.hasCrash()) {
             WorkerCrash crash = report.getCrash();
             history.groups()
--- a/src/test/java/org/yuccabank/agent/workflow/CrashEvidenceTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/CrashEvidenceTest.java
@@ -89,6 +89,22 @@
         assertTrue(evidence.latest(SECOND, 2_100).isEmpty());
     }
 
+    /** Guards against a leader that takes a worker which crashes on its own for a reliable one. */
+    @Test
+    public void shouldReportEarlierCrashes() {
+        CrashEvidence evidence = new CrashEvidence(new RunTable()::crash);
+        evidence.recordReplaced(FIRST, false, 1_000);
+        assertEquals(evidence.earlier(1_500), List.of());
+        evidence.recordReplaced(SECOND, false, 3_000);
+        assertEquals(evidence.earlier(4_000).get(0).getWorker(), FIRST);
+        assertEquals(evidence.earlier(4_000).get(0).getAgeMillis(), 3_000);
+        evidence.recordResponsive(false, 5_000);
+        assertEquals(
+                evidence.earlier(5_000).stream().map(WorkerCrash::getWorker).toList(),
+                List.of(SECOND, FIRST));
+        assertEquals(evidence.earlier(62_000).size(), 1, "too old to be weighed");
+    }
+
     /**
      * Guards against a leader that takes old crashes it has just heard of for simultaneous ones.
      */
--- a/src/test/java/org/yuccabank/control/workflow/CrashSuspectsTest.java
+++ b/src/test/java/org/yuccabank/control/workflow/CrashSuspectsTest.java
@@ -14,6 +14,7 @@
 import org.yuccabank.protocol.generated.TaskAddress;
 import org.yuccabank.protocol.generated.WorkerCrash;
 import org.yuccabank.protocol.generated.WorkerIdentity;
+import org.yuccabank.protocol.generated.WorkerReport;
 import org.yuccabank.protocol.generated.WorkflowCommand;
 import org.yuccabank.state.workflow.WorkflowRecords;
 
@@ -53,6 +54,25 @@
                 .toList();
     }
 
+    /**
+     * Guards against a new leader that gives a task up, because it does not know of the earlier
+     * crashes of a worker that crashes on its own.
+     */
+    @Test
+    public void shouldCountCrashesThatFormerLeadersHaveSeen() {
+        CrashCounters crashes = new CrashCounters();
+        WorkerIdentity former = WORKER.toBuilder().setBornMillis(1).build();
+        WorkerIdentity current = WORKER.toBuilder().setBornMillis(2).build();
+        WorkerReport report =
+                WorkerReport.newBuilder()
+                        .setWorker(current)
+                        .addEarlierCrashes(
+                                WorkerCrash.newBuilder().setWorker(former).setAgeMillis(9_000))
+                        .build();
+        crashes.recordReport(report, new WorkflowRecords(), 10_000);
+        assertEquals(crashes.history().crashesWithout(current, "a"), 1);
+    }
+
     /** Guards against accusing a task because its worker is cut off shortly after its start. */
     @Test
     public void shouldTakeSilenceOfWorkerForNoEvidenceUntilItIsBornAgain() {
