Keep a raised fencing token within its incarnation

A list confirms an announcement only of the identifier that was asked.

shouldKeepRaisedFencingTokenWithinIncarnation is new.

--- a/src/main/java/org/yuccabank/agent/workflow/WorkerLists.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkerLists.java
@@ -110,7 +110,8 @@
 
     /** Returns whether the incarnation of an announcement has answered the latest request. */
     boolean hasAnswered(WorkerAnnouncement announcement) {
-        return answeredBorn.equals(OptionalLong.of(announcement.identity().getBornMillis()));
+        return answeredBorn.equals(OptionalLong.of(announcement.identity().getBornMillis()))
+                && context.worker().filter(announcement::hasSameIdentifier).isPresent();
     }
 
     /** Begins with a new incarnation, of which there is no list yet. */
--- a/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
+++ b/src/main/java/org/yuccabank/agent/workflow/WorkflowAgent.java
@@ -41,6 +41,9 @@
     private static final long REPORT_INTERVAL_MILLIS = 600;
     private static final Duration REPORT_TIMEOUT = Duration.ofMillis(1_000);
 
+    /** Longest step by which the token is raised while the worker refuses it. */
+    private static final long MAXIMUM_FENCED_STEPS = 512;
+
     private static final long REPORT_RETRY_MILLIS = 150;
 
     private final WorkflowAgentConfiguration configuration;
@@ -526,7 +529,7 @@
         if (outcome instanceof WorkerApi.ListOutcome.Fenced) {
             // Only a former process of this agent can have used a higher token of this term.
             order.raiseFencingToken(fencedSteps);
-            fencedSteps = 2 * fencedSteps;
+            fencedSteps = Math.min(2 * fencedSteps, MAXIMUM_FENCED_STEPS);
         } else if (interrupted) {
             order.raiseFencingToken(1);
         }
--- a/src/main/java/org/yuccabank/model/FencingToken.java
+++ b/src/main/java/org/yuccabank/model/FencingToken.java
@@ -50,6 +50,8 @@
      * @return the raised token, at most that of the maximum number of interruptions
      */
     public static long raise(long token, long interruptions) {
-        return Math.min(token | MAXIMUM_INTERRUPTION, token + interruptions);
+        return Math.min(
+                token | MAXIMUM_INTERRUPTION,
+                token + Math.min(interruptions, MAXIMUM_INTERRUPTION));
     }
 }
--- a/src/test/java/org/yuccabank/agent/workflow/DirectiveOrderTest.java
+++ b/src/test/java/org/yuccabank/agent/workflow/DirectiveOrderTest.java
@@ -38,6 +38,19 @@
         assertEquals(order.fencingToken(), FencingToken.of(3, 2));
     }
 
+    /** Guards against a token that falls, or leaves its incarnation, after many interruptions. */
+    @Test
+    public void shouldKeepRaisedFencingTokenWithinIncarnation() {
+        DirectiveOrder order = new DirectiveOrder();
+        assertTrue(order.advance(directives(3, 1, FencingToken.of(3, 1))));
+        for (long interruptions = 1; interruptions > 0; interruptions *= 2) {
+            long token = order.fencingToken();
+            order.raiseFencingToken(interruptions);
+            assertTrue(order.fencingToken() >= token);
+        }
+        assertTrue(order.fencingToken() < FencingToken.of(3, 2));
+    }
+
     /**
      * Guards against a token that falls, so that a worker refuses all calls, and against one of 0
      * beside a leader of an earlier release.
