Let the run of LateEndTest end while its lease lasts

Found by the review: the run was done 12 s after its agent had stopped, when its worker would have ended it as lapsed.

--- a/src/test/java/org/yuccabank/platform/LateEndTest.java
+++ b/src/test/java/org/yuccabank/platform/LateEndTest.java
@@ -28,8 +28,9 @@
         submit(workflowId, 500);
         await(() -> minion.isRunning(workflowId + ".0.0.0#1") ? 1 : 0, 1);
         agent.stop();
-        Thread.sleep(LEASE_OVER_MILLIS);
+        // The run ends while its lease lasts, and nobody lists its end.
         minion.enableCompletion();
+        Thread.sleep(LEASE_OVER_MILLIS);
         agent = AgentRole.start(workerSettings);
         awaitState(workflowId, "completed");
         assertEquals(startCount(workflowId), 1);
